feat(daemon): ledger client, configuration and operator routes

Ruled out: a resent open answered 'duplicate' is taken for 'opened' only if it can stem from nothing but this command.

--- /dev/null
+++ b/packages/daemon/src/ledgerClient/openTracker.ts
@@ -0,0 +1,66 @@
+/**
+ * @fileoverview Recognizes this process's own opens in the ledger's answers.
+ *
+ * A command whose answer was lost is sent again. If the first copy of an
+ * `openRequest` was applied, the second one is answered `duplicate`, which must
+ * not be mistaken for a caller's repeated request. The answer is taken for
+ * `opened` only if it can't stem from anything but this very command: this
+ * process sent one open for the key, the ledger names this instance as the
+ * holder, and the key was opened after this process first reached the ledger,
+ * so not by an earlier process of the same instance.
+ */
+import {
+  type Command,
+  type OpenRequest,
+  type Result,
+} from '@dogwoodtrestle/schema';
+
+const maximumTrackedKeys = 100_000;
+
+/** Tracks the request keys that this process has sent opens for. */
+export class OpenTracker {
+  /** Opens sent by request key as the ledger scopes it. */
+  private readonly sent = new Map<string, number>();
+  private firstLedgerTime: number | undefined;
+
+  /** Takes in a ledger time that the leader has told. */
+  noteLedgerTime(ledgerTime: number): void {
+    this.firstLedgerTime ??= ledgerTime;
+  }
+
+  /** Takes in a command that is about to be sent for the first time. */
+  noteSent(command: Command): void {
+    if (command.kind !== 'openRequest') return;
+    const key = keyOf(command);
+    this.sent.set(key, (this.sent.get(key) ?? 0) + 1);
+    this.dropOldest();
+  }
+
+  /**
+   * Returns the result that the sender of a command gets.
+   *
+   * @param resent Whether an earlier copy may have been applied.
+   */
+  resultOf(command: Command, result: Result, resent: boolean): Result {
+    if (command.kind !== 'openRequest') return result;
+    if (result.kind !== 'duplicate' || !resent) return result;
+    const {status, holder, openedAt = -Infinity, attempt} = result;
+    const own =
+      status === 'open' &&
+      holder === command.holder &&
+      this.sent.get(keyOf(command)) === 1 &&
+      openedAt > (this.firstLedgerTime ?? Infinity);
+    if (!own) return result;
+    return {kind: 'opened', requestKey: result.requestKey, attempt};
+  }
+
+  private dropOldest(): void {
+    if (this.sent.size <= maximumTrackedKeys) return;
+    const oldest = this.sent.keys().next().value;
+    if (oldest !== undefined) this.sent.delete(oldest);
+  }
+}
+
+function keyOf({customer, workspace, requestKey}: OpenRequest): string {
+  return `${customer}/${workspace}/${requestKey}`;
+}
--- /dev/null
+++ b/packages/daemon/src/operators/index.ts
@@ -0,0 +1,5 @@
+/** @fileoverview The operator HTTP API. */
+export {
+  createOperatorRoutes,
+  type OperatorRoutesOptions,
+} from './operatorRoutes.js';
--- /dev/null
+++ b/packages/daemon/src/util/bearerKey.ts
@@ -0,0 +1,25 @@
+/**
+ * @fileoverview Checks bearer keys without telling by the time taken how much
+ * of a wrong key was right.
+ */
+import {createHash, timingSafeEqual} from 'node:crypto';
+
+/** A key that callers must carry. */
+export class BearerKey {
+  private readonly digest: Buffer;
+
+  constructor(key: string) {
+    this.digest = digestOf(key);
+  }
+
+  /** Whether an `authorization` header carries the key. */
+  matches(header: string | undefined): boolean {
+    const match = /^Bearer +(\S+)$/i.exec(header ?? '');
+    const key = match?.[1];
+    return key !== undefined && timingSafeEqual(digestOf(key), this.digest);
+  }
+}
+
+function digestOf(key: string): Buffer {
+  return createHash('sha256').update(key).digest();
+}
