feat(routing): decisions of a router as pure code

Directory, choice of a backend server, load correction, admission, limits, retry budget, outlier ejection, slow start, prefix hints, hedging, orders, KV transfer, and membership of instances.

The defaults of the policy are first values, not measured yet.

--- /dev/null
+++ b/packages/routing/src/chooseBackend.ts
@@ -0,0 +1,187 @@
+/**
+ * @fileoverview Chooses the backend server of one attempt.
+ *
+ * Each candidate gets a cost, the lower the better: how full it will be with
+ * this request, plus the share of the prompt that it would have to recompute,
+ * plus a surcharge for another failure domain. The cache counts only while the
+ * server isn't much fuller than the least loaded one, so that a popular prefix
+ * can't make a hot spot. The choice is random among those near the lowest cost,
+ * because several routers act on the same lagging reports and would otherwise
+ * all pick the same server.
+ */
+import {type BackendEntry} from './directory.js';
+
+export interface Health {
+  ejected: boolean;
+  /** Share of its full load that the server should get now, above 0 up to 1. */
+  weight: number;
+}
+
+export interface ChoiceOptions {
+  /** Cost of recomputing the whole prompt, in units of utilisation. */
+  recomputeCost: number;
+  /** The cache counts up to this much utilisation above the least loaded. */
+  affinityHeadroom: number;
+  /** Cost of leaving the failure domain, in units of utilisation. */
+  remoteCost: number;
+  /** Candidates within this much of the lowest cost are as good. */
+  tolerance: number;
+  /** Number of candidates named in the explanation. */
+  explainedCandidates: number;
+}
+
+export const defaultChoiceOptions: ChoiceOptions = {
+  recomputeCost: 0.5,
+  affinityHeadroom: 0.5,
+  remoteCost: 0.1,
+  tolerance: 0.05,
+  explainedCandidates: 12,
+};
+
+export interface ChoiceInput {
+  candidates: readonly BackendEntry[];
+  /** Monotonic milliseconds. */
+  now: number;
+  /** Own requests in flight there. */
+  inFlight: (name: string) => number;
+  /** Number to add to the reported load; see `LoadTracker.correction`. */
+  correction?: (entry: BackendEntry) => number;
+  /** Of this instance. */
+  failureDomain: string;
+  /** Share of the prompt that is cached there, from 0 to 1. */
+  prefixHits: (name: string) => number;
+  health: (name: string) => Health;
+  /** Servers that earlier attempts of the request have tried. */
+  exclude: ReadonlySet<string>;
+  /** Uniform in [0, 1). */
+  random: () => number;
+  options?: Partial<ChoiceOptions>;
+}
+
+export type ConsiderationReason =
+  'chosen' | 'nearLowestCost' | 'higherCost' | 'ejected' | 'excluded';
+
+export interface Consideration {
+  name: string;
+  /** Cost; infinite for those that were ruled out. */
+  score: number;
+  why: ConsiderationReason;
+}
+
+export interface Choice {
+  backend?: BackendEntry;
+  /** Cheapest first, the chosen one among them; bounded in number. */
+  considered: Consideration[];
+}
+
+interface Scored {
+  entry: BackendEntry;
+  utilisation: number;
+  cost: number;
+}
+
+export function chooseBackend(input: ChoiceInput): Choice {
+  const options = {...defaultChoiceOptions, ...input.options};
+  const ruledOut: Consideration[] = [];
+  const scored: Scored[] = [];
+  for (const entry of input.candidates) {
+    const {name} = entry.announcement;
+    const why = reasonToRuleOut(name, input);
+    if (why) ruledOut.push({name, score: Infinity, why});
+    else {
+      scored.push({entry, utilisation: utilisationOf(entry, input), cost: 0});
+    }
+  }
+  addCosts(scored, input, options);
+  const chosen = pick(scored, input.random, options);
+  return {
+    backend: chosen?.entry,
+    considered: explain(scored, chosen, ruledOut, options),
+  };
+}
+
+function reasonToRuleOut(
+  name: string,
+  {exclude, health}: ChoiceInput,
+): 'excluded' | 'ejected' | undefined {
+  if (exclude.has(name)) return 'excluded';
+  return health(name).ejected ? 'ejected' : undefined;
+}
+
+/** Expected load as a share of the capacity, this request included. */
+function utilisationOf(entry: BackendEntry, input: ChoiceInput): number {
+  const {name, load} = entry.announcement;
+  const reported = load.running + load.queued;
+  const expected = reported + (input.correction?.(entry) ?? 0);
+  const atLeast = input.inFlight(name);
+  const capacity = load.capacity * Math.max(input.health(name).weight, 0.01);
+  return (Math.max(expected, atLeast) + 1) / capacity;
+}
+
+function addCosts(
+  scored: Scored[],
+  {prefixHits, failureDomain}: ChoiceInput,
+  options: ChoiceOptions,
+): void {
+  let lowest = Infinity;
+  for (const {utilisation} of scored) lowest = Math.min(lowest, utilisation);
+  const affinityLimit = lowest + options.affinityHeadroom;
+  for (const candidate of scored) {
+    const {name, failureDomain: domain} = candidate.entry.announcement;
+    const hits = candidate.utilisation <= affinityLimit ? prefixHits(name) : 0;
+    candidate.cost =
+      candidate.utilisation +
+      options.recomputeCost * (1 - hits) +
+      (domain === failureDomain ? 0 : options.remoteCost);
+  }
+}
+
+function pick(
+  scored: readonly Scored[],
+  random: () => number,
+  {tolerance}: ChoiceOptions,
+): Scored | undefined {
+  let lowest = Infinity;
+  for (const {cost} of scored) lowest = Math.min(lowest, cost);
+  const best = scored.filter(({cost}) => cost <= lowest + tolerance);
+  return best[Math.floor(random() * best.length)];
+}
+
+function explain(
+  scored: readonly Scored[],
+  chosen: Scored | undefined,
+  ruledOut: readonly Consideration[],
+  {tolerance, explainedCandidates}: ChoiceOptions,
+): Consideration[] {
+  const cheapest = lowestCosts(scored, explainedCandidates);
+  const limit = (cheapest[0]?.cost ?? 0) + tolerance;
+  if (chosen && !cheapest.includes(chosen)) {
+    cheapest[cheapest.length - 1] = chosen;
+  }
+  const named = cheapest.map((candidate): Consideration => {
+    const {entry, cost} = candidate;
+    const near = cost <= limit ? 'nearLowestCost' : 'higherCost';
+    return {
+      name: entry.announcement.name,
+      score: cost,
+      why: candidate === chosen ? 'chosen' : near,
+    };
+  });
+  return [...named, ...ruledOut].slice(0, explainedCandidates);
+}
+
+/** The cheapest few in order, without sorting all. */
+function lowestCosts(scored: readonly Scored[], count: number): Scored[] {
+  const lowest: Scored[] = [];
+  for (const candidate of scored) {
+    const last = lowest[lowest.length - 1];
+    if (lowest.length === count && last && candidate.cost >= last.cost) {
+      continue;
+    }
+    let place = lowest.length;
+    while (place > 0 && lowest[place - 1]!.cost > candidate.cost) place -= 1;
+    lowest.splice(place, 0, candidate);
+    if (lowest.length > count) lowest.pop();
+  }
+  return lowest;
+}
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -1,2 +1,31 @@
 /** @fileoverview Face of the package; see its README. */
-export {};
+export * from './admission/admission.js';
+export * from './chooseBackend.js';
+export * from './concurrencyLimiter.js';
+export * from './directory.js';
+export * from './hedging.js';
+export * from './kvTransfer.js';
+export * from './loadTracker.js';
+export * from './membership/choosePeers.js';
+export * from './membership/instanceRecord.js';
+export * from './membership/instanceTable.js';
+export * from './membership/membershipFinding.js';
+export * from './orders/orderPlanner.js';
+export * from './orders/wantedOffers.js';
+export * from './outlierDetector.js';
+export * from './prefixBlocks.js';
+export * from './prefixIndex.js';
+export * from './priority.js';
+export * from './rateLimiter.js';
+export * from './retryBudget.js';
+export * from './slowStart.js';
+export {
+  type AgedRecord,
+  type Digest,
+  type DigestSlice,
+  type Observation,
+  type Version,
+  type VersionVector,
+} from './util/agedTable.js';
+export {limitBytes} from './util/limitBytes.js';
+export {type LimitedRequest} from './util/limitScope.js';
--- /dev/null
+++ b/packages/routing/src/priority.ts
@@ -0,0 +1,16 @@
+/** @fileoverview Priorities of requests, as contracts name them. */
+import {type Contract} from '@dogwoodtrestle/schema';
+
+export type Priority = Contract['priority'];
+
+/** Most urgent first. */
+export const priorities: readonly Priority[] = [
+  'urgent',
+  'normal',
+  'background',
+];
+
+/** 0 is the most urgent. */
+export function rankOf(priority: Priority): number {
+  return priorities.indexOf(priority);
+}
