--- /dev/null
+++ b/packages/consensus/src/election.ts
@@ -0,0 +1,156 @@
+/**
+ * @fileoverview Election with pre-vote.
+ */
+import {type VoteReply, type VoteRequest} from '@dogwoodtrestle/schema';
+
+import {type ReplicaState} from './replicaState.js';
+import {majorityOf} from './util/quorum.js';
+import {withTimeout} from './util/withTimeout.js';
+
+type Ballot = Pick<VoteRequest, 'term' | 'preVote' | 'transfer'>;
+
+/** Stands for election when no leader is heard of, and answers candidates. */
+export class Election {
+  private cancelTimer?: () => void;
+  private campaigns = 0;
+
+  constructor(
+    private readonly state: ReplicaState,
+    private readonly onElected: () => void,
+  ) {}
+
+  /** Starts the time after which the replica stands for election. */
+  resetTimer(): void {
+    this.stop();
+    if (this.state.isStopped) return;
+    const {clock, random, electionTimeoutMilliseconds} = this.state.options;
+    const delay = electionTimeoutMilliseconds * (1 + random());
+    this.cancelTimer = clock.setTimer(delay, () => this.onTimeout());
+  }
+
+  /** Cancels the time. */
+  stop(): void {
+    this.cancelTimer?.();
+    this.cancelTimer = undefined;
+  }
+
+  /**
+   * Stands for election. Only a voter of the newest members it knows does.
+   *
+   * @param isTransfer Whether the leader ordered it, which skips the pre-vote.
+   */
+  async campaign(isTransfer: boolean): Promise<void> {
+    const {state} = this;
+    if (!state.isVoter || state.leadership !== undefined) return;
+    const campaign = ++this.campaigns;
+    const {term} = state;
+    state.role = 'candidate';
+    state.leader = undefined;
+    if (!isTransfer) {
+      const ballot = {term: term + 1, preVote: true, transfer: false};
+      const isWon = await this.poll(ballot);
+      if (!isWon || !this.isCurrent(campaign, term)) return;
+    }
+    await this.voteForSelf();
+    if (!this.isCurrent(campaign, term + 1)) return;
+    const isWon = await this.poll({
+      term: term + 1,
+      preVote: false,
+      transfer: isTransfer,
+    });
+    if (isWon && this.isCurrent(campaign, term + 1)) this.onElected();
+  }
+
+  /** Answers a candidate; a granted vote is durable before the answer. */
+  async receive(request: VoteRequest): Promise<VoteReply> {
+    return request.preVote
+      ? this.receivePreVote(request)
+      : this.receiveVote(request);
+  }
+
+  private receivePreVote(request: VoteRequest): VoteReply {
+    const {state} = this;
+    const granted =
+      request.term > state.term &&
+      !state.hasFreshLeader &&
+      state.isUpToDate(request.lastIndex, request.lastTerm);
+    return {kind: 'vote', term: state.term, granted};
+  }
+
+  private async receiveVote(request: VoteRequest): Promise<VoteReply> {
+    const {state} = this;
+    const refusal: VoteReply = {kind: 'vote', term: state.term, granted: false};
+    if (request.term < state.term) return refusal;
+    if (!request.transfer && state.hasFreshLeader) return refusal;
+    const followed =
+      request.term > state.term
+        ? state.follow(request.term)
+        : Promise.resolve();
+    const granted =
+      (state.votedFor ?? request.from) === request.from &&
+      state.isUpToDate(request.lastIndex, request.lastTerm);
+    if (granted) {
+      state.votedFor = request.from;
+      this.resetTimer();
+    }
+    await (granted ? state.saveHardState() : followed);
+    return {kind: 'vote', term: request.term, granted};
+  }
+
+  private onTimeout(): void {
+    this.resetTimer();
+    void this.campaign(false).catch(() => undefined);
+  }
+
+  private isCurrent(campaign: number, term: number): boolean {
+    const {state} = this;
+    return (
+      campaign === this.campaigns &&
+      term === state.term &&
+      state.role === 'candidate' &&
+      !state.isStopped
+    );
+  }
+
+  private async voteForSelf(): Promise<void> {
+    const {state} = this;
+    state.term++;
+    state.votedFor = state.id;
+    await state.saveHardState();
+  }
+
+  /** Resolves with true once a majority grants, with false once none can. */
+  private poll(ballot: Ballot): Promise<boolean> {
+    const {state} = this;
+    const others = state.voters.filter(voter => voter.id !== state.id);
+    const needed = majorityOf(state.voters.length);
+    let granted = 1;
+    let open = others.length;
+    return new Promise(resolve => {
+      if (granted >= needed) resolve(true);
+      for (const voter of others) {
+        const request = this.requestTo(voter.id, ballot);
+        const sent = state.options.transport.send(voter, request);
+        const {messageTimeoutMilliseconds, clock} = state.options;
+        withTimeout(sent, messageTimeoutMilliseconds, clock)
+          .then(reply => {
+            if (reply.kind !== 'vote') return;
+            if (reply.granted) granted++;
+            else if (reply.term > state.term) void state.follow(reply.term);
+          })
+          .catch(() => undefined)
+          .finally(() => {
+            open--;
+            if (granted >= needed) resolve(true);
+            else if (granted + open < needed) resolve(false);
+          });
+      }
+    });
+  }
+
+  private requestTo(to: string, ballot: Ballot): VoteRequest {
+    const {id, log} = this.state;
+    const {lastIndex, lastTerm} = log;
+    return {kind: 'vote', from: id, to, lastIndex, lastTerm, ...ballot};
+  }
+}
--- /dev/null
+++ b/packages/consensus/src/fileStorage/fileStorage.ts
@@ -0,0 +1,161 @@
+/**
+ * @fileoverview Durable state of a replica in a folder.
+ *
+ * The folder holds `identity.json`, `vote.json`, `snapshot.json`, live log
+ * segments and `history/` with sealed segments.
+ */
+import {randomUUID} from 'node:crypto';
+import {mkdir, readFile, rm} from 'node:fs/promises';
+import path from 'node:path';
+
+import {type Entry} from '@dogwoodtrestle/schema';
+
+import {CorruptFile} from '../errors.js';
+import {
+  type HardState,
+  type Storage,
+  type StoredSnapshot,
+  type StoredState,
+} from '../storage.js';
+import {replaceFile, syncFolder} from '../util/durableFile.js';
+import {SegmentedLog} from './segmentedLog.js';
+import {readSnapshotFile, writeSnapshotFile} from './snapshotFile.js';
+
+/** Options of a file storage. */
+export interface FileStorageOptions {
+  /** Size at which a log segment is sealed, in bytes. */
+  segmentBytes: number;
+}
+
+/** Sizes for small disks. */
+export const defaultFileStorageOptions: FileStorageOptions = {
+  segmentBytes: 4 * 1024 * 1024,
+};
+
+/** Keeps the state of one replica in files under a folder. */
+export class FileStorage implements Storage {
+  private constructor(
+    readonly identity: string,
+    private readonly folder: string,
+    private readonly log: SegmentedLog,
+  ) {}
+
+  /**
+   * Opens a folder, and makes it with a fresh identity where it is missing or
+   * empty. Cuts a torn tail off the log; throws `CorruptFile` on other damage.
+   */
+  static async open(
+    folder: string,
+    options: Partial<FileStorageOptions> = {},
+  ): Promise<FileStorage> {
+    await mkdir(folder, {recursive: true});
+    await syncFolder(path.dirname(path.resolve(folder)));
+    const {segmentBytes} = {...defaultFileStorageOptions, ...options};
+    const log = await SegmentedLog.open(folder, segmentBytes);
+    const identity = await openIdentity(folder, log.isEmpty);
+    return new FileStorage(identity, folder, log);
+  }
+
+  async load(): Promise<StoredState> {
+    const hardState = await this.readHardState();
+    const snapshot = await this.readSnapshot();
+    const entries = await this.log.load(snapshot?.header);
+    return {hardState, snapshot, entries};
+  }
+
+  async saveHardState(hardState: HardState): Promise<void> {
+    await replaceFile(this.voteFile, JSON.stringify(hardState));
+  }
+
+  append(entries: readonly Entry[]): Promise<void> {
+    return this.log.append(entries);
+  }
+
+  async saveSnapshot(
+    snapshot: StoredSnapshot,
+    keepAfter: number,
+  ): Promise<void> {
+    await writeSnapshotFile(this.snapshotFile, snapshot);
+    await this.log.sealUpTo(keepAfter);
+  }
+
+  async installSnapshot(
+    snapshot: StoredSnapshot,
+    committedIndex: number,
+  ): Promise<void> {
+    await writeSnapshotFile(this.snapshotFile, snapshot);
+    await this.log.sealAll(committedIndex);
+  }
+
+  addHistory(entries: readonly Entry[]): Promise<void> {
+    return this.log.addHistory(entries);
+  }
+
+  readSnapshot(): Promise<StoredSnapshot | undefined> {
+    return readSnapshotFile(this.snapshotFile);
+  }
+
+  history(
+    afterIndex: number,
+    limit: number,
+    lastIndex: number,
+  ): Promise<Entry[]> {
+    return this.log.read(afterIndex, limit, lastIndex);
+  }
+
+  close(): Promise<void> {
+    return this.log.close();
+  }
+
+  private get voteFile(): string {
+    return path.join(this.folder, 'vote.json');
+  }
+
+  private get snapshotFile(): string {
+    return path.join(this.folder, 'snapshot.json');
+  }
+
+  private async readHardState(): Promise<HardState> {
+    return parseFile<HardState>(
+      this.voteFile,
+      await readFile(this.voteFile, 'utf8'),
+    );
+  }
+}
+
+/**
+ * Reads the identity, or draws one for an empty folder. The vote is written
+ * first, so that a folder with an identity never lacks it.
+ */
+async function openIdentity(folder: string, isEmpty: boolean): Promise<string> {
+  const file = path.join(folder, 'identity.json');
+  const text = await readFile(file, 'utf8').catch((error: unknown) => {
+    if ((error as NodeJS.ErrnoException).code === 'ENOENT') return undefined;
+    throw error;
+  });
+  if (text !== undefined) return parseFile<{id: string}>(file, text).id;
+  if (!isEmpty) {
+    throw new CorruptFile(`${file} is missing beside a log`, {
+      props: {file, offset: 0},
+    });
+  }
+  await rm(path.join(folder, 'snapshot.json'), {force: true});
+  await replaceFile(
+    path.join(folder, 'vote.json'),
+    JSON.stringify({term: 0} satisfies HardState),
+  );
+  const id = randomUUID();
+  await replaceFile(file, JSON.stringify({id}));
+  return id;
+}
+
+function parseFile<T>(file: string, text: string): T {
+  try {
+    return JSON.parse(text) as T;
+  } catch (cause) {
+    throw new CorruptFile(`${file} is damaged`, {
+      cause,
+      props: {file, offset: 0},
+    });
+  }
+}
--- /dev/null
+++ b/packages/consensus/src/fileStorage/frame.ts
@@ -0,0 +1,76 @@
+/**
+ * @fileoverview Checksummed frames, the unit that is written and synced at once.
+ *
+ * A frame is a marker, the payload's length, the payload's CRC-32 and a JSON
+ * array of entries. Only the newest frame can be torn, because each one is
+ * synced before the next is written.
+ */
+import {crc32} from 'node:zlib';
+
+import {type Entry} from '@dogwoodtrestle/schema';
+
+import {encodeEntry, forgetText} from '../util/encodedEntry.js';
+
+const marker = 0x6c6f_6731;
+const headerBytes = 12;
+
+/** What a segment file holds. */
+export interface FrameScan {
+  entries: Entry[];
+  /** Bytes of valid frames from the start of the file. */
+  validBytes: number;
+  /** Whether valid frames follow the first damaged byte. */
+  isDamagedInside: boolean;
+}
+
+/** Encodes entries as one frame. */
+export function encodeFrame(entries: readonly Entry[]): Buffer {
+  const payload = Buffer.from(`[${entries.map(encodeEntry).join(',')}]`);
+  entries.forEach(forgetText);
+  const header = Buffer.alloc(headerBytes);
+  header.writeUInt32BE(marker, 0);
+  header.writeUInt32BE(payload.length, 4);
+  header.writeUInt32BE(crc32(payload), 8);
+  return Buffer.concat([header, payload]);
+}
+
+/**
+ * Reads frames from the start until the first damaged one. A frame's first
+ * entry replaces all earlier entries from its index on.
+ */
+export function scanFrames(data: Buffer): FrameScan {
+  const entries: Entry[] = [];
+  let offset = 0;
+  for (;;) {
+    const payload = payloadAt(data, offset);
+    if (payload === undefined) break;
+    entries.push(...(JSON.parse(payload.toString()) as Entry[]));
+    offset += headerBytes + payload.length;
+  }
+  return {
+    entries,
+    validBytes: offset,
+    isDamagedInside: hasFrameAfter(data, offset),
+  };
+}
+
+function payloadAt(data: Buffer, offset: number): Buffer | undefined {
+  if (offset + headerBytes > data.length) return undefined;
+  if (data.readUInt32BE(offset) !== marker) return undefined;
+  const start = offset + headerBytes;
+  const end = start + data.readUInt32BE(offset + 4);
+  if (end > data.length) return undefined;
+  const payload = data.subarray(start, end);
+  return crc32(payload) === data.readUInt32BE(offset + 8) ? payload : undefined;
+}
+
+function hasFrameAfter(data: Buffer, damagedOffset: number): boolean {
+  const markerBytes = Buffer.alloc(4);
+  markerBytes.writeUInt32BE(marker);
+  let offset = data.indexOf(markerBytes, damagedOffset + 1);
+  while (offset >= 0) {
+    if (payloadAt(data, offset) !== undefined) return true;
+    offset = data.indexOf(markerBytes, offset + 1);
+  }
+  return false;
+}
--- /dev/null
+++ b/packages/consensus/src/fileStorage/segment.ts
@@ -0,0 +1,81 @@
+/**
+ * @fileoverview Names and contents of segment files.
+ *
+ * `S.log` is a live segment, where S is its sequence number. In `history/`,
+ * `S-FIRST-LAST.log` is a sealed one and the index range that is valid in it.
+ */
+import {readFile} from 'node:fs/promises';
+
+import {type Entry} from '@dogwoodtrestle/schema';
+
+import {CorruptFile} from '../errors.js';
+import {scanFrames} from './frame.js';
+
+/** A segment file and the range of indexes that it holds. */
+export interface Segment {
+  file: string;
+  sequence: number;
+  firstIndex: number;
+  lastIndex: number;
+}
+
+const sequenceDigits = 10;
+const livePattern = /^(\d+)\.log$/;
+const sealedPattern = /^(\d+)-(\d+)-(\d+)\.log$/;
+
+/** Name of a live segment file. */
+export function liveName(sequence: number): string {
+  return `${String(sequence).padStart(sequenceDigits, '0')}.log`;
+}
+
+/** Name of a sealed segment file in the history. */
+export function sealedName(segment: Segment): string {
+  const sequence = String(segment.sequence).padStart(sequenceDigits, '0');
+  return `${sequence}-${segment.firstIndex}-${segment.lastIndex}.log`;
+}
+
+/** Sequence number in the name of a live segment, or undefined. */
+export function parseLiveName(name: string): number | undefined {
+  const match = livePattern.exec(name);
+  return match === null ? undefined : Number(match[1]);
+}
+
+/** Sequence number and range in the name of a sealed segment, or undefined. */
+export function parseSealedName(
+  name: string,
+): Omit<Segment, 'file'> | undefined {
+  const match = sealedPattern.exec(name);
+  if (match === null) return undefined;
+  return {
+    sequence: Number(match[1]),
+    firstIndex: Number(match[2]),
+    lastIndex: Number(match[3]),
+  };
+}
+
+/** Reads all entries of a segment; throws when any byte of it is damaged. */
+export async function readSegment(file: string): Promise<Entry[]> {
+  const data = await readFile(file);
+  const scan = scanFrames(data);
+  if (scan.validBytes < data.length) {
+    throw corruptSegment(file, scan.validBytes);
+  }
+  return scan.entries;
+}
+
+/** Error for a segment that is damaged at an offset. */
+export function corruptSegment(file: string, offset: number): Error {
+  return new CorruptFile(`log file ${file} is damaged at byte ${offset}`, {
+    props: {file, offset},
+  });
+}
+
+/** Appends entries; each replaces all earlier ones from its index on. */
+export function overlay(target: Entry[], entries: readonly Entry[]): void {
+  for (const entry of entries) {
+    while (target.length > 0 && (target.at(-1)?.index ?? 0) >= entry.index) {
+      target.pop();
+    }
+    target.push(entry);
+  }
+}
--- /dev/null
+++ b/packages/consensus/src/fileStorage/segmentedLog.ts
@@ -0,0 +1,257 @@
+/**
+ * @fileoverview The log on disk: live segments, and the history of sealed ones.
+ */
+import {
+  type FileHandle,
+  mkdir,
+  open,
+  readdir,
+  readFile,
+  rename,
+  rm,
+  truncate,
+} from 'node:fs/promises';
+import path from 'node:path';
+
+import {type Entry, type SnapshotHeader} from '@dogwoodtrestle/schema';
+
+import {syncFolder} from '../util/durableFile.js';
+import {encodeFrame, scanFrames} from './frame.js';
+import {
+  corruptSegment,
+  liveName,
+  overlay,
+  parseLiveName,
+  parseSealedName,
+  readSegment,
+  sealedName,
+  type Segment,
+} from './segment.js';
+
+/** Log of one replica in a folder. */
+export class SegmentedLog {
+  private live: Segment[] = [];
+  private sealed: Segment[] = [];
+  private loaded: Entry[] = [];
+  private handle?: FileHandle;
+  private handleBytes = 0;
+
+  private constructor(
+    private readonly folder: string,
+    private readonly segmentBytes: number,
+  ) {}
+
+  /** Opens the log and cuts a torn tail. */
+  static async open(
+    folder: string,
+    segmentBytes: number,
+  ): Promise<SegmentedLog> {
+    const log = new SegmentedLog(folder, segmentBytes);
+    await mkdir(log.historyFolder, {recursive: true});
+    await syncFolder(folder);
+    await log.openHistory();
+    await log.openLive();
+    return log;
+  }
+
+  get isEmpty(): boolean {
+    return this.live.length === 0 && this.sealed.length === 0;
+  }
+
+  /** Returns the live entries that a replica needs beside its snapshot. */
+  async load(snapshot?: SnapshotHeader): Promise<Entry[]> {
+    const entries = this.loaded;
+    this.loaded = [];
+    if (continues(entries, snapshot)) return entries;
+    // An installed snapshot was saved, but the old log not yet set aside.
+    await this.sealAll(0);
+    return [];
+  }
+
+  /** Appends one frame; durable when it resolves. */
+  async append(entries: readonly Entry[]): Promise<void> {
+    const frame = encodeFrame(entries);
+    if (this.handleBytes >= this.segmentBytes) await this.closeHandle();
+    this.handle ??= await this.startSegment(entries[0]?.index ?? 0);
+    await this.handle.appendFile(frame);
+    await this.handle.datasync();
+    this.handleBytes += frame.length;
+    extendRange(this.live.at(-1), entries);
+  }
+
+  /** Moves live segments that only hold entries up to an index to the history. */
+  async sealUpTo(index: number): Promise<void> {
+    const newest = this.live.at(-1);
+    if (newest !== undefined && newest.lastIndex <= index) {
+      await this.closeHandle();
+    }
+    while (this.live[0] !== undefined && this.live[0].lastIndex <= index) {
+      await this.seal(this.live[0]);
+      this.live.shift();
+    }
+    await this.syncFolders();
+  }
+
+  /** Sets the whole live log aside; entries up to an index stay readable. */
+  async sealAll(committedIndex: number): Promise<void> {
+    await this.closeHandle();
+    for (const segment of this.live) {
+      const lastIndex = Math.min(segment.lastIndex, committedIndex);
+      if (lastIndex < segment.firstIndex) await rm(segment.file);
+      else await this.seal({...segment, lastIndex});
+    }
+    this.live = [];
+    await this.syncFolders();
+  }
+
+  /** Adds a sealed segment with older entries. */
+  async addHistory(entries: readonly Entry[]): Promise<void> {
+    const segment: Segment = {
+      file: '',
+      sequence: 0,
+      firstIndex: entries[0]?.index ?? 0,
+      lastIndex: entries.at(-1)?.index ?? 0,
+    };
+    segment.file = path.join(this.historyFolder, sealedName(segment));
+    const temporary = `${segment.file}.tmp`;
+    const handle = await open(temporary, 'w');
+    try {
+      await handle.writeFile(encodeFrame(entries));
+      await handle.sync();
+    } finally {
+      await handle.close();
+    }
+    await rename(temporary, segment.file);
+    await syncFolder(this.historyFolder);
+    this.sealed.push(segment);
+  }
+
+  /** Returns at most `limit` entries after one index and up to another. */
+  async read(
+    afterIndex: number,
+    limit: number,
+    lastIndex: number,
+  ): Promise<Entry[]> {
+    const end = Math.min(lastIndex, afterIndex + limit);
+    // A committed entry is the one that was written last at its index.
+    const found = new Map<number, Entry>();
+    for (const segment of [...this.sealed, ...this.live]) {
+      if (segment.lastIndex <= afterIndex || segment.firstIndex > end) continue;
+      const last = Math.min(end, segment.lastIndex);
+      for (const entry of await readSegment(segment.file)) {
+        if (entry.index <= afterIndex || entry.index > last) continue;
+        found.set(entry.index, entry);
+      }
+    }
+    return [...found.values()].sort((a, b) => a.index - b.index);
+  }
+
+  async close(): Promise<void> {
+    await this.closeHandle();
+  }
+
+  private get historyFolder(): string {
+    return path.join(this.folder, 'history');
+  }
+
+  private async openHistory(): Promise<void> {
+    for (const name of await readdir(this.historyFolder)) {
+      const parsed = parseSealedName(name);
+      const file = path.join(this.historyFolder, name);
+      if (parsed === undefined) await rm(file);
+      else this.sealed.push({...parsed, file});
+    }
+    this.sealed.sort((a, b) => a.sequence - b.sequence);
+  }
+
+  private async openLive(): Promise<void> {
+    const sequences = (await readdir(this.folder))
+      .map(parseLiveName)
+      .filter(sequence => sequence !== undefined)
+      .sort((a, b) => a - b);
+    for (const sequence of sequences) {
+      const isNewest = sequence === sequences.at(-1);
+      await this.openSegment(sequence, isNewest);
+    }
+  }
+
+  private async openSegment(
+    sequence: number,
+    isNewest: boolean,
+  ): Promise<void> {
+    const file = path.join(this.folder, liveName(sequence));
+    const data = await readFile(file);
+    const {entries, validBytes, isDamagedInside} = scanFrames(data);
+    if (validBytes < data.length) {
+      if (!isNewest || isDamagedInside) throw corruptSegment(file, validBytes);
+      await truncate(file, validBytes);
+    }
+    const segment: Segment = {file, sequence, firstIndex: 0, lastIndex: 0};
+    extendRange(segment, entries);
+    this.live.push(segment);
+    overlay(this.loaded, entries);
+    if (isNewest) await this.reopen(segment, validBytes);
+  }
+
+  /** Continues a segment, after its cut tail is durable. */
+  private async reopen(segment: Segment, bytes: number): Promise<void> {
+    this.handle = await open(segment.file, 'a');
+    this.handleBytes = bytes;
+    await this.handle.sync();
+  }
+
+  private async startSegment(firstIndex: number): Promise<FileHandle> {
+    const sequences = [...this.live, ...this.sealed].map(
+      segment => segment.sequence,
+    );
+    const sequence = Math.max(0, ...sequences) + 1;
+    const file = path.join(this.folder, liveName(sequence));
+    const handle = await open(file, 'ax');
+    await syncFolder(this.folder);
+    this.live.push({file, sequence, firstIndex, lastIndex: firstIndex});
+    this.handleBytes = 0;
+    return handle;
+  }
+
+  private async seal(segment: Segment): Promise<void> {
+    const file = path.join(this.historyFolder, sealedName(segment));
+    await rename(segment.file, file);
+    this.sealed.push({...segment, file});
+  }
+
+  private async syncFolders(): Promise<void> {
+    await syncFolder(this.historyFolder);
+    await syncFolder(this.folder);
+  }
+
+  private async closeHandle(): Promise<void> {
+    const handle = this.handle;
+    this.handle = undefined;
+    this.handleBytes = 0;
+    await handle?.close();
+  }
+}
+
+/** Widens the range of a segment by entries that were added to it. */
+function extendRange(
+  segment: Segment | undefined,
+  entries: readonly Entry[],
+): void {
+  if (segment === undefined) return;
+  for (const {index} of entries) {
+    if (segment.firstIndex === 0) segment.firstIndex = index;
+    segment.firstIndex = Math.min(segment.firstIndex, index);
+    segment.lastIndex = Math.max(segment.lastIndex, index);
+  }
+}
+
+/** Whether entries follow a snapshot without a gap or a conflict. */
+function continues(
+  entries: readonly Entry[],
+  snapshot?: SnapshotHeader,
+): boolean {
+  const first = entries[0]?.index;
+  if (snapshot === undefined || first === undefined) return true;
+  if (first === snapshot.index + 1) return true;
+  return entries[snapshot.index - first]?.term === snapshot.term;
+}
--- /dev/null
+++ b/packages/consensus/src/follower.ts
@@ -0,0 +1,147 @@
+/**
+ * @fileoverview What a follower does with a leader's messages.
+ */
+import {
+  type AppendReply,
+  type AppendRequest,
+  type ElectionOrder,
+  type ElectionReply,
+  type Entry,
+  type Member,
+  type SnapshotChunk,
+  type SnapshotReply,
+} from '@dogwoodtrestle/schema';
+
+import {type Applier} from './applier.js';
+import {type Election} from './election.js';
+import {ProtocolBreach} from './errors.js';
+import {type ReplicaState} from './replicaState.js';
+import {SnapshotAssembly} from './snapshotAssembly.js';
+
+/** Takes entries and snapshots from leaders. */
+export class Follower {
+  private readonly assembly = new SnapshotAssembly();
+
+  constructor(
+    private readonly state: ReplicaState,
+    private readonly election: Election,
+    private readonly applier: Applier,
+  ) {}
+
+  /** Appends entries; they are durable before the answer says so. */
+  async receiveAppend(request: AppendRequest): Promise<AppendReply> {
+    const {state} = this;
+    if (!this.acceptLeader(request.term, request.leader)) {
+      return this.refusal(state.log.lastIndex + 1);
+    }
+    const {previousIndex, previousTerm} = request;
+    const {log} = state;
+    if (previousIndex > log.lastIndex) return this.refusal(log.lastIndex + 1);
+    const isBeforeBase = previousIndex < log.baseIndex;
+    if (!isBeforeBase && log.termAt(previousIndex) !== previousTerm) {
+      return this.refusal(log.firstIndexOfTermAt(previousIndex));
+    }
+    const fresh = this.unknownEntries(request.entries);
+    const matchIndex = previousIndex + request.entries.length;
+    log.append(fresh);
+    const written = state.writer.append(fresh);
+    this.applier.advance(Math.min(request.commitIndex, matchIndex));
+    await this.untilDurable(written, matchIndex);
+    if (state.term !== request.term) return this.refusal(log.lastIndex + 1);
+    return {
+      kind: 'append',
+      term: state.term,
+      success: true,
+      matchIndex,
+      nextIndex: matchIndex + 1,
+    };
+  }
+
+  /** Collects the chunks of a snapshot and installs it after the last one. */
+  async receiveSnapshot(chunk: SnapshotChunk): Promise<SnapshotReply> {
+    const {state} = this;
+    if (!this.acceptLeader(chunk.term, chunk.leader)) {
+      return this.snapshotReply(0, 0);
+    }
+    const {index, term} = chunk.snapshot;
+    if (index <= state.commitIndex || state.log.termAt(index) === term) {
+      this.applier.advance(index);
+      await this.untilDurable(Promise.resolve(), index);
+      return this.snapshotReply(index, chunk.length);
+    }
+    const text = this.assembly.add(chunk);
+    if (text === undefined) return this.snapshotReply(0, this.assembly.offset);
+    await this.install(chunk, text);
+    return this.snapshotReply(index, chunk.length);
+  }
+
+  /** Stands for election at the leader's order. */
+  receiveOrder(order: ElectionOrder): ElectionReply {
+    const {state} = this;
+    if (order.term === state.term && order.from === state.leader?.id) {
+      state.leaderContact = -Infinity;
+      void this.election.campaign(true).catch(() => undefined);
+    }
+    return {kind: 'elect', term: state.term};
+  }
+
+  private async install(chunk: SnapshotChunk, text: string): Promise<void> {
+    const {state} = this;
+    const {snapshot: header} = chunk;
+    const committedIndex = state.commitIndex;
+    state.options.stateMachine.restore(JSON.parse(text));
+    state.log.reset(header);
+    state.commitIndex = header.index;
+    state.lastApplied = header.index;
+    state.snapshotIndex = header.index;
+    await state.writer.install({header, text}, committedIndex);
+  }
+
+  /** Follows the sender, unless its term is over. */
+  private acceptLeader(term: number, leader: Member): boolean {
+    const {state} = this;
+    if (term < state.term) return false;
+    if (term === state.term && state.leadership !== undefined) {
+      throw new ProtocolBreach(`two leaders in term ${term}`);
+    }
+    void state.follow(term, leader).catch(() => undefined);
+    state.leaderContact = state.options.clock.now();
+    this.election.resetTimer();
+    return true;
+  }
+
+  /** Entries from the first one on that this log lacks or has otherwise. */
+  private unknownEntries(entries: readonly Entry[]): Entry[] {
+    const {log, commitIndex} = this.state;
+    const first = entries.findIndex(
+      entry =>
+        entry.index > log.baseIndex && log.termAt(entry.index) !== entry.term,
+    );
+    if (first < 0) return [];
+    const fresh = entries.slice(first);
+    if ((fresh[0]?.index ?? Infinity) <= commitIndex) {
+      throw new ProtocolBreach(
+        `leader replaces committed entry ${fresh[0]?.index}`,
+      );
+    }
+    return fresh;
+  }
+
+  private async untilDurable(
+    written: Promise<void>,
+    index: number,
+  ): Promise<void> {
+    await written;
+    const {writer} = this.state;
+    if (writer.durableIndex < index) await writer.enqueue(async () => {});
+  }
+
+  private refusal(nextIndex: number): AppendReply {
+    const {term} = this.state;
+    return {kind: 'append', term, success: false, matchIndex: 0, nextIndex};
+  }
+
+  private snapshotReply(matchIndex: number, nextOffset: number): SnapshotReply {
+    return {kind: 'snapshot', term: this.state.term, matchIndex, nextOffset};
+  }
+}
--- a/packages/consensus/src/index.ts
+++ b/packages/consensus/src/index.ts
@@ -1,2 +1,45 @@
 /** @fileoverview Face of the package; see its README. */
-export {};
+export {
+  type ConsensusMessage,
+  type ConsensusReply,
+  type Entry,
+  type Member,
+} from '@dogwoodtrestle/schema';
+
+export {type Clock, systemClock} from './clock.js';
+export {
+  ConsensusError,
+  CorruptFile,
+  IdentityMismatch,
+  MembershipRefused,
+  NotLeader,
+  OutcomeUnknown,
+  ProtocolBreach,
+  Stopped,
+  TransferFailed,
+} from './errors.js';
+export {
+  defaultFileStorageOptions,
+  FileStorage,
+  type FileStorageOptions,
+} from './fileStorage/fileStorage.js';
+export {
+  type PeerStatus,
+  Replica,
+  type ReplicaInput,
+  type ReplicaStatus,
+} from './replica.js';
+export {
+  defaultOptions,
+  type ReplicaOptions,
+  type ReplicaTuning,
+} from './replicaOptions.js';
+export {type Role} from './replicaState.js';
+export {type StateMachine} from './stateMachine.js';
+export {
+  type HardState,
+  type Storage,
+  type StoredSnapshot,
+  type StoredState,
+} from './storage.js';
+export {type Transport} from './transport.js';
--- /dev/null
+++ b/packages/consensus/src/util/deferred.ts
@@ -0,0 +1,21 @@
+/**
+ * @fileoverview A promise that is settled from outside.
+ */
+
+/** A promise with its resolve and reject functions. */
+export interface Deferred<T> {
+  promise: Promise<T>;
+  resolve: (value: T) => void;
+  reject: (error: unknown) => void;
+}
+
+/** Makes a deferred whose rejection counts as handled. */
+export function deferred<T>(): Deferred<T> {
+  const result = {} as Deferred<T>;
+  result.promise = new Promise<T>((resolve, reject) => {
+    result.resolve = resolve;
+    result.reject = reject;
+  });
+  result.promise.catch(() => undefined);
+  return result;
+}
--- /dev/null
+++ b/packages/consensus/src/util/durableFile.ts
@@ -0,0 +1,29 @@
+/**
+ * @fileoverview File operations that survive a loss of power.
+ */
+import {open, rename} from 'node:fs/promises';
+import path from 'node:path';
+
+/** Makes created, renamed and removed names of a folder durable. */
+export async function syncFolder(folder: string): Promise<void> {
+  const handle = await open(folder, 'r');
+  try {
+    await handle.sync();
+  } finally {
+    await handle.close();
+  }
+}
+
+/** Replaces a file's contents as a whole; durable when it resolves. */
+export async function replaceFile(file: string, text: string): Promise<void> {
+  const temporary = `${file}.tmp`;
+  const handle = await open(temporary, 'w');
+  try {
+    await handle.writeFile(text);
+    await handle.sync();
+  } finally {
+    await handle.close();
+  }
+  await rename(temporary, file);
+  await syncFolder(path.dirname(file));
+}
