--- /dev/null
+++ b/packages/ledger/src/account.ts
@@ -0,0 +1,181 @@
+/**
+ * @fileoverview One customer's money and contract.
+ *
+ * The sums are maintained by the functions of this module, so that every
+ * command costs the same however many requests or grants are open.
+ */
+import {type Contract, type Workspace} from '@dogwoodtrestle/schema';
+
+import {InvariantBreach} from './errors.js';
+import {type Grant, remainingOf} from './grant.js';
+import {percentOf} from './util/percentOf.js';
+
+/** A contract version. */
+export interface Terms {
+  version: number;
+  contract: Contract;
+  retired: boolean;
+}
+
+/** Sums of one workspace, in micros. */
+export interface WorkspaceSums {
+  billed: number;
+  reserved: number;
+  granted: number;
+}
+
+/** A change that waits for grants under older versions. */
+export interface PendingChange {
+  changeId: string;
+  /** Ids of the grants under versions that the change tightens. */
+  grantIds: string[];
+}
+
+/** Money and contract of one customer; amounts in micros. */
+export interface Account {
+  customer: string;
+  /** Newest version, whether pending or accepted. Opens are checked by it. */
+  newest: Terms;
+  /** Newest accepted version. */
+  inForce: Terms;
+  /** Other versions that grants were issued under, by version. */
+  retained: Map<number, Terms>;
+  revision: number;
+  pending?: PendingChange;
+  toppedUp: number;
+  billed: number;
+  reserved: number;
+  granted: number;
+  openRequests: number;
+  grants: Map<string, Grant>;
+  workspaces: Map<string, WorkspaceSums>;
+  /** Ids of the remembered changes, oldest first. */
+  changeIds: string[];
+  /** Id of the change that made a version, for remembered changes. */
+  versionChanges: Map<number, string>;
+}
+
+/** Returns a customer's first account. */
+export function createAccount(terms: Terms, revision: number): Account {
+  return {
+    customer: terms.contract.customer,
+    newest: terms,
+    inForce: terms,
+    retained: new Map(),
+    revision,
+    toppedUp: 0,
+    billed: 0,
+    reserved: 0,
+    granted: 0,
+    openRequests: 0,
+    grants: new Map(),
+    workspaces: new Map(),
+    changeIds: [],
+    versionChanges: new Map(),
+  };
+}
+
+/** Amount that may be spent in all: the stricter prepaid, and top-ups. */
+export function limitOf(account: Account): number {
+  const prepaid = Math.min(
+    account.inForce.contract.budget.prepaid,
+    account.newest.contract.budget.prepaid,
+  );
+  return prepaid + account.toppedUp;
+}
+
+/** Amount that is neither billed nor reserved nor granted. */
+export function availableOf(account: Account): number {
+  return limitOf(account) - heldOf(account);
+}
+
+/** Amount that is billed, reserved or granted. */
+export function heldOf(account: Account): number {
+  return account.billed + account.reserved + account.granted;
+}
+
+/** Returns the sums of a workspace, which start at 0. */
+export function sumsOf(account: Account, workspace: string): WorkspaceSums {
+  let sums = account.workspaces.get(workspace);
+  if (sums === undefined) {
+    sums = {billed: 0, reserved: 0, granted: 0};
+    account.workspaces.set(workspace, sums);
+  }
+  return sums;
+}
+
+/** Amount that a workspace may still spend by its share. */
+export function shareRoomOf(account: Account, workspace: Workspace): number {
+  const share = percentOf(limitOf(account), workspace.sharePercent);
+  const sums = account.workspaces.get(workspace.name);
+  if (sums === undefined) return share;
+  return share - sums.billed - sums.reserved - sums.granted;
+}
+
+/** Reserves an amount for a request that opens. */
+export function reserve(
+  account: Account,
+  workspace: string,
+  amount: number,
+): void {
+  account.reserved += amount;
+  account.openRequests++;
+  sumsOf(account, workspace).reserved += amount;
+}
+
+/** Releases the reservation of a request that closes. */
+export function release(
+  account: Account,
+  workspace: string,
+  amount: number,
+): void {
+  account.reserved -= amount;
+  account.openRequests--;
+  sumsOf(account, workspace).reserved -= amount;
+}
+
+/** Adds the cost of a request to what is billed. */
+export function charge(
+  account: Account,
+  workspace: string,
+  cost: number,
+): void {
+  account.billed += cost;
+  sumsOf(account, workspace).billed += cost;
+}
+
+/** Returns a version's terms if they are still kept, else the newest. */
+export function termsOf(account: Account, version: number): Terms {
+  if (version === account.newest.version) return account.newest;
+  if (version === account.inForce.version) return account.inForce;
+  return account.retained.get(version) ?? account.newest;
+}
+
+/** Returns all versions that are still kept. */
+export function keptTermsOf(account: Account): Terms[] {
+  return [
+    ...new Set([account.inForce, ...account.retained.values(), account.newest]),
+  ];
+}
+
+/** Throws unless the sums are sound and fit the prepaid amount. */
+export function assertInvariant(account: Account): void {
+  const {customer, billed, reserved, granted, toppedUp} = account;
+  const paid = account.inForce.contract.budget.prepaid + toppedUp;
+  const sums = [billed, reserved, granted, paid];
+  const sound = sums.every(sum => Number.isSafeInteger(sum) && sum >= 0);
+  if (sound && billed + reserved + granted <= paid) return;
+  const breach: Error = new InvariantBreach(
+    `customer ${customer}: billed ${billed} + reserved ${reserved} + granted ${granted} against prepaid ${paid}`,
+  );
+  throw breach;
+}
+
+/** Sum of what is left of the grants that can't be spent any more. */
+export function expiredRemainderOf(account: Account, now: number): number {
+  let sum = 0;
+  for (const grant of account.grants.values()) {
+    if (grant.until < now) sum += remainingOf(grant);
+  }
+  return sum;
+}
--- /dev/null
+++ b/packages/ledger/src/commands/contractCommands.ts
@@ -0,0 +1,294 @@
+/** @fileoverview Commands by which operators change contracts and budgets. */
+import {
+  type ApplyContract,
+  type ChangeResult,
+  type ChangeWinner,
+  type Contract,
+  type Finding,
+  type RetireContract,
+  type TopUp,
+} from '@dogwoodtrestle/schema';
+
+import {
+  type Account,
+  createAccount,
+  expiredRemainderOf,
+  keptTermsOf,
+  type Terms,
+} from '../account.js';
+import {type ChangeRecord} from '../changeBook.js';
+import {checkContract, maximumBudget} from '../checkContract.js';
+import {type LedgerState} from '../ledgerState.js';
+import {describePending, installTerms} from '../pendingChange.js';
+import {contentDigest} from '../util/digest.js';
+import {jsonDifferences} from '../util/jsonDifferences.js';
+
+type ChangeCommand = ApplyContract | RetireContract | TopUp;
+
+const changeKinds = {
+  applyContract: 'apply',
+  retireContract: 'retire',
+  topUp: 'topUp',
+} as const;
+
+/** Accepts a new contract version, or says why not. */
+export function applyContract(
+  state: LedgerState,
+  command: ApplyContract,
+): ChangeResult {
+  const {contract, expectedVersion} = command;
+  return change(state, command, contract.customer, record => {
+    const account = state.accounts.get(contract.customer);
+    const findings = [
+      ...versionFindings(account, expectedVersion),
+      ...checkContract(contract),
+      ...contextFindings(state, account, contract),
+    ];
+    if (findings.length > 0) {
+      reject(record, findings, winnerOf(state, account, command));
+      return;
+    }
+    const version = expectedVersion + 1;
+    const terms = {version, contract, retired: false};
+    nextVersion(state, account, terms, record);
+    for (const {keyHash} of contract.workspaces) {
+      state.keyHashes.set(keyHash, contract.customer);
+    }
+  });
+}
+
+/** Ends a contract: nothing opens under it any more. */
+export function retireContract(
+  state: LedgerState,
+  command: RetireContract,
+): ChangeResult {
+  const {customer, expectedVersion} = command;
+  return change(state, command, customer, record => {
+    const account = state.accounts.get(customer);
+    const findings = [
+      ...customerFindings(account, customer),
+      ...versionFindings(account, expectedVersion),
+    ];
+    if (account === undefined || findings.length > 0) {
+      reject(record, findings, winnerOf(state, account, command));
+      return;
+    }
+    const {contract} = account.newest;
+    const terms = {version: expectedVersion + 1, contract, retired: true};
+    nextVersion(state, account, terms, record);
+  });
+}
+
+/** Adds to a customer's prepaid amount. */
+export function topUp(state: LedgerState, command: TopUp): ChangeResult {
+  const {customer, amount} = command;
+  return change(state, command, customer, record => {
+    record.amount = amount;
+    const account = state.accounts.get(customer);
+    const findings = customerFindings(account, customer);
+    if (account !== undefined) {
+      const total = account.newest.contract.budget.prepaid + account.toppedUp;
+      findings.push(...budgetFindings('/amount', total + amount));
+    }
+    if (account === undefined || findings.length > 0) {
+      reject(record, findings);
+      return;
+    }
+    account.toppedUp += amount;
+  });
+}
+
+/** Returns the answer to a remembered change, as it stands now. */
+export function changeResult(
+  state: LedgerState,
+  record: ChangeRecord,
+): ChangeResult {
+  const {changeId, customer, version, revision, findings, winner} = record;
+  const account = state.accounts.get(customer);
+  const isPending = record.state === 'pending' && account !== undefined;
+  return {
+    kind: 'change',
+    changeId,
+    customer,
+    state: record.state,
+    version,
+    revision,
+    ...(isPending ? describePending(state, account) : {}),
+    ...(findings === undefined ? {} : {findings}),
+    ...(winner === undefined ? {} : {winner}),
+  };
+}
+
+/**
+ * Decides a change once per id: a resend gets the answer as it stands, and
+ * an id that comes with other contents is refused.
+ */
+function change(
+  state: LedgerState,
+  command: ChangeCommand,
+  customer: string,
+  decide: (record: ChangeRecord) => void,
+): ChangeResult {
+  const {changeId, operator} = command;
+  const digest = contentDigest(command);
+  const known = state.changes.records.get(changeId);
+  if (known !== undefined && known.digest === digest) {
+    return changeResult(state, known);
+  }
+  const record: ChangeRecord = {
+    changeId,
+    kind: changeKinds[command.kind],
+    customer,
+    operator,
+    digest,
+    changedAt: state.now,
+    state: 'accepted',
+    version: state.accounts.get(customer)?.newest.version ?? 0,
+    revision: state.revision,
+  };
+  if (known !== undefined) {
+    reject(record, [reusedIdFinding(known)]);
+    return changeResult(state, record);
+  }
+  state.changes.add(record);
+  decide(record);
+  const account = state.accounts.get(customer);
+  account?.changeIds.push(changeId);
+  return changeResult(state, record);
+}
+
+function nextVersion(
+  state: LedgerState,
+  account: Account | undefined,
+  terms: Terms,
+  record: ChangeRecord,
+): void {
+  state.revision++;
+  record.version = terms.version;
+  record.revision = state.revision;
+  const {customer} = record;
+  const current = account ?? createAccount(terms, state.revision);
+  if (account === undefined) {
+    state.accounts.set(customer, current);
+  } else {
+    installTerms(state, current, terms, record);
+  }
+  current.revision = state.revision;
+  current.versionChanges.set(terms.version, record.changeId);
+  state.revisions.set(customer, state.revision);
+}
+
+function reject(
+  record: ChangeRecord,
+  findings: Finding[],
+  winner?: ChangeWinner,
+): void {
+  record.state = 'rejected';
+  record.findings = findings;
+  record.winner = winner;
+}
+
+function reusedIdFinding(known: ChangeRecord): Finding {
+  return {
+    path: '/changeId',
+    message: `change id '${known.changeId}' was already used for another change, by ${known.operator} on ${known.customer}`,
+  };
+}
+
+function versionFindings(
+  account: Account | undefined,
+  expectedVersion: number,
+): Finding[] {
+  const version = account?.newest.version ?? 0;
+  if (version === expectedVersion) return [];
+  return [
+    {
+      path: '/expectedVersion',
+      message: `the newest version is ${version}, not ${expectedVersion}`,
+    },
+  ];
+}
+
+function customerFindings(
+  account: Account | undefined,
+  customer: string,
+): Finding[] {
+  if (account === undefined) {
+    const message = `customer '${customer}' has no contract`;
+    return [{path: '/customer', message}];
+  }
+  if (!account.newest.retired) return [];
+  return [{path: '/customer', message: `contract of '${customer}' is retired`}];
+}
+
+/** Findings of a contract against the rest of the ledger. */
+function contextFindings(
+  state: LedgerState,
+  account: Account | undefined,
+  contract: Contract,
+): Finding[] {
+  const {prepaid, currency} = contract.budget;
+  const findings = keyOwnerFindings(state, contract);
+  const total = prepaid + (account?.toppedUp ?? 0);
+  findings.push(...budgetFindings('/budget/prepaid', total));
+  if (account === undefined) return findings;
+  const before = account.newest.contract.budget.currency;
+  if (before !== currency) {
+    const message = `the currency is ${before} and can't change`;
+    findings.push({path: '/budget/currency', message});
+  }
+  const expired = expiredRemainderOf(account, state.now);
+  const least = account.billed + account.reserved + expired;
+  if (total < least) {
+    findings.push({
+      path: '/budget/prepaid',
+      message: `must be at least ${least - account.toppedUp}: billed ${account.billed}, reserved ${account.reserved}, in expired grants ${expired}, topped up ${account.toppedUp}`,
+    });
+  }
+  return findings;
+}
+
+function keyOwnerFindings(state: LedgerState, contract: Contract): Finding[] {
+  return contract.workspaces.flatMap(({keyHash}, index) => {
+    const owner = state.keyHashes.get(keyHash);
+    if (owner === undefined || owner === contract.customer) return [];
+    const message = `key is already used by customer '${owner}'`;
+    return [{path: `/workspaces/${index}/keyHash`, message}];
+  });
+}
+
+function budgetFindings(path: string, total: number): Finding[] {
+  if (total <= maximumBudget) return [];
+  const message = `prepaid amount and top-ups would exceed ${maximumBudget}`;
+  return [{path, message}];
+}
+
+/** Returns who made the version that a change expected to make. */
+function winnerOf(
+  state: LedgerState,
+  account: Account | undefined,
+  command: ApplyContract | RetireContract,
+): ChangeWinner | undefined {
+  if (account === undefined) return undefined;
+  const {version} = account.newest;
+  if (command.expectedVersion >= version) return undefined;
+  const {versionChanges} = account;
+  const changeId =
+    versionChanges.get(command.expectedVersion + 1) ??
+    versionChanges.get(version);
+  const winner =
+    changeId === undefined ? undefined : state.changes.records.get(changeId);
+  if (winner === undefined) return undefined;
+  const kept = keptTermsOf(account).find(
+    terms => terms.version === winner.version,
+  );
+  const isComparable = 'contract' in command && kept !== undefined;
+  return {
+    changeId: winner.changeId,
+    operator: winner.operator,
+    version: winner.version,
+    ...(isComparable
+      ? {differs: jsonDifferences(command.contract, kept.contract)}
+      : {}),
+  };
+}
--- /dev/null
+++ b/packages/ledger/src/commands/grantCommands.ts
@@ -0,0 +1,304 @@
+/** @fileoverview Commands that issue, renew, merge and return grants. */
+import {
+  type Bill,
+  type GrantResult,
+  type JournalRecord,
+  type JournalSettlement,
+  type MergedResult,
+  type MergeJournal,
+  type RefusedResult,
+  type ReturnGrant,
+  type TakeGrant,
+  type WorkspaceAllowance,
+} from '@dogwoodtrestle/schema';
+
+import {
+  type Account,
+  availableOf,
+  shareRoomOf,
+  sumsOf,
+  termsOf,
+} from '../account.js';
+import {type Grant, isMerged, markMerged, remainingOf} from '../grant.js';
+import {type LedgerState} from '../ledgerState.js';
+import {pruneTerms} from '../pendingChange.js';
+import {percentOf} from '../util/percentOf.js';
+import {scopedKey} from '../util/scopedKey.js';
+import {
+  boundedCost,
+  closeOpenRequest,
+  pricesOf,
+  recordBill,
+  refuse,
+} from './requestCommands.js';
+
+const millisecondsPerSecond = 1000;
+const wholeShare = 100;
+
+/** Issues a grant, or renews its deadline where the id is known. */
+export function takeGrant(
+  state: LedgerState,
+  command: TakeGrant,
+): GrantResult | RefusedResult {
+  const account = state.accounts.get(command.customer);
+  if (account === undefined) return refuse('unknownCustomer');
+  const known = state.grants.get(command.grantId);
+  const isOthers = known !== undefined && known.customer !== command.customer;
+  if (isOthers || state.requests.isReturned(command.grantId)) {
+    return refuse('unknownGrant');
+  }
+  const {newest} = account;
+  const contractVersion = newest.version;
+  if (newest.retired) return {...refuse('contractRetired'), contractVersion};
+  const version = known?.contractVersion ?? command.contractVersion;
+  if (version !== contractVersion) {
+    return {...refuse('staleContract'), contractVersion};
+  }
+  const grant = known ?? issue(state, account, command);
+  if (grant === undefined) {
+    const available = availableOf(account);
+    return {...refuse('grantLimitReached'), available};
+  }
+  grant.until = deadlineOf(state, account);
+  return grantResult(account, grant);
+}
+
+/** Bills the settled records of a grant that stays in use. */
+export function mergeJournal(
+  state: LedgerState,
+  command: MergeJournal,
+): MergedResult | RefusedResult {
+  const {grantId} = command;
+  const grant = state.grants.get(grantId);
+  const account = accountOf(state, grant);
+  if (grant === undefined || account === undefined) {
+    return unknownGrant(state, grantId);
+  }
+  const billed = mergeRecords(state, account, grant, command.records);
+  return {kind: 'merged', grantId, billed, returned: 0};
+}
+
+/**
+ * Closes a grant. A record without a settlement is billed its unknown cost,
+ * or its maximum cost where it states none: the holder has given its final
+ * account, so nothing more will be learnt about it.
+ */
+export function returnGrant(
+  state: LedgerState,
+  command: ReturnGrant,
+): MergedResult | RefusedResult {
+  const {grantId} = command;
+  const grant = state.grants.get(grantId);
+  const account = accountOf(state, grant);
+  if (grant === undefined || account === undefined) {
+    return unknownGrant(state, grantId);
+  }
+  const records = command.records.map(record => ({
+    ...record,
+    settlement: record.settlement ?? unknownSettlement(record),
+  }));
+  const billed = mergeRecords(state, account, grant, records);
+  const returned = remainingOf(grant);
+  account.granted -= returned;
+  for (const [workspace, allowance] of grant.allowances) {
+    sumsOf(account, workspace).granted -= allowance;
+  }
+  state.grants.delete(grantId);
+  account.grants.delete(grantId);
+  state.requests.addReturned({grantId, returnedAt: state.now});
+  pruneTerms(state, account);
+  return {kind: 'merged', grantId, billed, returned};
+}
+
+function accountOf(
+  state: LedgerState,
+  grant: Grant | undefined,
+): Account | undefined {
+  return grant === undefined ? undefined : state.accounts.get(grant.customer);
+}
+
+/** Answers a command on a grant that is not out: returned before, or never. */
+function unknownGrant(
+  state: LedgerState,
+  grantId: string,
+): MergedResult | RefusedResult {
+  if (!state.requests.isReturned(grantId)) return refuse('unknownGrant');
+  return {kind: 'merged', grantId, billed: 0, returned: 0};
+}
+
+function issue(
+  state: LedgerState,
+  account: Account,
+  command: TakeGrant,
+): Grant | undefined {
+  const {grantPercent} = account.newest.contract.partition;
+  const available = availableOf(account);
+  const mostGranted = percentOf(available + account.granted, grantPercent);
+  const amount = Math.min(
+    command.amount,
+    available,
+    mostGranted - account.granted,
+  );
+  if (amount <= 0) return undefined;
+  const grant: Grant = {
+    grantId: command.grantId,
+    customer: command.customer,
+    holder: command.holder,
+    journal: command.journal,
+    amount,
+    billed: 0,
+    contractVersion: account.newest.version,
+    until: 0,
+    mergedThrough: 0,
+    mergedBeyond: new Set(),
+    allowances: allowancesOf(account, amount),
+  };
+  account.granted += amount;
+  for (const [workspace, allowance] of grant.allowances) {
+    sumsOf(account, workspace).granted += allowance;
+  }
+  account.grants.set(grant.grantId, grant);
+  state.grants.set(grant.grantId, grant);
+  return grant;
+}
+
+/** Divides the room of limited workspaces as the balance is divided. */
+function allowancesOf(account: Account, amount: number): Map<string, number> {
+  const {workspaces, partition} = account.newest.contract;
+  return new Map(
+    workspaces
+      .filter(({sharePercent}) => sharePercent < wholeShare)
+      .map(workspace => {
+        const room = shareRoomOf(account, workspace);
+        const most = percentOf(room, partition.grantPercent);
+        return [workspace.name, Math.min(amount, most)];
+      }),
+  );
+}
+
+function deadlineOf(state: LedgerState, account: Account): number {
+  const {driftPercent, driftMarginMilliseconds} = state.options;
+  const serving = servingMillisecondsOf(account);
+  const drift = Math.ceil((serving * driftPercent) / 100);
+  return state.now + serving + drift + driftMarginMilliseconds;
+}
+
+function servingMillisecondsOf(account: Account): number {
+  const {servingSeconds} = account.newest.contract.partition;
+  return servingSeconds * millisecondsPerSecond;
+}
+
+function grantResult(account: Account, grant: Grant): GrantResult {
+  const workspaces: WorkspaceAllowance[] = [...grant.allowances].map(
+    ([workspace, amount]) => ({workspace, amount}),
+  );
+  return {
+    kind: 'granted',
+    grantId: grant.grantId,
+    amount: grant.amount,
+    remaining: remainingOf(grant),
+    servingMilliseconds: servingMillisecondsOf(account),
+    contractVersion: grant.contractVersion,
+    ...(workspaces.length === 0 ? {} : {workspaces}),
+  };
+}
+
+function unknownSettlement(record: JournalRecord): JournalSettlement {
+  return {
+    cost: record.unknownCost ?? record.maximumCost,
+    outcome: 'unknown',
+    attempts: 1,
+    settledAt: 0,
+  };
+}
+
+/** Bills the settled records that were not merged before; returns the sum. */
+function mergeRecords(
+  state: LedgerState,
+  account: Account,
+  grant: Grant,
+  records: JournalRecord[],
+): number {
+  const ordered = [...records].sort((a, b) => a.sequence - b.sequence);
+  let billed = 0;
+  for (const record of ordered) {
+    const {settlement} = record;
+    if (settlement === undefined || isMerged(grant, record.sequence)) continue;
+    markMerged(grant, record.sequence);
+    billed += billRecord(state, account, grant, record, settlement);
+  }
+  return billed;
+}
+
+/** Bills one record unless its key was billed on another path. */
+function billRecord(
+  state: LedgerState,
+  account: Account,
+  grant: Grant,
+  record: JournalRecord,
+  settlement: JournalSettlement,
+): number {
+  const {customer, holder} = grant;
+  const {workspace, fingerprint} = record;
+  const requestKey = scopedKey({...record, customer});
+  const {requests} = state;
+  const isBilled = requests.settled.has(requestKey);
+  if (isBilled || requests.isForgotten(requestKey)) return 0;
+  const open = requests.open.get(requestKey);
+  if (open !== undefined) closeOpenRequest(state, open);
+  const most = Math.min(record.maximumCost, remainingOf(grant));
+  const {cost, outcome} = boundedCost(settlement, most);
+  spend(account, grant, workspace, cost);
+  const bill = journalBill(state, account, grant, record, settlement);
+  recordBill(
+    state,
+    {...bill, requestKey, cost, outcome},
+    {fingerprint, holder, idempotent: true},
+  );
+  return cost;
+}
+
+/** Moves an amount out of a grant. */
+function spend(
+  account: Account,
+  grant: Grant,
+  workspace: string,
+  cost: number,
+): void {
+  grant.billed += cost;
+  account.granted -= cost;
+  const allowance = grant.allowances.get(workspace);
+  if (allowance === undefined) return;
+  const used = Math.min(cost, allowance);
+  grant.allowances.set(workspace, allowance - used);
+  sumsOf(account, workspace).granted -= used;
+}
+
+function journalBill(
+  state: LedgerState,
+  account: Account,
+  grant: Grant,
+  record: JournalRecord,
+  settlement: JournalSettlement,
+): Omit<Bill, 'requestKey' | 'cost' | 'outcome'> {
+  const {usage, backend, attempts, settledAt} = settlement;
+  const {contract} = termsOf(account, record.contractVersion);
+  const prices = pricesOf(contract, record.target);
+  return {
+    customer: grant.customer,
+    workspace: record.workspace,
+    target: record.target,
+    ...(usage === undefined ? {} : {usage}),
+    attempt: 1,
+    attempts,
+    contractVersion: record.contractVersion,
+    inputPrice: prices?.inputPrice ?? 0,
+    outputPrice: prices?.outputPrice ?? 0,
+    instance: grant.holder,
+    ...(backend === undefined ? {} : {backend}),
+    grantId: grant.grantId,
+    traceId: record.traceId,
+    settledAt: settledAt > 0 ? settledAt : state.now,
+    index: state.index,
+  };
+}
--- /dev/null
+++ b/packages/ledger/src/commands/requestCommands.ts
@@ -0,0 +1,297 @@
+/** @fileoverview Commands that open, adopt and settle connected requests. */
+import {
+  type AdoptRequest,
+  type Bill,
+  type BilledResult,
+  type Contract,
+  type DuplicateResult,
+  type OpenRequest,
+  type OpenResult,
+  type RefusalCode,
+  type RefusedResult,
+  type RequestOutcome,
+  type SettleRequest,
+  type StoredAnswer,
+  type Target,
+  type Workspace,
+} from '@dogwoodtrestle/schema';
+
+import {
+  type Account,
+  availableOf,
+  charge,
+  release,
+  reserve,
+  shareRoomOf,
+} from '../account.js';
+import {remainingOf} from '../grant.js';
+import {type LedgerState} from '../ledgerState.js';
+import {
+  type OpenRequestRecord,
+  type SettledRequestRecord,
+} from '../requestBook.js';
+import {scopedKey} from '../util/scopedKey.js';
+
+/** Prices of a target in micros: per token, or per call of a service. */
+export interface Prices {
+  inputPrice: number;
+  outputPrice: number;
+}
+
+const missingTargetCodes = {
+  model: 'modelNotAllowed',
+  service: 'serviceNotAllowed',
+} as const;
+
+/** Reserves a request's maximum cost, which permits to run it. */
+export function openRequest(
+  state: LedgerState,
+  command: OpenRequest,
+): OpenResult | DuplicateResult | RefusedResult {
+  const requestKey = scopedKey(command);
+  const known = knownRequest(state, requestKey);
+  if (known !== undefined) {
+    if (known.fingerprint === command.fingerprint) return duplicateOf(known);
+    return refuse('keyReused');
+  }
+  if (state.requests.isForgotten(requestKey)) return refuse('keyTooOld');
+  const account = state.accounts.get(command.customer);
+  if (account === undefined) return refuse('unknownCustomer');
+  const {newest} = account;
+  const contractVersion = newest.version;
+  if (newest.retired) return {...refuse('contractRetired'), contractVersion};
+  if (command.contractVersion !== contractVersion) {
+    return {...refuse('staleContract'), contractVersion};
+  }
+  const workspace = newest.contract.workspaces.find(
+    ({name}) => name === command.workspace,
+  );
+  if (workspace === undefined) return refuse('unknownWorkspace');
+  const prices = pricesOf(newest.contract, command.target);
+  if (prices === undefined) {
+    return refuse(missingTargetCodes[command.target.kind]);
+  }
+  const exhausted = exhaustionOf(account, workspace, command.maximumCost);
+  if (exhausted !== undefined) return exhausted;
+  reserve(account, command.workspace, command.maximumCost);
+  state.requests.open.set(requestKey, {
+    ...openFields(command),
+    ...prices,
+    requestKey,
+    attempt: 1,
+    openedAt: state.now,
+  });
+  return {kind: 'opened', requestKey, attempt: 1};
+}
+
+/** Hands an open idempotent request to another instance. */
+export function adoptRequest(
+  state: LedgerState,
+  command: AdoptRequest,
+): OpenResult | DuplicateResult | RefusedResult {
+  const {requestKey, expectedAttempt, holder} = command;
+  const record = state.requests.open.get(requestKey);
+  if (record === undefined) {
+    const settled = state.requests.settled.get(requestKey);
+    return settled === undefined
+      ? refuseUnknown(state, requestKey)
+      : duplicateOf(settled);
+  }
+  if (!record.idempotent) return refuse('notIdempotent');
+  if (record.attempt !== expectedAttempt) return refuse('attemptSuperseded');
+  record.attempt++;
+  record.holder = holder;
+  return {kind: 'opened', requestKey, attempt: record.attempt};
+}
+
+/** Bills a request, once. */
+export function settleRequest(
+  state: LedgerState,
+  command: SettleRequest,
+): BilledResult | RefusedResult {
+  const {requestKey} = command;
+  const record = state.requests.open.get(requestKey);
+  if (record === undefined) {
+    const settled = state.requests.settled.get(requestKey);
+    return settled === undefined
+      ? refuseUnknown(state, requestKey)
+      : {kind: 'billed', bill: settled.bill, repeated: true};
+  }
+  // That an earlier attempt did not run says nothing about the newest one.
+  if (command.attempt < record.attempt && command.outcome === 'didNotRun') {
+    return refuse('attemptSuperseded');
+  }
+  const {cost, outcome} = boundedCost(command, record.maximumCost);
+  const bill: Bill = {
+    requestKey,
+    customer: record.customer,
+    workspace: record.workspace,
+    target: record.target,
+    cost,
+    ...(command.usage === undefined ? {} : {usage: command.usage}),
+    outcome,
+    attempt: command.attempt,
+    attempts: command.attempts,
+    contractVersion: record.contractVersion,
+    inputPrice: record.inputPrice,
+    outputPrice: record.outputPrice,
+    instance: command.instance,
+    ...(command.backend === undefined ? {} : {backend: command.backend}),
+    traceId: record.traceId,
+    settledAt: command.settledAt > 0 ? command.settledAt : state.now,
+    index: state.index,
+  };
+  closeOpenRequest(state, record);
+  recordBill(state, bill, record, command.answer);
+  return {kind: 'billed', bill, repeated: false};
+}
+
+/** Releases the reservation of an open request and removes it. */
+export function closeOpenRequest(
+  state: LedgerState,
+  record: OpenRequestRecord,
+): void {
+  state.requests.open.delete(record.requestKey);
+  const account = state.accounts.get(record.customer);
+  if (account !== undefined) {
+    release(account, record.workspace, record.maximumCost);
+  }
+}
+
+/** Charges a bill to its customer and remembers its key. */
+export function recordBill(
+  state: LedgerState,
+  bill: Bill,
+  request: Pick<SettledRequestRecord, 'fingerprint' | 'holder' | 'idempotent'>,
+  answer?: StoredAnswer,
+): void {
+  const account = state.accounts.get(bill.customer);
+  if (account !== undefined) charge(account, bill.workspace, bill.cost);
+  state.bills.push(bill);
+  state.requests.addSettled({
+    requestKey: bill.requestKey,
+    fingerprint: request.fingerprint,
+    holder: request.holder,
+    idempotent: request.idempotent,
+    bill,
+    ...(answer === undefined ? {} : {answer}),
+    billedAt: state.now,
+  });
+}
+
+/** Returns the cost to bill, which never exceeds what was reserved. */
+export function boundedCost(
+  settlement: {cost: number; outcome: RequestOutcome},
+  maximumCost: number,
+): {cost: number; outcome: RequestOutcome} {
+  const {cost, outcome} = settlement;
+  if (outcome === 'didNotRun') return {cost: 0, outcome};
+  if (cost <= maximumCost) return {cost, outcome};
+  return {cost: maximumCost, outcome: 'overReported'};
+}
+
+/** Returns a target's prices, or nothing where the contract excludes it. */
+export function pricesOf(
+  contract: Contract,
+  target: Target,
+): Prices | undefined {
+  if (target.kind === 'model') {
+    const model = contract.models.find(({name}) => name === target.name);
+    if (model === undefined) return undefined;
+    return {inputPrice: model.inputPrice, outputPrice: model.outputPrice};
+  }
+  const service = contract.services.find(({name}) => name === target.name);
+  if (service === undefined) return undefined;
+  return {inputPrice: service.callPrice, outputPrice: 0};
+}
+
+/** Returns a refusal that carries nothing but its code. */
+export function refuse(code: RefusalCode): RefusedResult {
+  return {kind: 'refused', code};
+}
+
+function refuseUnknown(state: LedgerState, requestKey: string): RefusedResult {
+  const isForgotten = state.requests.isForgotten(requestKey);
+  return refuse(isForgotten ? 'keyTooOld' : 'unknownRequest');
+}
+
+function knownRequest(
+  state: LedgerState,
+  requestKey: string,
+): OpenRequestRecord | SettledRequestRecord | undefined {
+  const {open, settled} = state.requests;
+  return open.get(requestKey) ?? settled.get(requestKey);
+}
+
+function duplicateOf(
+  record: OpenRequestRecord | SettledRequestRecord,
+): DuplicateResult {
+  const {requestKey, holder, idempotent} = record;
+  const base = {kind: 'duplicate', requestKey, holder, idempotent} as const;
+  if ('openedAt' in record) {
+    const {attempt, openedAt, traceId} = record;
+    return {...base, status: 'open', attempt, openedAt, traceId};
+  }
+  const {bill, answer} = record;
+  const {attempt, traceId} = bill;
+  const result = {...base, status: 'settled', attempt, traceId, bill} as const;
+  return answer === undefined ? result : {...result, answer};
+}
+
+/** Returns the refusal of a request that the balance or share can't cover. */
+function exhaustionOf(
+  account: Account,
+  workspace: Workspace,
+  maximumCost: number,
+): RefusedResult | undefined {
+  const available = availableOf(account);
+  const room = shareRoomOf(account, workspace);
+  if (maximumCost <= available && maximumCost <= room) return undefined;
+  const sums = account.workspaces.get(workspace.name);
+  const isShare = maximumCost <= available;
+  return {
+    kind: 'refused',
+    code: isShare ? 'workspaceShareExhausted' : 'budgetExhausted',
+    available: isShare ? room : available,
+    reserved: isShare ? (sums?.reserved ?? 0) : account.reserved,
+    recallable: [...account.grants.values()]
+      .map(grant => ({
+        grantId: grant.grantId,
+        holder: grant.holder,
+        remaining: remainingOf(grant),
+      }))
+      .filter(({remaining}) => remaining > 0),
+  };
+}
+
+function openFields(
+  command: OpenRequest,
+): Omit<
+  OpenRequestRecord,
+  'requestKey' | 'inputPrice' | 'outputPrice' | 'attempt' | 'openedAt'
+> {
+  const {
+    fingerprint,
+    customer,
+    workspace,
+    target,
+    maximumCost,
+    unknownCost,
+    contractVersion,
+    holder,
+    idempotent,
+    traceId,
+  } = command;
+  return {
+    fingerprint,
+    customer,
+    workspace,
+    target,
+    maximumCost,
+    unknownCost: Math.min(unknownCost ?? 0, maximumCost),
+    contractVersion,
+    holder,
+    idempotent,
+    traceId,
+  };
+}
--- a/packages/ledger/src/index.ts
+++ b/packages/ledger/src/index.ts
@@ -1,2 +1,18 @@
 /** @fileoverview Face of the package; see its README. */
-export {};
+export {
+  changeDirection,
+  type Direction,
+  type FieldChange,
+  fieldChanges,
+} from './changeDirection.js';
+export {checkContract, maximumBudget} from './checkContract.js';
+export {InvariantBreach, LedgerError} from './errors.js';
+export {type GrantDemand, sizeGrant} from './grantSizing.js';
+export {type CommandContext, type CustomerGrant, Ledger} from './ledger.js';
+export {defaultOptions, type LedgerOptions} from './ledgerOptions.js';
+export {type LedgerSnapshot} from './ledgerSnapshot.js';
+export {
+  type OpenRequestRecord,
+  type SettledRequestRecord,
+} from './requestBook.js';
+export {scopedKey} from './util/scopedKey.js';
--- /dev/null
+++ b/packages/ledger/src/ledger.ts
@@ -0,0 +1,218 @@
+/**
+ * @fileoverview Deterministic state machine for money and contracts.
+ *
+ * Equal commands in an equal order give equal results on every replica: the
+ * only time is that of the log entries, and nothing is drawn at random.
+ */
+import {
+  type Bill,
+  type BudgetView,
+  type ChangeResult,
+  type ChangeView,
+  type Command,
+  type ContractView,
+  type GrantView,
+  type Result,
+} from '@dogwoodtrestle/schema';
+
+import {assertInvariant} from './account.js';
+import {changeResult} from './commands/contractCommands.js';
+import {customerOf, handle} from './commands/handlers.js';
+import {defaultOptions, type LedgerOptions} from './ledgerOptions.js';
+import {
+  type LedgerSnapshot,
+  restoreSnapshot,
+  takeSnapshot,
+} from './ledgerSnapshot.js';
+import {createState, type LedgerState} from './ledgerState.js';
+import {acceptExpired, acceptPending} from './pendingChange.js';
+import {
+  type OpenRequestRecord,
+  type SettledRequestRecord,
+} from './requestBook.js';
+import {sumFindings} from './sumFindings.js';
+import {budgetView, changeView, contractView, grantView} from './views.js';
+
+/** Place of a command in the log. */
+export interface CommandContext {
+  /** Log index of the entry. */
+  index: number;
+  /** Ledger time of the entry in milliseconds. */
+  timestamp: number;
+}
+
+/** A grant with its customer. */
+export interface CustomerGrant extends GrantView {
+  customer: string;
+}
+
+/** State machine for money and contracts. */
+export class Ledger {
+  private state: LedgerState;
+  private readonly options: LedgerOptions;
+
+  constructor(options: Partial<LedgerOptions> = {}) {
+    this.options = {...defaultOptions, ...options};
+    this.state = createState(this.options);
+  }
+
+  /** Number of contract changes so far. */
+  get revision(): number {
+    return this.state.revision;
+  }
+
+  /** Ledger time of the newest command. */
+  get now(): number {
+    return this.state.now;
+  }
+
+  /**
+   * Applies a valid command. What can't be done is told in the result.
+   *
+   * @throws InvariantBreach if the sums no longer fit the prepaid amount.
+   */
+  apply(command: Command, context: CommandContext): Result {
+    const {state} = this;
+    state.now = Math.max(state.now, context.timestamp);
+    state.index = context.index;
+    this.expire();
+    const customer = customerOf(state, command);
+    const result = handle(state, command);
+    const account =
+      customer === undefined ? undefined : state.accounts.get(customer);
+    if (account !== undefined) {
+      acceptPending(state, account);
+      assertInvariant(account);
+    }
+    return result;
+  }
+
+  /** Returns the state as a JSON value. */
+  snapshot(): LedgerSnapshot {
+    return takeSnapshot(this.state);
+  }
+
+  /** Replaces the state by that of a snapshot. */
+  restore(snapshot: LedgerSnapshot): void {
+    this.state = restoreSnapshot(this.options, snapshot);
+  }
+
+  /** Returns the bills made since the last call. */
+  takeBills(): Bill[] {
+    const {bills} = this.state;
+    this.state.bills = [];
+    return bills;
+  }
+
+  budget(customer: string): BudgetView | undefined {
+    const account = this.state.accounts.get(customer);
+    return account && budgetView(this.state, account);
+  }
+
+  budgets(): BudgetView[] {
+    return [...this.state.accounts.values()].map(account =>
+      budgetView(this.state, account),
+    );
+  }
+
+  /** Returns the newest contract of a customer. */
+  contract(customer: string): ContractView | undefined {
+    const account = this.state.accounts.get(customer);
+    return account && contractView(this.state, account);
+  }
+
+  contracts(): ContractView[] {
+    return [...this.state.accounts.values()].map(account =>
+      contractView(this.state, account),
+    );
+  }
+
+  /** Returns the contract that a workspace's key belongs to. */
+  contractByKeyHash(keyHash: string): ContractView | undefined {
+    const customer = this.state.keyHashes.get(keyHash);
+    return customer === undefined ? undefined : this.contract(customer);
+  }
+
+  /** Returns the contracts that changed after a revision, oldest first. */
+  changesSince(revision: number): ContractView[] {
+    return this.state.revisions
+      .since(revision)
+      .flatMap(customer => this.contract(customer) ?? []);
+  }
+
+  /** Returns the answer to a change as it stands now. */
+  change(changeId: string): ChangeResult | undefined {
+    const record = this.state.changes.records.get(changeId);
+    return record && changeResult(this.state, record);
+  }
+
+  /** Returns the remembered changes of a customer, oldest first. */
+  contractHistory(customer: string): ChangeView[] {
+    const changeIds = this.state.accounts.get(customer)?.changeIds ?? [];
+    return changeIds.flatMap(changeId => {
+      const record = this.state.changes.records.get(changeId);
+      return record === undefined ? [] : [changeView(record)];
+    });
+  }
+
+  /** Returns a request by its key in the form `customer/workspace/key`. */
+  request(
+    requestKey: string,
+  ): OpenRequestRecord | SettledRequestRecord | undefined {
+    const {open, settled} = this.state.requests;
+    return open.get(requestKey) ?? settled.get(requestKey);
+  }
+
+  openRequests(): OpenRequestRecord[] {
+    return [...this.state.requests.open.values()];
+  }
+
+  grants(): CustomerGrant[] {
+    return [...this.state.grants.values()].map(grant => ({
+      customer: grant.customer,
+      ...grantView(this.state, grant),
+    }));
+  }
+
+  /**
+   * Returns the earliest ledger time at which the passing of time accepts a
+   * pending change.
+   */
+  nextExpiry(): number | undefined {
+    return this.state.pendingExpiries.peek()?.priority;
+  }
+
+  /** Numbers of remembered and forgotten request keys, for metrics. */
+  keyCounts(): {settled: number; forgotten: number; forgottenBytes: number} {
+    const {settled, forgotten} = this.state.requests;
+    return {
+      settled: settled.size,
+      forgotten: forgotten.size,
+      forgottenBytes: forgotten.bytes,
+    };
+  }
+
+  /**
+   * Computes every sum again from the records, and names those that differ.
+   * Its cost grows with the size of the state.
+   */
+  verifySums(): string[] {
+    return sumFindings(this.state);
+  }
+
+  private expire(): void {
+    const {state} = this;
+    state.requests.expire(state.now);
+    for (const {changeId, customer, version} of state.changes.expire(
+      state.now,
+    )) {
+      const account = state.accounts.get(customer);
+      if (account === undefined) continue;
+      if (account.changeIds[0] === changeId) account.changeIds.shift();
+      if (account.versionChanges.get(version) === changeId) {
+        account.versionChanges.delete(version);
+      }
+    }
+    acceptExpired(state);
+  }
+}
--- /dev/null
+++ b/packages/ledger/src/util/digestSet.ts
@@ -0,0 +1,100 @@
+/**
+ * @fileoverview Compact set of 64-bit digests.
+ *
+ * An open-addressing table over typed arrays: 8 bytes a slot, filled to
+ * between three eighths and three quarters, so 11 to 21 bytes per key.
+ */
+
+interface Digest {
+  high: number;
+  low: number;
+}
+
+const initialSlots = 64;
+const maximumFill = 0.75;
+
+/** Set of 64-bit digests. */
+export class DigestSet {
+  private words = new Uint32Array(initialSlots * 2);
+  private count = 0;
+
+  get size(): number {
+    return this.count;
+  }
+
+  get bytes(): number {
+    return this.words.byteLength;
+  }
+
+  has(digest: Digest): boolean {
+    const {high, low} = nonZero(digest);
+    return this.words[this.slotOf(high, low)] === high;
+  }
+
+  add(digest: Digest): void {
+    const {high, low} = nonZero(digest);
+    if (this.insert(high, low)) this.grow();
+  }
+
+  /** Returns the digests as base64, 8 bytes each, in table order. */
+  serialize(): string {
+    const used = new Uint32Array(this.count * 2);
+    let position = 0;
+    for (let slot = 0; slot < this.words.length; slot += 2) {
+      const high = this.words[slot] ?? 0;
+      if (high === 0) continue;
+      used[position++] = high;
+      used[position++] = this.words[slot + 1] ?? 0;
+    }
+    return Buffer.from(used.buffer).toString('base64');
+  }
+
+  static deserialize(text: string): DigestSet {
+    const bytes = Buffer.from(text, 'base64');
+    const set = new DigestSet();
+    for (let offset = 0; offset < bytes.length; offset += 8) {
+      set.add({
+        high: bytes.readUInt32LE(offset),
+        low: bytes.readUInt32LE(offset + 4),
+      });
+    }
+    return set;
+  }
+
+  /** Adds a digest; returns whether the table has become too full. */
+  private insert(high: number, low: number): boolean {
+    const slot = this.slotOf(high, low);
+    if (this.words[slot] === high) return false;
+    this.words[slot] = high;
+    this.words[slot + 1] = low;
+    this.count++;
+    return this.count * 2 > this.words.length * maximumFill;
+  }
+
+  private grow(): void {
+    const old = this.words;
+    this.words = new Uint32Array(old.length * 2);
+    this.count = 0;
+    for (let slot = 0; slot < old.length; slot += 2) {
+      const high = old[slot] ?? 0;
+      if (high !== 0) this.insert(high, old[slot + 1] ?? 0);
+    }
+  }
+
+  /** Returns the index of the digest's slot, or of the free one for it. */
+  private slotOf(high: number, low: number): number {
+    const mask = this.words.length - 1;
+    let slot = (low * 2) & mask;
+    for (;;) {
+      const found = this.words[slot];
+      if (found === 0) return slot;
+      if (found === high && this.words[slot + 1] === low) return slot;
+      slot = (slot + 2) & mask;
+    }
+  }
+}
+
+/** Keeps 0 free to mark empty slots. */
+function nonZero({high, low}: Digest): Digest {
+  return {high: high === 0 ? 1 : high, low};
+}
--- /dev/null
+++ b/packages/ledger/src/util/minHeap.ts
@@ -0,0 +1,67 @@
+/** @fileoverview Binary heap that yields its smallest entry first. */
+
+/** An entry with the number that it is ordered by. */
+export interface HeapEntry<T> {
+  priority: number;
+  value: T;
+}
+
+/** Priority queue with logarithmic insertion and removal. */
+export class MinHeap<T> {
+  private readonly entries: Array<HeapEntry<T>> = [];
+
+  get size(): number {
+    return this.entries.length;
+  }
+
+  peek(): HeapEntry<T> | undefined {
+    return this.entries[0];
+  }
+
+  push(priority: number, value: T): void {
+    this.entries.push({priority, value});
+    let index = this.entries.length - 1;
+    while (index > 0) {
+      const parent = (index - 1) >> 1;
+      if (this.at(parent) <= this.at(index)) return;
+      this.swap(parent, index);
+      index = parent;
+    }
+  }
+
+  pop(): HeapEntry<T> | undefined {
+    const first = this.entries[0];
+    const last = this.entries.pop();
+    if (first === undefined || last === undefined) return undefined;
+    if (this.entries.length > 0) {
+      this.entries[0] = last;
+      this.sink();
+    }
+    return first;
+  }
+
+  private sink(): void {
+    let index = 0;
+    for (;;) {
+      const left = index * 2 + 1;
+      let smallest = index;
+      if (this.at(left) < this.at(smallest)) smallest = left;
+      if (this.at(left + 1) < this.at(smallest)) smallest = left + 1;
+      if (smallest === index) return;
+      this.swap(smallest, index);
+      index = smallest;
+    }
+  }
+
+  private at(index: number): number {
+    return this.entries[index]?.priority ?? Infinity;
+  }
+
+  private swap(a: number, b: number): void {
+    const first = this.entries[a];
+    const second = this.entries[b];
+    if (first === undefined || second === undefined) return;
+    this.entries[a] = second;
+    this.entries[b] = first;
+  }
+}
--- /dev/null
+++ b/packages/ledger/tests/changeDirection.test.ts
@@ -0,0 +1,151 @@
+import {
+  changeDirection,
+  checkContract,
+  type Direction,
+  fieldChanges,
+} from '@dogwoodtrestle/ledger';
+import {type Contract} from '@dogwoodtrestle/schema';
+import {describe, expect, it} from 'vitest';
+
+import {contractOf, keyHash} from './fixtures.js';
+
+const [desk, lab] = contractOf().workspaces;
+const model = contractOf().models[0]!;
+const {partition} = contractOf();
+
+/** Name, changed part, direction forwards and direction backwards. */
+const cases: Array<[string, Partial<Contract>, Direction, Direction]> = [
+  [
+    'prepaid',
+    {budget: {prepaid: 900, currency: 'CAD'}},
+    'tightening',
+    'loosening',
+  ],
+  [
+    'currency',
+    {budget: {prepaid: 1000, currency: 'THB'}},
+    'tightening',
+    'tightening',
+  ],
+  ['model', {models: []}, 'tightening', 'loosening'],
+  [
+    'input price',
+    {models: [{...model, inputPrice: 2}]},
+    'tightening',
+    'tightening',
+  ],
+  [
+    'output price',
+    {models: [{...model, outputPrice: 1}]},
+    'tightening',
+    'tightening',
+  ],
+  [
+    'adapters',
+    {models: [{...model, adapters: ['a']}]},
+    'loosening',
+    'tightening',
+  ],
+  ['version', {models: [{...model, version: '2'}]}, 'tightening', 'tightening'],
+  ['service', {services: []}, 'tightening', 'loosening'],
+  [
+    'call price',
+    {services: [{name: 'booking', callPrice: 6}]},
+    'tightening',
+    'tightening',
+  ],
+  ['priority', {priority: 'urgent'}, 'tightening', 'tightening'],
+  ['rate limit', {limits: {requestsPerSecond: 5}}, 'tightening', 'loosening'],
+  [
+    'concurrency limit',
+    {limits: {concurrentRequests: 5}},
+    'tightening',
+    'loosening',
+  ],
+  ['workspace', {workspaces: [desk]}, 'tightening', 'loosening'],
+  [
+    'key',
+    {workspaces: [{...desk, keyHash: keyHash(9)}, lab!]},
+    'tightening',
+    'tightening',
+  ],
+  [
+    'share',
+    {workspaces: [{...desk, sharePercent: 99}, lab!]},
+    'tightening',
+    'loosening',
+  ],
+  [
+    'workspace limit',
+    {workspaces: [{...desk, limits: {requestsPerSecond: 1}}, lab!]},
+    'tightening',
+    'loosening',
+  ],
+  [
+    'serving time',
+    {partition: {...partition, servingSeconds: 59}},
+    'tightening',
+    'loosening',
+  ],
+  [
+    'grant limit',
+    {partition: {...partition, grantPercent: 29}},
+    'tightening',
+    'loosening',
+  ],
+  [
+    'exhaustion wait',
+    {partition: {...partition, exhaustionWaitMilliseconds: 9}},
+    'neutral',
+    'neutral',
+  ],
+  ['order', {workspaces: [lab!, desk]}, 'neutral', 'neutral'],
+  [
+    'mixture',
+    {priority: 'urgent', budget: {prepaid: 2000, currency: 'CAD'}},
+    'tightening',
+    'tightening',
+  ],
+];
+
+describe('changeDirection', () => {
+  it.each(cases)('%s', (_name, changes, forwards, backwards) => {
+    const before = contractOf();
+    const after = contractOf(changes);
+    expect(changeDirection(before, after)).toBe(forwards);
+    expect(changeDirection(after, before)).toBe(backwards);
+  });
+
+  it('names the fields', () => {
+    const after = contractOf({workspaces: [{...desk, sharePercent: 50}]});
+    expect(fieldChanges(contractOf(), after)).toEqual([
+      {path: '/workspaces/lab', direction: 'tightening'},
+      {path: '/workspaces/desk/sharePercent', direction: 'tightening'},
+    ]);
+  });
+});
+
+describe('checkContract', () => {
+  it('passes a sound contract', () => {
+    expect(checkContract(contractOf())).toEqual([]);
+  });
+
+  it('collects every finding with its place', () => {
+    const contract = contractOf({
+      models: [{...model, adapters: ['a', 'a']}, model],
+      services: [
+        {name: 's', callPrice: 1},
+        {name: 's', callPrice: 2},
+      ],
+      workspaces: [desk, {...desk, sharePercent: 101}],
+    });
+    expect(checkContract(contract).map(({path}) => path)).toEqual([
+      '/workspaces/1/name',
+      '/workspaces/1/keyHash',
+      '/models/1/name',
+      '/services/1/name',
+      '/workspaces/1/sharePercent',
+      '/models/0/adapters/1',
+    ]);
+  });
+});
--- /dev/null
+++ b/packages/ledger/tests/refusals.test.ts
@@ -0,0 +1,218 @@
+import {type Command, type Result} from '@dogwoodtrestle/schema';
+import {describe, expect, it} from 'vitest';
+
+import {
+  applyOf,
+  grantOf,
+  LedgerFixture,
+  openOf,
+  recordOf,
+  second,
+  settleOf,
+} from './fixtures.js';
+
+const hour = 3600 * second;
+
+interface RefusalCase {
+  name: string;
+  before?: Command[];
+  later?: number;
+  command: Command;
+  expected: Record<string, unknown>;
+}
+
+const retire: Command = {
+  kind: 'retireContract',
+  changeId: 'end',
+  operator: 'ann',
+  expectedVersion: 1,
+  customer: 'barley',
+};
+
+const cases: RefusalCase[] = [
+  {
+    name: 'unknownCustomer',
+    command: openOf({customer: 'nobody'}),
+    expected: {code: 'unknownCustomer'},
+  },
+  {
+    name: 'unknownWorkspace',
+    command: openOf({workspace: 'nowhere'}),
+    expected: {code: 'unknownWorkspace'},
+  },
+  {
+    name: 'modelNotAllowed',
+    command: openOf({target: {kind: 'model', name: 'x'}}),
+    expected: {code: 'modelNotAllowed'},
+  },
+  {
+    name: 'serviceNotAllowed',
+    command: openOf({target: {kind: 'service', name: 'm'}}),
+    expected: {code: 'serviceNotAllowed'},
+  },
+  {
+    name: 'contractRetired on open',
+    before: [retire],
+    command: openOf({contractVersion: 2}),
+    expected: {code: 'contractRetired', contractVersion: 2},
+  },
+  {
+    name: 'contractRetired on grant',
+    before: [retire],
+    command: grantOf({contractVersion: 2}),
+    expected: {code: 'contractRetired', contractVersion: 2},
+  },
+  {
+    name: 'staleContract on open',
+    before: [applyOf('c2', 1, {priority: 'urgent'})],
+    command: openOf(),
+    expected: {code: 'staleContract', contractVersion: 2},
+  },
+  {
+    name: 'staleContract on renewal',
+    before: [grantOf(), applyOf('c2', 1, {priority: 'urgent'})],
+    command: grantOf(),
+    expected: {code: 'staleContract', contractVersion: 2},
+  },
+  {
+    name: 'budgetExhausted, with what may come back',
+    before: [
+      openOf({maximumCost: 500}),
+      grantOf({amount: 100}),
+      openOf({requestKey: 'k2', maximumCost: 300}),
+      settleOf({requestKey: 'barley/desk/k2', cost: 300}),
+    ],
+    command: openOf({requestKey: 'k3', maximumCost: 101}),
+    expected: {
+      code: 'budgetExhausted',
+      available: 100,
+      reserved: 500,
+      recallable: [{grantId: 'g1', holder: 'r1', remaining: 100}],
+    },
+  },
+  {
+    name: 'workspaceShareExhausted, with what may come back',
+    before: [openOf({workspace: 'lab', maximumCost: 150})],
+    command: openOf({requestKey: 'k2', workspace: 'lab', maximumCost: 51}),
+    expected: {
+      code: 'workspaceShareExhausted',
+      available: 50,
+      reserved: 150,
+      recallable: [],
+    },
+  },
+  {
+    name: 'workspaceShareExhausted while a grant may spend the share',
+    before: [grantOf({amount: 300})],
+    command: openOf({workspace: 'lab', maximumCost: 141}),
+    expected: {code: 'workspaceShareExhausted', available: 140},
+  },
+  {
+    name: 'keyReused',
+    before: [openOf()],
+    command: openOf({fingerprint: 'other'}),
+    expected: {code: 'keyReused'},
+  },
+  {
+    name: 'keyTooOld on open',
+    before: [openOf(), settleOf()],
+    later: hour + 1,
+    command: openOf(),
+    expected: {code: 'keyTooOld'},
+  },
+  {
+    name: 'keyTooOld on settlement',
+    before: [openOf(), settleOf()],
+    later: hour + 1,
+    command: settleOf(),
+    expected: {code: 'keyTooOld'},
+  },
+  {
+    name: 'unknownRequest on settlement',
+    command: settleOf(),
+    expected: {code: 'unknownRequest'},
+  },
+  {
+    name: 'unknownRequest on adoption',
+    command: {
+      kind: 'adoptRequest',
+      requestKey: 'barley/desk/k1',
+      expectedAttempt: 1,
+      holder: 'r2',
+    },
+    expected: {code: 'unknownRequest'},
+  },
+  {
+    name: 'attemptSuperseded on adoption',
+    before: [openOf()],
+    command: {
+      kind: 'adoptRequest',
+      requestKey: 'barley/desk/k1',
+      expectedAttempt: 2,
+      holder: 'r2',
+    },
+    expected: {code: 'attemptSuperseded'},
+  },
+  {
+    name: 'attemptSuperseded where an earlier attempt did not run',
+    before: [
+      openOf(),
+      {
+        kind: 'adoptRequest',
+        requestKey: 'barley/desk/k1',
+        expectedAttempt: 1,
+        holder: 'r2',
+      },
+    ],
+    command: settleOf({outcome: 'didNotRun', cost: 0}),
+    expected: {code: 'attemptSuperseded'},
+  },
+  {
+    name: 'notIdempotent',
+    before: [openOf({idempotent: false})],
+    command: {
+      kind: 'adoptRequest',
+      requestKey: 'barley/desk/k1',
+      expectedAttempt: 1,
+      holder: 'r2',
+    },
+    expected: {code: 'notIdempotent'},
+  },
+  {
+    name: 'unknownGrant on merge',
+    command: {kind: 'mergeJournal', grantId: 'g1', records: [recordOf(1, 1)]},
+    expected: {code: 'unknownGrant'},
+  },
+  {
+    name: 'unknownGrant on a grant that was returned',
+    before: [grantOf(), {kind: 'returnGrant', grantId: 'g1', records: []}],
+    command: grantOf(),
+    expected: {code: 'unknownGrant'},
+  },
+  {
+    name: 'unknownGrant long after the return',
+    before: [grantOf(), {kind: 'returnGrant', grantId: 'g1', records: []}],
+    later: 2 * hour,
+    command: grantOf(),
+    expected: {code: 'unknownGrant'},
+  },
+  {
+    name: 'grantLimitReached',
+    before: [grantOf({amount: 300})],
+    command: grantOf({grantId: 'g2'}),
+    expected: {code: 'grantLimitReached', available: 700},
+  },
+];
+
+describe('refusals', () => {
+  it.each(cases)('$name', ({before = [], later = 0, command, expected}) => {
+    const fixture = LedgerFixture.withContract();
+    fixture.applyAll(before);
+    const budget = fixture.ledger.budget('barley');
+    const result = fixture.apply<Result>(command, later);
+    expect(result).toMatchObject({kind: 'refused', ...expected});
+    const after = fixture.ledger.budget('barley');
+    expect(after?.available).toBe(budget?.available);
+    expect(fixture.ledger.verifySums()).toEqual([]);
+  });
+});
