--- /dev/null
+++ b/packages/ledger/tests/contracts.test.ts
@@ -0,0 +1,268 @@
+import {type ChangeResult, type TopUp} from '@dogwoodtrestle/schema';
+import {describe, expect, it} from 'vitest';
+
+import {
+  applyOf,
+  contractOf,
+  grantOf,
+  keyHash,
+  LedgerFixture,
+  openOf,
+  recordOf,
+  second,
+  settleOf,
+} from './fixtures.js';
+
+/** Drift allowance of the 60 s that a grant serves. */
+const servingBound = 60 * second * 1.1 + second;
+
+const cad = (prepaid: number) => ({budget: {prepaid, currency: 'CAD'}});
+
+function topUpOf(changes: Partial<TopUp> = {}): TopUp {
+  return {
+    kind: 'topUp',
+    changeId: 't1',
+    operator: 'ann',
+    customer: 'barley',
+    amount: 500,
+    ...changes,
+  };
+}
+
+describe('contract versions', () => {
+  it('lets one of two racing operators win and tells the other', () => {
+    const fixture = LedgerFixture.withContract();
+    fixture.apply(applyOf('a', 1, {priority: 'urgent'}));
+    const lost = fixture.apply<ChangeResult>({
+      ...applyOf('b', 1, cad(2000)),
+      operator: 'bob',
+    });
+    expect(lost).toMatchObject({
+      state: 'rejected',
+      version: 2,
+      winner: {
+        changeId: 'a',
+        operator: 'ann',
+        version: 2,
+        differs: ['/budget/prepaid', '/priority'],
+      },
+    });
+    expect(lost.findings).toHaveLength(1);
+    expect(fixture.ledger.contract('barley')?.version).toBe(2);
+  });
+
+  it('answers a resend as it stands, also after a restart', () => {
+    const fixture = LedgerFixture.withContract();
+    const change = applyOf('a', 1, cad(2000));
+    const first = fixture.apply(change);
+    fixture.apply(applyOf('b', 2, cad(3000)));
+    const snapshot: unknown = JSON.parse(
+      JSON.stringify(fixture.ledger.snapshot()),
+    );
+    fixture.ledger.restore(snapshot as never);
+    expect(fixture.apply(change)).toEqual(first);
+    expect(fixture.ledger.contract('barley')?.version).toBe(3);
+    const reused = fixture.apply(applyOf('a', 3, cad(9)));
+    expect(reused).toMatchObject({
+      state: 'rejected',
+      findings: [{path: '/changeId'}],
+    });
+    expect(fixture.apply(change)).toEqual(first);
+  });
+
+  it('forgets change ids after their retention only', () => {
+    const fixture = LedgerFixture.withContract(
+      {},
+      {changeRetentionMilliseconds: 10 * second},
+    );
+    const advance = {kind: 'advanceTime'} as const;
+    fixture.apply(advance, 10 * second);
+    expect(fixture.ledger.change('first')?.state).toBe('accepted');
+    fixture.apply(advance, 1);
+    expect(fixture.ledger.change('first')).toBeUndefined();
+    expect(fixture.ledger.contractHistory('barley')).toEqual([]);
+  });
+
+  it('collects the findings of a contract against the ledger', () => {
+    const fixture = LedgerFixture.withContract();
+    fixture.applyAll([openOf(), settleOf({cost: 80})]);
+    const {workspaces} = contractOf();
+    const result = fixture.apply<ChangeResult>(
+      applyOf('a', 1, {
+        budget: {prepaid: 79, currency: 'THB'},
+        workspaces: [workspaces[0], workspaces[0]],
+      }),
+    );
+    expect(result.findings?.map(({path}) => path)).toEqual([
+      '/workspaces/1/name',
+      '/workspaces/1/keyHash',
+      '/budget/currency',
+      '/budget/prepaid',
+    ]);
+    const other = fixture.apply<ChangeResult>(
+      applyOf('b', 0, {customer: 'other'}),
+    );
+    expect(other.findings?.map(({path}) => path)).toEqual([
+      '/workspaces/0/keyHash',
+      '/workspaces/1/keyHash',
+    ]);
+  });
+
+  it('puts a retired contract in force again by a new version', () => {
+    const fixture = LedgerFixture.withContract();
+    const retire = {
+      kind: 'retireContract',
+      changeId: 'end',
+      operator: 'ann',
+      expectedVersion: 1,
+      customer: 'barley',
+    } as const;
+    expect(fixture.apply(retire)).toMatchObject({
+      state: 'accepted',
+      version: 2,
+    });
+    expect(fixture.apply(topUpOf())).toMatchObject({state: 'rejected'});
+    expect(fixture.apply(applyOf('a', 1))).toMatchObject({state: 'rejected'});
+    expect(fixture.apply(applyOf('b', 2))).toMatchObject({state: 'accepted'});
+    expect(fixture.ledger.contract('barley')).toMatchObject({
+      version: 3,
+      retired: false,
+    });
+  });
+
+  it('adds a top-up once', () => {
+    const fixture = LedgerFixture.withContract();
+    fixture.applyAll([topUpOf(), topUpOf()]);
+    expect(fixture.ledger.budget('barley')).toMatchObject({
+      prepaid: 1500,
+      toppedUp: 500,
+      available: 1500,
+    });
+    const tooMuch = topUpOf({changeId: 't2', amount: 9e15});
+    expect(fixture.apply(tooMuch)).toMatchObject({state: 'rejected'});
+  });
+
+  it('lists changes since a revision', () => {
+    const fixture = LedgerFixture.withContract();
+    const {workspaces} = contractOf();
+    const key = [{...workspaces[0], keyHash: keyHash(7)}] as const;
+    fixture.apply(applyOf('o', 0, {customer: 'other', workspaces: [...key]}));
+    for (let version = 1; version <= 200; version++) {
+      fixture.apply(applyOf(`c${version}`, version, cad(1000 + version)));
+    }
+    const {ledger} = fixture;
+    const names = (revision: number) =>
+      ledger.changesSince(revision).map(({contract}) => contract.customer);
+    expect(names(0)).toEqual(['other', 'barley']);
+    expect(names(2)).toEqual(['barley']);
+    expect(names(ledger.revision)).toEqual([]);
+  });
+});
+
+describe('pending changes', () => {
+  const tighter = applyOf('tight', 1, {models: []});
+
+  it('waits for the return of older grants', () => {
+    const fixture = LedgerFixture.withContract();
+    fixture.applyAll([grantOf(), grantOf({grantId: 'g2', holder: 'r2'})]);
+    const until = fixture.now + servingBound;
+    expect(fixture.apply(tighter)).toMatchObject({
+      state: 'pending',
+      version: 2,
+      until: until + 1,
+      waitingFor: [
+        {grantId: 'g1', holder: 'r1', until},
+        {grantId: 'g2', holder: 'r2', until},
+      ],
+    });
+    // Connected requests follow the new version at once.
+    expect(fixture.apply(openOf())).toMatchObject({code: 'staleContract'});
+    fixture.apply({kind: 'returnGrant', grantId: 'g1', records: []});
+    expect(fixture.apply(tighter)).toMatchObject({
+      state: 'pending',
+      waitingFor: [{grantId: 'g2'}],
+    });
+    fixture.apply({kind: 'returnGrant', grantId: 'g2', records: []});
+    expect(fixture.apply(tighter)).toMatchObject({state: 'accepted'});
+  });
+
+  it('is accepted by the time that it states, and not before', () => {
+    const fixture = LedgerFixture.withContract();
+    fixture.apply(grantOf());
+    const {until} = fixture.apply<ChangeResult>(tighter);
+    expect(fixture.ledger.nextExpiry()).toBe(until);
+    const later = until! - fixture.now;
+    fixture.apply({kind: 'advanceTime'}, later - 1);
+    expect(fixture.ledger.change('tight')?.state).toBe('pending');
+    fixture.apply({kind: 'advanceTime'}, 1);
+    expect(fixture.ledger.change('tight')?.state).toBe('accepted');
+    // The lost holder's money stays granted.
+    expect(fixture.ledger.budget('barley')?.granted).toBe(200);
+  });
+
+  it('accepts a loosening change at once', () => {
+    const fixture = LedgerFixture.withContract();
+    fixture.apply(grantOf());
+    expect(fixture.apply(applyOf('a', 1, cad(2000)))).toMatchObject({
+      state: 'accepted',
+    });
+  });
+
+  it('names no time while money must come back', () => {
+    const fixture = LedgerFixture.withContract();
+    fixture.applyAll([grantOf(), openOf({maximumCost: 500})]);
+    const lower = applyOf('low', 1, cad(600));
+    const result = fixture.apply<ChangeResult>(lower);
+    expect(result.state).toBe('pending');
+    expect(result.until).toBeUndefined();
+    expect(fixture.ledger.budget('barley')?.available).toBe(-100);
+    fixture.apply({kind: 'returnGrant', grantId: 'g1', records: []});
+    expect(fixture.ledger.change('low')?.state).toBe('accepted');
+    expect(fixture.ledger.budget('barley')?.available).toBe(100);
+  });
+
+  it('is accepted when a settlement frees the money that it lacks', () => {
+    const fixture = LedgerFixture.withContract();
+    fixture.applyAll([grantOf(), openOf({maximumCost: 500})]);
+    fixture.apply(applyOf('low', 1, cad(600)));
+    fixture.apply({kind: 'advanceTime'}, servingBound + 1);
+    expect(fixture.ledger.change('low')?.state).toBe('pending');
+    fixture.apply(settleOf({cost: 400}));
+    expect(fixture.ledger.change('low')?.state).toBe('accepted');
+  });
+
+  it('tells a replaced change that it was never in force', () => {
+    const fixture = LedgerFixture.withContract();
+    fixture.apply(grantOf());
+    fixture.apply(tighter);
+    expect(fixture.apply(applyOf('back', 2))).toMatchObject({
+      state: 'accepted',
+      version: 3,
+    });
+    expect(fixture.apply(tighter)).toMatchObject({
+      state: 'rejected',
+      winner: {changeId: 'back', version: 3},
+    });
+  });
+
+  it('keeps a replaced key with its customer until no grant knows it', () => {
+    const fixture = LedgerFixture.withContract();
+    const {workspaces} = contractOf();
+    fixture.apply(grantOf());
+    const [desk, lab] = workspaces;
+    const rekeyed = {...desk, keyHash: keyHash(3)};
+    fixture.apply(applyOf('rekey', 1, {workspaces: [rekeyed, lab!]}));
+    const taker = (changeId: string) =>
+      applyOf(changeId, 0, {customer: 'other', workspaces: [desk]});
+    expect(fixture.apply(taker('o1'))).toMatchObject({state: 'rejected'});
+    fixture.apply({
+      kind: 'returnGrant',
+      grantId: 'g1',
+      records: [recordOf(1, 9)],
+    });
+    expect(fixture.apply(taker('o2'))).toMatchObject({state: 'accepted'});
+    expect(fixture.ledger.contractByKeyHash(desk.keyHash)).toMatchObject({
+      contract: {customer: 'other'},
+    });
+  });
+});
--- /dev/null
+++ b/packages/ledger/tests/ledger.property.test.ts
@@ -0,0 +1,333 @@
+import {
+  type Bill,
+  type ChangeResult,
+  type Command,
+  type JournalRecord,
+  type Result,
+} from '@dogwoodtrestle/schema';
+import fc from 'fast-check';
+import {describe, expect, it} from 'vitest';
+
+import {Ledger} from '@dogwoodtrestle/ledger';
+
+import {
+  applyOf,
+  grantOf,
+  keyHash,
+  openOf,
+  recordOf,
+  settleOf,
+} from './fixtures.js';
+
+/** A drawn step; each kind of command takes what it needs from it. */
+interface Step {
+  kind: number;
+  customer: number;
+  key: number;
+  amount: number;
+  variant: number;
+  later: number;
+  restart: boolean;
+}
+
+const customers = ['barley', 'tent'];
+const hour = 3_600_000;
+
+const stepArbitrary: fc.Arbitrary<Step> = fc.record({
+  kind: fc.nat(11),
+  customer: fc.nat(1),
+  key: fc.nat(5),
+  amount: fc.nat(400),
+  variant: fc.nat(3),
+  later: fc.constantFrom(0, 0, 0, 100, 20_000, 70_000, 2 * hour),
+  restart: fc.constantFrom(false, false, false, false, true),
+});
+
+/** What one customer's money must look like, kept by plain lists. */
+class ModelAccount {
+  version = 0;
+  toppedUp = 0;
+  /** Prepaid amount by version. */
+  readonly prepaid = new Map<number, number>();
+  accepted = 0;
+  readonly bills: Bill[] = [];
+  readonly open = new Map<string, number>();
+  readonly grants = new Map<string, number>();
+
+  get available(): number {
+    const newest = this.prepaid.get(this.version) ?? 0;
+    const inForce = this.prepaid.get(this.accepted) ?? 0;
+    return Math.min(newest, inForce) + this.toppedUp - this.held;
+  }
+
+  get held(): number {
+    return this.billed + total(this.open) + total(this.grants);
+  }
+
+  get billed(): number {
+    return this.bills.reduce((sum, {cost}) => sum + cost, 0);
+  }
+}
+
+function total(amounts: Map<string, number>): number {
+  return [...amounts.values()].reduce((sum, amount) => sum + amount, 0);
+}
+
+/** Keeps the model beside the ledger and compares them. */
+class Run {
+  readonly ledger = new Ledger();
+  twin = new Ledger();
+  readonly model = new Map(customers.map(name => [name, new ModelAccount()]));
+  readonly history: Array<{command: Command; timestamp: number}> = [];
+  readonly results: Result[] = [];
+  now = 1000;
+
+  step(step: Step): void {
+    this.now += step.later;
+    if (step.restart) this.restartTwin();
+    const command = this.commandOf(step);
+    const before = this.account(step).available;
+    const result = this.apply(command);
+    this.follow(step, command, result, before);
+    this.check();
+  }
+
+  account({customer}: Step): ModelAccount {
+    return this.model.get(customers[customer]!)!;
+  }
+
+  apply(command: Command): Result {
+    const context = {index: this.history.length + 1, timestamp: this.now};
+    const result = this.ledger.apply(command, context);
+    expect(this.twin.apply(structuredClone(command), context)).toEqual(result);
+    this.history.push({command, timestamp: this.now});
+    this.results.push(result);
+    return result;
+  }
+
+  restartTwin(): void {
+    const snapshot = JSON.stringify(this.ledger.snapshot());
+    this.twin = new Ledger();
+    this.twin.restore(JSON.parse(snapshot) as never);
+  }
+
+  commandOf(step: Step): Command {
+    const {kind, customer: index, key, amount, variant} = step;
+    const customer = customers[index]!;
+    const workspace = variant === 0 ? 'lab' : 'desk';
+    const {version} = this.account(step);
+    const contractVersion = Math.max(1, key === 5 ? version - 1 : version);
+    const requestKey = `k${key}`;
+    const scoped = `${customer}/${workspace}/${requestKey}`;
+    const grantId = `${customer}-g${key % 3}-${Math.floor(this.history.length / 25)}`;
+    const records: JournalRecord[] = [
+      recordOf(variant + 1, variant === 3 ? undefined : amount % 60, {
+        requestKey,
+        workspace,
+        contractVersion,
+      }),
+    ];
+    const change = {changeId: `c${amount % 40}`, operator: `o${variant}`};
+    const open = openOf({
+      requestKey,
+      customer,
+      workspace,
+      maximumCost: amount,
+      contractVersion,
+      idempotent: key % 2 === 0,
+    });
+    const settle = settleOf({requestKey: scoped, cost: amount});
+    const contract = applyOf(change.changeId, version, {
+      customer,
+      budget: {prepaid: 500 + amount * 2, currency: 'CAD'},
+      ...(variant === 1 ? {models: []} : {}),
+      workspaces: [
+        {
+          name: 'desk',
+          keyHash: keyHash(index * 2 + 1),
+          sharePercent: 100,
+          limits: {},
+        },
+        {
+          name: 'lab',
+          keyHash: keyHash(index * 2 + 2),
+          sharePercent: 40,
+          limits: {},
+        },
+      ],
+    });
+    const commands: Command[] = [
+      contract,
+      {...contract, expectedVersion: variant},
+      open,
+      open,
+      settle,
+      {...settle, outcome: variant === 2 ? 'didNotRun' : 'completed'},
+      grantOf({grantId, customer, amount: amount + 1, contractVersion}),
+      {kind: 'mergeJournal', grantId, records},
+      {kind: 'returnGrant', grantId, records},
+      {kind: 'topUp', ...change, customer, amount: amount + 1},
+      {
+        kind: 'adoptRequest',
+        requestKey: scoped,
+        expectedAttempt: 1 + (variant % 2),
+        holder: 'r9',
+      },
+      variant === 0
+        ? {
+            kind: 'retireContract',
+            ...change,
+            customer,
+            expectedVersion: Math.max(1, version),
+          }
+        : {kind: 'advanceTime'},
+    ];
+    return commands[kind]!;
+  }
+
+  /** Alters the model by a result, and checks what it says. */
+  follow(step: Step, command: Command, result: Result, before: number): void {
+    const account = this.account(step);
+    for (const bill of this.ledger.takeBills()) {
+      const owner = this.model.get(bill.customer)!;
+      owner.bills.push(bill);
+      owner.open.delete(bill.requestKey);
+      if (bill.grantId !== undefined) {
+        const left = owner.grants.get(bill.grantId)! - bill.cost;
+        expect(left).toBeGreaterThanOrEqual(0);
+        owner.grants.set(bill.grantId, left);
+      }
+    }
+    this.twin.takeBills();
+    if (result.kind === 'opened' && command.kind === 'openRequest') {
+      expect(command.maximumCost).toBeLessThanOrEqual(before);
+      account.open.set(result.requestKey, command.maximumCost);
+    }
+    if (result.kind === 'refused' && result.code === 'budgetExhausted') {
+      expect(result.available).toBe(before);
+      if (command.kind === 'openRequest') {
+        expect(command.maximumCost).toBeGreaterThan(before);
+      }
+    }
+    if (result.kind === 'granted' && !account.grants.has(result.grantId)) {
+      expect(result.amount).toBeLessThanOrEqual(before);
+      account.grants.set(result.grantId, result.amount);
+    }
+    if (result.kind === 'merged' && command.kind === 'returnGrant') {
+      expect(account.grants.get(command.grantId) ?? 0).toBe(result.returned);
+      account.grants.delete(command.grantId);
+    }
+    if (result.kind === 'change') this.followChange(account, command, result);
+  }
+
+  followChange(
+    account: ModelAccount,
+    command: Command,
+    result: ChangeResult,
+  ): void {
+    const isResend = this.results
+      .slice(0, -1)
+      .some(
+        (earlier, index) =>
+          earlier.kind === 'change' &&
+          earlier.changeId === result.changeId &&
+          JSON.stringify(this.history[index]?.command) ===
+            JSON.stringify(command),
+      );
+    if (isResend || result.state === 'rejected') return;
+    if (command.kind === 'topUp') {
+      account.toppedUp += command.amount;
+    } else if (command.kind === 'applyContract') {
+      account.prepaid.set(++account.version, command.contract.budget.prepaid);
+    } else {
+      const prepaid = account.prepaid.get(account.version)!;
+      account.prepaid.set(++account.version, prepaid);
+    }
+    expect(result.version).toBe(account.version);
+  }
+
+  check(): void {
+    expect(this.ledger.verifySums()).toEqual([]);
+    for (const [customer, account] of this.model) {
+      const view = this.ledger.budget(customer);
+      if (view === undefined) continue;
+      const contract = this.ledger.contract(customer)!;
+      expect(contract.version).toBe(account.version);
+      if (contract.pending === undefined) account.accepted = account.version;
+      expect(view).toMatchObject({
+        billed: account.billed,
+        reserved: total(account.open),
+        granted: total(account.grants),
+        available: account.available,
+      });
+      const paid = account.prepaid.get(account.accepted)! + account.toppedUp;
+      expect(account.held).toBeLessThanOrEqual(paid);
+      const keys = account.bills.map(({requestKey}) => requestKey);
+      expect(new Set(keys).size).toBe(keys.length);
+    }
+  }
+
+  finish(): void {
+    const copy = new Ledger();
+    const results = this.history.map(({command, timestamp}, index) =>
+      copy.apply(command, {index: index + 1, timestamp}),
+    );
+    expect(results).toEqual(this.results);
+    const plain = (ledger: Ledger): unknown =>
+      JSON.parse(JSON.stringify(ledger.snapshot()));
+    expect(plain(copy)).toEqual(plain(this.ledger));
+    expect(plain(this.twin)).toEqual(plain(this.ledger));
+  }
+}
+
+describe('ledger', () => {
+  it('agrees with a plain model, its twin and its own replay', () => {
+    const kinds = new Set<string>();
+    fc.assert(
+      fc.property(
+        fc.array(stepArbitrary, {minLength: 20, maxLength: 120}),
+        steps => {
+          const run = new Run();
+          run.apply(applyOf('start', 0));
+          run.model.get('barley')!.prepaid.set(1, 1000);
+          run.model.get('barley')!.version = 1;
+          run.check();
+          for (const step of steps) run.step(step);
+          run.finish();
+          for (const result of run.results) {
+            kinds.add(
+              result.kind === 'refused'
+                ? result.code
+                : result.kind === 'change'
+                  ? result.state
+                  : result.kind,
+            );
+          }
+        },
+      ),
+      {seed: 20261203, numRuns: 300},
+    );
+    // The drawn steps must reach every kind of outcome that matters here.
+    expect([...kinds]).toEqual(
+      expect.arrayContaining([
+        'accepted',
+        'pending',
+        'rejected',
+        'opened',
+        'duplicate',
+        'billed',
+        'granted',
+        'merged',
+        'budgetExhausted',
+        'workspaceShareExhausted',
+        'staleContract',
+        'keyTooOld',
+        'grantLimitReached',
+        'contractRetired',
+        'unknownGrant',
+        'attemptSuperseded',
+        'notIdempotent',
+      ]),
+    );
+  });
+});
--- /dev/null
+++ b/packages/ledger/tests/requests.test.ts
@@ -0,0 +1,248 @@
+import {
+  type BilledResult,
+  type GrantResult,
+  type LeaseResult,
+  type MergedResult,
+} from '@dogwoodtrestle/schema';
+import {describe, expect, it} from 'vitest';
+
+import {
+  grantOf,
+  LedgerFixture,
+  openOf,
+  recordOf,
+  second,
+  settleOf,
+} from './fixtures.js';
+
+const hour = 3600 * second;
+const day = 24 * hour;
+const adopt = {
+  kind: 'adoptRequest',
+  requestKey: 'barley/desk/k1',
+  expectedAttempt: 1,
+  holder: 'r2',
+} as const;
+
+describe('requests', () => {
+  it('answers a repeated open by what is known', () => {
+    const fixture = LedgerFixture.withContract();
+    const answer = {status: 200, contentType: 'text/plain', body: 'sold'};
+    expect(fixture.apply(openOf())).toEqual({
+      kind: 'opened',
+      requestKey: 'barley/desk/k1',
+      attempt: 1,
+    });
+    expect(fixture.apply(openOf({holder: 'r2'}))).toMatchObject({
+      kind: 'duplicate',
+      status: 'open',
+      holder: 'r1',
+      traceId: 't1',
+    });
+    fixture.apply(settleOf({answer}));
+    expect(fixture.apply(openOf())).toMatchObject({
+      status: 'settled',
+      bill: {cost: 60, inputPrice: 1, outputPrice: 2},
+      answer,
+    });
+    expect(fixture.ledger.budget('barley')).toMatchObject({
+      billed: 60,
+      reserved: 0,
+      available: 940,
+    });
+  });
+
+  it('never reopens an open request that must not be repeated', () => {
+    const fixture = LedgerFixture.withContract();
+    const booking = openOf({
+      idempotent: false,
+      target: {kind: 'service', name: 'booking'},
+    });
+    fixture.apply(booking);
+    fixture.apply({kind: 'advanceTime'}, 30 * day);
+    expect(fixture.apply(booking)).toMatchObject({
+      status: 'open',
+      idempotent: false,
+      attempt: 1,
+    });
+  });
+
+  it('bills the first settlement, whichever attempt it is of', () => {
+    const fixture = LedgerFixture.withContract();
+    fixture.applyAll([openOf(), adopt]);
+    const first = fixture.apply<BilledResult>(settleOf({cost: 10}));
+    const second = fixture.apply(
+      settleOf({cost: 70, attempt: 2, instance: 'r2'}),
+    );
+    expect(first).toMatchObject({repeated: false, bill: {attempt: 1}});
+    expect(second).toEqual({...first, repeated: true});
+    expect(fixture.ledger.takeBills()).toEqual([first.bill]);
+  });
+
+  it.each([
+    ['a cost above the reservation', {cost: 101}, 100, 'overReported'],
+    ['a request that did not run', {outcome: 'didNotRun'}, 0, 'didNotRun'],
+  ] as const)('bounds %s', (_name, changes, cost, outcome) => {
+    const fixture = LedgerFixture.withContract();
+    fixture.apply(openOf());
+    expect(fixture.apply(settleOf(changes))).toMatchObject({
+      bill: {cost, outcome},
+    });
+    expect(fixture.ledger.budget('barley')?.billed).toBe(cost);
+  });
+
+  it('forgets keys in two steps', () => {
+    const fixture = LedgerFixture.withContract();
+    fixture.applyAll([openOf(), settleOf()]);
+    expect(fixture.apply(openOf(), hour)).toMatchObject({status: 'settled'});
+    expect(fixture.apply(openOf(), 1)).toMatchObject({code: 'keyTooOld'});
+    expect(fixture.apply(openOf(), 7 * day)).toMatchObject({
+      code: 'keyTooOld',
+    });
+    // Past the second bound the key counts as a new one, as the README says.
+    expect(fixture.apply(openOf(), day)).toMatchObject({kind: 'opened'});
+  });
+
+  it('spends at most 21 bytes on a forgotten key', () => {
+    const fixture = LedgerFixture.withContract();
+    const keys = 3000;
+    for (let key = 0; key < keys; key++) {
+      const requestKey = `k${key}`;
+      fixture.apply(openOf({requestKey, maximumCost: 0}));
+      fixture.apply(settleOf({requestKey: `barley/desk/${requestKey}`}));
+    }
+    fixture.apply({kind: 'advanceTime'}, hour + 1);
+    const counts = fixture.ledger.keyCounts();
+    expect(counts).toMatchObject({settled: 0, forgotten: keys});
+    expect(counts.forgottenBytes / keys).toBeLessThan(21.4);
+  });
+});
+
+describe('grants', () => {
+  it('cuts the amount to what may be out', () => {
+    const fixture = LedgerFixture.withContract();
+    expect(fixture.apply<GrantResult>(grantOf({amount: 999}))).toEqual({
+      kind: 'granted',
+      grantId: 'g1',
+      amount: 300,
+      remaining: 300,
+      servingMilliseconds: 60 * second,
+      contractVersion: 1,
+      workspaces: [{workspace: 'lab', amount: 60}],
+    });
+    // A renewal moves the deadline and no money.
+    fixture.apply(grantOf({amount: 999}), 10 * second);
+    expect(fixture.ledger.budget('barley')).toMatchObject({
+      granted: 300,
+      grants: [{amount: 300, until: fixture.now + 67 * second}],
+    });
+  });
+
+  it('merges each record once, and releases the rest at the return', () => {
+    const fixture = LedgerFixture.withContract();
+    fixture.apply(grantOf());
+    const records = [recordOf(2, 20), recordOf(1, 10), recordOf(3)];
+    const merge = {kind: 'mergeJournal', grantId: 'g1', records} as const;
+    expect(fixture.apply(merge)).toMatchObject({billed: 30, returned: 0});
+    expect(fixture.apply(merge)).toMatchObject({billed: 0, returned: 0});
+    const final = {
+      kind: 'returnGrant',
+      grantId: 'g1',
+      records: [...records, recordOf(4, undefined, {unknownCost: 7})],
+    } as const;
+    // Record 3 states no unknown cost and is billed its maximum of 50.
+    expect(fixture.apply(final)).toMatchObject({billed: 57, returned: 113});
+    expect(fixture.apply(final)).toMatchObject({billed: 0, returned: 0});
+    expect(fixture.ledger.budget('barley')).toMatchObject({
+      billed: 87,
+      granted: 0,
+      available: 913,
+    });
+    const outcomes = fixture.ledger
+      .takeBills()
+      .map(({outcome, grantId}) => [outcome, grantId]);
+    expect(outcomes).toEqual([
+      ['completed', 'g1'],
+      ['completed', 'g1'],
+      ['unknown', 'g1'],
+      ['unknown', 'g1'],
+    ]);
+  });
+
+  it('never bills more than the grant', () => {
+    const fixture = LedgerFixture.withContract();
+    fixture.apply(grantOf({amount: 60}));
+    const records = [recordOf(1, 50), recordOf(2, 50)];
+    fixture.apply({kind: 'mergeJournal', grantId: 'g1', records});
+    expect(fixture.ledger.takeBills()).toMatchObject([
+      {cost: 50, outcome: 'completed'},
+      {cost: 10, outcome: 'overReported'},
+    ]);
+  });
+
+  it('bills a key once on both sides of a partition, the first to arrive', () => {
+    const fixture = LedgerFixture.withContract();
+    fixture.applyAll([grantOf(), openOf({requestKey: 'j1'})]);
+    const merge = {
+      kind: 'mergeJournal',
+      grantId: 'g1',
+      records: [recordOf(1, 30)],
+    } as const;
+    expect(fixture.apply<MergedResult>(merge).billed).toBe(30);
+    const late = settleOf({requestKey: 'barley/desk/j1', cost: 99});
+    expect(fixture.apply(late)).toMatchObject({
+      repeated: true,
+      bill: {cost: 30, grantId: 'g1'},
+    });
+    fixture.apply(openOf({requestKey: 'j2'}));
+    fixture.apply(settleOf({requestKey: 'barley/desk/j2', cost: 5}));
+    const records = [recordOf(2, 40)];
+    const second = fixture.apply<MergedResult>({...merge, records});
+    expect(second.billed).toBe(0);
+    expect(fixture.ledger.budget('barley')).toMatchObject({
+      billed: 35,
+      reserved: 0,
+      granted: 170,
+    });
+    expect(fixture.ledger.verifySums()).toEqual([]);
+  });
+
+  it('does not bill a key again that was forgotten meanwhile', () => {
+    const fixture = LedgerFixture.withContract();
+    fixture.applyAll([grantOf(), openOf({requestKey: 'j1'})]);
+    fixture.apply(settleOf({requestKey: 'barley/desk/j1', cost: 5}));
+    fixture.apply({kind: 'advanceTime'}, 2 * hour);
+    const records = [recordOf(1, 30)];
+    expect(
+      fixture.apply({kind: 'returnGrant', grantId: 'g1', records}),
+    ).toMatchObject({billed: 0, returned: 200});
+  });
+});
+
+describe('issuer lease', () => {
+  const claim = (issuer: string) => ({
+    kind: 'claimIssuerLease' as const,
+    issuer,
+    durationMilliseconds: 10 * second,
+  });
+
+  it('has one holder, and fencing numbers that grow', () => {
+    const fixture = new LedgerFixture();
+    const steps: Array<[string, number, boolean, number]> = [
+      ['a', 0, true, 1],
+      ['b', 5 * second, false, 1],
+      ['a', 0, true, 1],
+      ['b', 10 * second, false, 1],
+      ['b', 1, true, 2],
+      ['b', 11 * second, true, 3],
+    ];
+    for (const [issuer, later, held, fencingNumber] of steps) {
+      expect(fixture.apply<LeaseResult>(claim(issuer), later)).toMatchObject({
+        held,
+        fencingNumber,
+      });
+      const snapshot = JSON.stringify(fixture.ledger.snapshot());
+      fixture.ledger.restore(JSON.parse(snapshot) as never);
+    }
+  });
+});
