feat(daemon): ledger host, membership and createControl

Three replicas found themselves, and commands, queries, the configuration and gossip work over real connections on loopback.

--- a/packages/daemon/src/configuration/configuration.ts
+++ b/packages/daemon/src/configuration/configuration.ts
@@ -21,11 +21,11 @@
 export interface ConfigurationOptions {
   ledgerClient: Pick<LedgerClient, 'query'>;
   /** Peer addresses of the known ledger instances, nearest first. */
-  addresses(): string[];
+  addresses: () => string[];
   /** Asks one ledger instance for changes; rejects if it can't be reached. */
-  changes(address: string, request: ChangesRequest): Promise<ChangesReply>;
+  changes: (address: string, request: ChangesRequest) => Promise<ChangesReply>;
   /** Called with each contract that has changed. */
-  onChange?(view: ContractView): void;
+  onChange?: (view: ContractView) => void;
   clock?: Clock;
   logger?: Logger;
   metrics?: Metrics;
--- a/packages/daemon/src/ledgerClient/index.ts
+++ b/packages/daemon/src/ledgerClient/index.ts
@@ -5,9 +5,6 @@
   type LedgerClientOptions,
 } from './ledgerClient.js';
 export {
-  type CustomerGrant,
-  type HistoryEntry,
-  type OpenRequestView,
   type QueryAnswer,
   type QueryAnswers,
   type QueryInput,
--- a/packages/daemon/src/ledgerClient/ledgerClient.ts
+++ b/packages/daemon/src/ledgerClient/ledgerClient.ts
@@ -45,9 +45,9 @@
 export interface LedgerClientOptions {
   calls: LedgerCalls;
   /** Peer addresses of the known ledger instances, nearest first. */
-  addresses(): string[];
+  addresses: () => string[];
   /** Whether a failed call may have reached the other instance. */
-  maybeReceived(error: unknown): boolean;
+  maybeReceived: (error: unknown) => boolean;
   submitTimeoutMilliseconds: number;
   clock?: Clock;
   logger?: Logger;
@@ -80,8 +80,8 @@
   deadline: number;
   /** Whether a copy may have been applied without an answer. */
   outcome: UnreachableOutcome;
-  resolve(result: Result): void;
-  reject(error: Error): void;
+  resolve: (result: Result) => void;
+  reject: (error: Error) => void;
 }
 
 /** Client of the ledger. */
--- a/packages/daemon/src/ledgerClient/queries.ts
+++ b/packages/daemon/src/ledgerClient/queries.ts
@@ -1,47 +1,22 @@
 /**
  * @fileoverview Inputs and answers of the linearizable queries.
  */
+import {
+  type CustomerGrant,
+  type OpenRequestRecord,
+  type SettledRequestRecord,
+} from '@dogwoodtrestle/ledger';
 import {
   type Bill,
   type BudgetView,
   type ChangeResult,
   type ChangeView,
   type ContractView,
-  type DuplicateResult,
-  type GrantView,
+  type Entry,
   type QueryInput,
   type QueryName,
 } from '@dogwoodtrestle/schema';
 
-/** A request that is open, as the ledger knows it. */
-export interface OpenRequestView {
-  requestKey: string;
-  customer: string;
-  workspace: string;
-  holder: string;
-  attempt: number;
-  idempotent: boolean;
-  /** Ledger time in milliseconds. */
-  openedAt: number;
-  unknownCost: number;
-}
-
-/** A committed log entry, as shown to auditors. */
-export interface HistoryEntry {
-  index: number;
-  term: number;
-  /** Ledger time in milliseconds. */
-  timestamp: number;
-  kind: string;
-  commands?: unknown[];
-  members?: unknown[];
-}
-
-/** A grant and the customer whose balance it came from. */
-export interface CustomerGrant extends GrantView {
-  customer: string;
-}
-
 /** Answer of each query; undefined where nothing was found. */
 export interface QueryAnswers {
   bills: Bill[];
@@ -53,9 +28,9 @@
   contractHistory: ChangeView[];
   contracts: ContractView[];
   grants: CustomerGrant[];
-  history: HistoryEntry[];
-  openRequests: OpenRequestView[];
-  request: DuplicateResult | undefined;
+  history: Entry[];
+  openRequests: OpenRequestRecord[];
+  request: OpenRequestRecord | SettledRequestRecord | undefined;
 }
 
 /** Answer of one query. */
--- /dev/null
+++ b/packages/daemon/src/ledgerHost/ledgerHost.ts
@@ -0,0 +1,297 @@
+/**
+ * @fileoverview A ledger replica on an instance with a disk.
+ */
+import {mkdir} from 'node:fs/promises';
+import path from 'node:path';
+
+import {
+  FileStorage,
+  NotLeader,
+  Replica,
+  Stopped,
+} from '@dogwoodtrestle/consensus';
+import {Ledger} from '@dogwoodtrestle/ledger';
+import {
+  type ChangesReply,
+  type ChangesRequest,
+  type Command,
+  type ConsensusMessage,
+  type ConsensusReply,
+  type FoundRequest,
+  type Member,
+  type QueryReply,
+  type QueryRequest,
+  type ReplicaIdentity,
+  type ReplicaView,
+  type Result,
+  type Settings,
+  type SubmitReply,
+  type SubmitRequest,
+} from '@dogwoodtrestle/schema';
+
+import {type ReplicaCalls} from '../peer/peerApi.js';
+import {type Clock, systemClock} from '../util/clock.js';
+import {type Logger, silentLogger} from '../util/logger.js';
+import {type Metrics, silentMetrics} from '../util/metrics.js';
+import {PeriodicTask} from '../util/periodicTask.js';
+import {BarrierQueue} from './barrierQueue.js';
+import {BillArchive} from './billArchive.js';
+import {answerQuery} from './ledgerQueries.js';
+import {LedgerStateMachine} from './ledgerStateMachine.js';
+import {QuorumAge} from './quorumAge.js';
+
+/** What a ledger host needs. */
+export interface LedgerHostOptions {
+  /** Folder for durable state, from the settings. */
+  dataFolder: string;
+  /** Name of this instance. */
+  instance: string;
+  /** Peer address (host:port) by which the others reach this instance. */
+  address: string;
+  settings: Settings['ledger'];
+  /** Delivers a consensus message; rejects if it can't. */
+  send: (to: Member, message: ConsensusMessage) => Promise<ConsensusReply>;
+  /** Called once if the replica stops because of an error. */
+  onFailure?: (error: unknown) => void;
+  clock?: Clock;
+  logger?: Logger;
+  metrics?: Metrics;
+  /** How often the leader looks for deadlines that have passed. */
+  expiryCheckMilliseconds?: number;
+}
+
+const defaultOptions = {
+  onFailure: () => {},
+  clock: systemClock,
+  logger: silentLogger,
+  metrics: silentMetrics,
+  expiryCheckMilliseconds: 200,
+};
+
+const millisecondsPerSecond = 1000;
+
+/** Replica, ledger and bills of one instance. */
+export class LedgerHost implements ReplicaCalls {
+  private readonly barriers: BarrierQueue;
+  private readonly quorumAge: QuorumAge;
+  private readonly expiry: PeriodicTask;
+
+  private constructor(
+    private readonly options: Required<LedgerHostOptions>,
+    readonly replica: Replica,
+    readonly ledger: Ledger,
+    private readonly machine: LedgerStateMachine,
+    private readonly bills: BillArchive,
+  ) {
+    const {clock, logger, expiryCheckMilliseconds} = options;
+    this.barriers = new BarrierQueue(() => replica.barrier());
+    this.quorumAge = new QuorumAge(clock);
+    this.expiry = new PeriodicTask({
+      name: 'ledger expiry',
+      clock,
+      logger,
+      intervalMilliseconds: expiryCheckMilliseconds,
+      run: () => this.advanceTime(),
+    });
+  }
+
+  /** Reads the durable state back. */
+  static async open(input: LedgerHostOptions): Promise<LedgerHost> {
+    const options = {...defaultOptions, ...input};
+    await mkdir(options.dataFolder, {recursive: true});
+    const storage = await FileStorage.open(
+      path.join(options.dataFolder, 'replica'),
+    );
+    const ledger = new Ledger({
+      requestRetentionMilliseconds:
+        options.settings.requestRetentionSeconds * millisecondsPerSecond,
+    });
+    let restoredIndex = 0;
+    const archive: {bills?: BillArchive} = {};
+    const machine = new LedgerStateMachine({
+      ledger,
+      clock: options.clock,
+      onBills: made => archive.bills?.append(made),
+      syncBills: () => archive.bills?.sync(),
+      onRestore: index => {
+        restoredIndex = index;
+      },
+    });
+    const {id, replica} = await openReplica(options, storage, machine);
+    const bills = await BillArchive.open(
+      path.join(options.dataFolder, 'bills.jsonl'),
+      restoredIndex,
+    );
+    archive.bills = bills;
+    options.logger.info({replica: id}, 'ledger replica opened');
+    return new LedgerHost(options, replica, ledger, machine, bills);
+  }
+
+  /** Takes part in elections from now on. */
+  start(): void {
+    this.replica.start();
+    this.expiry.start();
+  }
+
+  /** Hands leadership over if this replica leads, and closes all files. */
+  async stop(): Promise<void> {
+    await this.expiry.stop();
+    if (this.isLeader) await this.handOver();
+    await this.replica.stop();
+    this.bills.close();
+  }
+
+  get isLeader(): boolean {
+    return this.replica.status().role === 'leader';
+  }
+
+  /** Peer address of the leader that this replica follows. */
+  get leaderAddress(): string | undefined {
+    return this.replica.status().leader?.address;
+  }
+
+  /** Identity for founding and repair. */
+  identity(): ReplicaIdentity {
+    const {id, term, members} = this.replica.status();
+    return {replicaId: id, logEmpty: term === 0 && members.length === 0};
+  }
+
+  async receive(message: ConsensusMessage): Promise<ConsensusReply> {
+    const reply = await this.replica.receive(message);
+    const {lastApplied} = this.replica.status();
+    this.quorumAge.noteMessage(message, reply, lastApplied);
+    return reply;
+  }
+
+  async found({members}: FoundRequest): Promise<void> {
+    await this.replica.found(members);
+    this.options.logger.info({members}, 'ledger founded');
+  }
+
+  async submit({commands}: SubmitRequest): Promise<SubmitReply> {
+    try {
+      const results = await this.propose(commands);
+      return {kind: 'results', results, ledgerTime: this.machine.ledgerTime};
+    } catch (error) {
+      const leader = this.leaderElsewhere();
+      if (isNotProposed(error)) return {kind: 'notLeader', leader};
+      this.options.logger.warn({err: error}, 'outcome of a proposal unknown');
+      return {kind: 'unknown', leader};
+    }
+  }
+
+  async query({name, input}: QueryRequest): Promise<QueryReply> {
+    try {
+      await this.barriers.wait();
+    } catch (error) {
+      this.options.logger.debug({err: error}, 'barrier failed');
+      return {kind: 'notLeader', leader: this.leaderElsewhere()};
+    }
+    const {ledger, bills, replica} = this;
+    const value = await answerQuery(name, {ledger, bills, replica}, input);
+    return {kind: 'answer', value: value as object | undefined as never};
+  }
+
+  async changes({revision}: ChangesRequest): Promise<ChangesReply> {
+    const {ledger, replica, quorumAge} = this;
+    return {
+      revision: ledger.revision,
+      contracts: revision === undefined ? [] : ledger.changesSince(revision),
+      quorumAgeMilliseconds: quorumAge.of(replica.status()),
+    };
+  }
+
+  /** The replica as operators see it. */
+  view(): ReplicaView {
+    const {id, role, term, leader, commitIndex, lastApplied, members} =
+      this.replica.status();
+    return {
+      replicaId: id,
+      instance: this.options.instance,
+      address: this.options.address,
+      role,
+      term,
+      commitIndex,
+      lastApplied,
+      ...(leader === undefined ? {} : {leader: leader.instance}),
+      members: members.map(({id: replicaId, instance, address, role}) => ({
+        replicaId,
+        instance,
+        address,
+        role,
+      })),
+    };
+  }
+
+  private async propose(commands: Command[]): Promise<Result[]> {
+    if (commands.length > 0) {
+      return (await this.replica.propose(commands)) as Result[];
+    }
+    await this.barriers.wait();
+    return [];
+  }
+
+  private async advanceTime(): Promise<void> {
+    this.report();
+    if (!this.isLeader) return;
+    const expiry = this.ledger.nextExpiry();
+    if (expiry === undefined) return;
+    const {ledgerTime, estimatedLedgerTime} = this.machine;
+    // Nothing was applied since the restart, so the time isn't known yet.
+    const unknown = ledgerTime === 0;
+    if (unknown || estimatedLedgerTime > expiry) {
+      await this.submit({commands: [{kind: 'advanceTime'}]});
+    }
+  }
+
+  private report(): void {
+    const {term, commitIndex, lastApplied, role} = this.replica.status();
+    const {metrics} = this.options;
+    metrics.gauge('replica.term', term);
+    metrics.gauge('replica.commit_index', commitIndex);
+    metrics.gauge('replica.applied_lag', commitIndex - lastApplied);
+    metrics.gauge('replica.leads', role === 'leader' ? 1 : 0);
+  }
+
+  private leaderElsewhere(): string | undefined {
+    const address = this.leaderAddress;
+    return address === this.options.address ? undefined : address;
+  }
+
+  private async handOver(): Promise<void> {
+    try {
+      await this.replica.transferLeadership();
+    } catch (error) {
+      this.options.logger.warn({err: error}, 'leadership not handed over');
+    }
+  }
+}
+
+async function openReplica(
+  options: Required<LedgerHostOptions>,
+  storage: FileStorage,
+  stateMachine: LedgerStateMachine,
+): Promise<{id: string; replica: Replica}> {
+  const {instance, address, settings, send, clock, logger, onFailure} = options;
+  const id = storage.identity;
+  const replica = await Replica.open({
+    member: {id, instance, address, role: 'voter'},
+    storage,
+    stateMachine,
+    transport: {send},
+    clock,
+    random: Math.random,
+    heartbeatIntervalMilliseconds: settings.heartbeatMilliseconds,
+    electionTimeoutMilliseconds: settings.electionTimeoutMilliseconds,
+    snapshotEveryEntries: settings.snapshotEveryEntries,
+    onFailure: error => {
+      logger.error({err: error, replica: id}, 'ledger replica stopped');
+      onFailure(error);
+    },
+  });
+  return {id, replica};
+}
+
+function isNotProposed(error: unknown): boolean {
+  return error instanceof NotLeader || error instanceof Stopped;
+}
--- /dev/null
+++ b/packages/daemon/src/membership/membership.ts
@@ -0,0 +1,348 @@
+/**
+ * @fileoverview Spreads what is known of instances and backend servers.
+ *
+ * Each round asks a few peers for records newer than those held here. Records
+ * travel with their ages, which are counted from before the question was
+ * sent, so that an age is never underestimated.
+ */
+import {
+  choosePeers,
+  Directory,
+  type InstanceRecord,
+  InstanceTable,
+  peerAddressOf,
+} from '@dogwoodtrestle/routing';
+import {
+  type Announcement,
+  type BackendView,
+  type FarewellRequest,
+  type GossipReply,
+  type GossipRequest,
+  type InstanceView,
+  type Settings,
+} from '@dogwoodtrestle/schema';
+
+import {PeerRejectedError} from '../peer/peerErrors.js';
+import {type Clock, systemClock} from '../util/clock.js';
+import {type Logger, silentLogger} from '../util/logger.js';
+import {type Metrics, silentMetrics} from '../util/metrics.js';
+import {PeriodicTask} from '../util/periodicTask.js';
+
+/** The parts of the own record that change. */
+export interface InstanceStatus {
+  revision: number;
+  renewedMillisecondsAgo: number;
+}
+
+/** What membership needs. */
+export interface MembershipOptions {
+  settings: Settings;
+  /** Start time of this process in milliseconds since the epoch. */
+  incarnation: number;
+  /** Asks a peer for newer records; rejects if it can't be reached. */
+  exchange: (address: string, request: GossipRequest) => Promise<GossipReply>;
+  /** Tells a peer that this instance leaves. */
+  sayFarewell: (address: string, request: FarewellRequest) => Promise<void>;
+  /** Read once per round. */
+  status: () => InstanceStatus;
+  /** Requests that this instance has running at a backend server. */
+  inFlight?: (backend: string) => number;
+  /** Whether this instance sends no requests to a backend server for now. */
+  isEjected?: (backend: string) => boolean;
+  clock?: Clock;
+  logger?: Logger;
+  metrics?: Metrics;
+  roundMilliseconds?: number;
+  /** Peers asked per round. */
+  fanout?: number;
+}
+
+const defaultOptions = {
+  inFlight: () => 0,
+  isEjected: () => false,
+  clock: systemClock,
+  logger: silentLogger,
+  metrics: silentMetrics,
+  roundMilliseconds: 300,
+  fanout: 1,
+};
+
+const roundJitter = 0.2;
+const longestAgeMilliseconds = 1_000_000_000; // JSON has no infinity
+
+/** Peer address (host:port) by which other instances reach this one. */
+export function ownPeerAddress({instance, listeners}: Settings): string {
+  const {address} = instance;
+  const port = listeners.advertisedPeerPort ?? listeners.peerPort;
+  return peerAddressOf({address, peerPort: port});
+}
+
+/** Instances and backend servers known here. */
+export class Membership {
+  readonly directory: Directory;
+  private readonly options: Required<MembershipOptions>;
+  private readonly table: InstanceTable;
+  private readonly rounds: PeriodicTask;
+  private readonly reported = new Set<string>();
+  private leaving = false;
+
+  constructor(options: MembershipOptions) {
+    this.options = {...defaultOptions, ...options};
+    const {settings, clock, logger, roundMilliseconds} = this.options;
+    const {silentAfterMilliseconds} = settings.backends;
+    this.directory = new Directory({silentAfterMilliseconds});
+    this.table = new InstanceTable(this.firstRecord(), clock.now());
+    this.rounds = new PeriodicTask({
+      name: 'membership round',
+      clock,
+      logger,
+      intervalMilliseconds: roundMilliseconds,
+      jitter: roundJitter,
+      run: () => this.round(),
+    });
+  }
+
+  start(): void {
+    this.rounds.start();
+  }
+
+  async stop(): Promise<void> {
+    await this.rounds.stop();
+  }
+
+  /** Tells the others that this instance takes no more work. */
+  async leave(): Promise<void> {
+    this.leaving = true;
+    this.beat();
+    const request = {record: this.table.own};
+    const {sayFarewell} = this.options;
+    await Promise.allSettled(
+      this.livePeers().map(record =>
+        sayFarewell(peerAddressOf(record), request),
+      ),
+    );
+  }
+
+  /** Answers a peer's question. */
+  answer({instances, backends}: GossipRequest): GossipReply {
+    const now = this.options.clock.now();
+    return {
+      instances: this.table.newerThan(instances, now),
+      backends: this.directory.newerThan(backends, now),
+    };
+  }
+
+  /** Takes in that another instance leaves. */
+  receiveFarewell({record}: FarewellRequest): void {
+    // A message that was held up must not make the record seem fresh.
+    const ageMilliseconds = this.ageOf(record.name) ?? longestAgeMilliseconds;
+    this.table.merge([{record, ageMilliseconds}], this.options.clock.now());
+  }
+
+  /** Takes in an announcement that a backend server made to this instance. */
+  announce(announcement: Announcement): 'accepted' | 'stale' {
+    const held = this.directory.get(announcement.name)?.announcement;
+    if (held !== undefined && isOlder(announcement, held)) return 'stale';
+    this.directory.observe(announcement, this.options.clock.now());
+    return 'accepted';
+  }
+
+  /** Newest record of an instance, whatever its state. */
+  instance(name: string): InstanceRecord | undefined {
+    return this.table.get(name);
+  }
+
+  /** Whether an instance was heard of lately, from anybody. */
+  isAlive(name: string): boolean {
+    return this.entries().some(
+      ({record, state}) => record.name === name && state !== 'silent',
+    );
+  }
+
+  /** Instances that are heard of, without this one. */
+  livePeers(): InstanceRecord[] {
+    const self = this.table.own.name;
+    return this.entries()
+      .filter(({record, state}) => state !== 'silent' && record.name !== self)
+      .map(({record}) => record);
+  }
+
+  /** Peer addresses of ledger instances: this one, then the nearest first. */
+  ledgerAddresses(): string[] {
+    const {settings} = this.options;
+    const own = this.table.own;
+    const peers = this.livePeers().filter(isLedger);
+    const near = peers.filter(
+      ({failureDomain}) => failureDomain === own.failureDomain,
+    );
+    const far = peers.filter(peer => !near.includes(peer));
+    const known = [...(isLedger(own) ? [own] : []), ...near, ...far];
+    const {initialReplicas, seeds} = settings.cluster;
+    return [
+      ...new Set([
+        ...known.map(peerAddressOf),
+        ...initialReplicas,
+        ...(known.length === 0 ? seeds : []),
+      ]),
+    ];
+  }
+
+  /** Number of instances that serve callers. */
+  get routers(): number {
+    return this.entries().filter(
+      ({record, state}) =>
+        state === 'serving' && record.roles.includes('router'),
+    ).length;
+  }
+
+  /** Instances as operators see them. */
+  instances(): InstanceView[] {
+    return this.entries().map(({record, state, ageMilliseconds}) => ({
+      name: record.name,
+      incarnation: record.incarnation,
+      address: record.address,
+      callerPort: record.callerPort,
+      peerPort: record.peerPort,
+      region: record.region,
+      failureDomain: record.failureDomain,
+      roles: record.roles,
+      revision: record.revision,
+      renewedMillisecondsAgo: record.renewedMillisecondsAgo,
+      seenMillisecondsAgo: Math.round(ageMilliseconds),
+      state,
+    }));
+  }
+
+  /** Backend servers as operators see them. */
+  backends(): BackendView[] {
+    const {clock, inFlight, isEjected} = this.options;
+    return this.directory
+      .entries(clock.now())
+      .map(({entry, state, ageMilliseconds}) => {
+        const {announcement} = entry;
+        const {name} = announcement;
+        return {
+          announcement,
+          ageMilliseconds: Math.round(ageMilliseconds),
+          inFlight: inFlight(name),
+          state: state === 'serving' && isEjected(name) ? 'ejected' : state,
+        };
+      });
+  }
+
+  /** One round of questions; public for tests. */
+  async round(): Promise<void> {
+    this.beat();
+    const {settings, fanout, clock} = this.options;
+    const peers = choosePeers(
+      {
+        self: this.table.own,
+        selfAddress: ownPeerAddress(settings),
+        instances: this.entries(),
+        seeds: [...settings.cluster.seeds, ...settings.cluster.initialReplicas],
+        random: Math.random,
+      },
+      {fanout},
+    );
+    await Promise.allSettled(peers.map(address => this.ask(address)));
+    this.table.forget(clock.now());
+    this.directory.forget(clock.now());
+    this.report();
+  }
+
+  private async ask(address: string): Promise<void> {
+    const {clock, exchange, metrics} = this.options;
+    const request: GossipRequest = {
+      instances: this.table.digest(),
+      backends: this.directory.digest(),
+    };
+    const askedAt = clock.now();
+    const reply = await exchange(address, request).catch((error: unknown) => {
+      this.reportRefusal(address, error);
+      throw error;
+    });
+    this.table.merge(reply.instances, askedAt);
+    this.directory.merge(reply.backends, askedAt);
+    metrics.increment('membership.records', reply.backends.length);
+  }
+
+  private beat(): void {
+    const {clock, status} = this.options;
+    const {revision, renewedMillisecondsAgo} = status();
+    this.table.beat(
+      {
+        state: this.leaving ? 'leaving' : 'serving',
+        roles: this.table.own.roles,
+        revision,
+        renewedMillisecondsAgo: Math.round(
+          Math.min(renewedMillisecondsAgo, longestAgeMilliseconds),
+        ),
+        wallClock: Math.round(clock.wallNow()),
+      },
+      clock.now(),
+    );
+  }
+
+  private entries() {
+    return this.table.entries(this.options.clock.now());
+  }
+
+  private ageOf(name: string): number | undefined {
+    return this.entries().find(({record}) => record.name === name)
+      ?.ageMilliseconds;
+  }
+
+  private firstRecord(): InstanceRecord {
+    const {settings, incarnation, clock} = this.options;
+    const {cluster, instance, listeners} = settings;
+    return {
+      name: instance.name,
+      incarnation,
+      sequence: 0,
+      state: 'serving',
+      cluster: cluster.name,
+      address: instance.address,
+      callerPort: listeners.callerPort,
+      peerPort: listeners.advertisedPeerPort ?? listeners.peerPort,
+      region: instance.region,
+      failureDomain: instance.failureDomain,
+      roles: instance.roles,
+      revision: 0,
+      renewedMillisecondsAgo: longestAgeMilliseconds,
+      wallClock: Math.round(clock.wallNow()),
+    };
+  }
+
+  private reportRefusal(address: string, error: unknown): void {
+    if (!(error instanceof PeerRejectedError)) return;
+    this.reportOnce(`${error.code} ${address}`, {address}, error.message);
+  }
+
+  /** Logs each contradiction between instances once. */
+  private report(): void {
+    const {clock, metrics} = this.options;
+    metrics.gauge('membership.instances', this.livePeers().length + 1);
+    for (const finding of this.table.findings(clock.now(), clock.wallNow())) {
+      const {code, instance, place, message} = finding;
+      this.reportOnce(`${code} ${instance} ${place}`, {finding}, message);
+    }
+  }
+
+  private reportOnce(key: string, fields: object, message: string): void {
+    if (this.reported.has(key)) return;
+    this.reported.add(key);
+    this.options.metrics.increment('membership.findings');
+    this.options.logger.error(fields, message);
+  }
+}
+
+function isLedger({roles}: Pick<InstanceRecord, 'roles'>): boolean {
+  return roles.includes('ledger');
+}
+
+function isOlder(announcement: Announcement, held: Announcement): boolean {
+  if (announcement.incarnation !== held.incarnation) {
+    return announcement.incarnation < held.incarnation;
+  }
+  return announcement.sequence < held.sequence;
+}
--- a/packages/daemon/src/operators/operatorRoutes.ts
+++ b/packages/daemon/src/operators/operatorRoutes.ts
@@ -1,6 +1,7 @@
 /**
  * @fileoverview The operator HTTP API. Any daemon serves it.
  */
+import {checkContract as checkTerms} from '@dogwoodtrestle/ledger';
 import {
   type BackendView,
   type ChangeResult,
@@ -29,10 +30,10 @@
   /** Without a key all calls are refused. */
   operatorKey?: string;
   ledgerClient: Pick<LedgerClient, 'submit' | 'query'>;
-  instances(): InstanceView[];
-  backends(): BackendView[];
-  replicas(): Promise<ReplicaView[]>;
-  explain(requestId: string): Promise<ExplanationView>;
+  instances: () => InstanceView[];
+  backends: () => BackendView[];
+  replicas: () => Promise<ReplicaView[]>;
+  explain: (requestId: string) => Promise<ExplanationView>;
   logger?: Logger;
 }
 
@@ -186,7 +187,7 @@
 
 function checkContract(body: unknown): Finding[] {
   const result = validate('ContractCheck', body);
-  if ('value' in result) return [];
+  if ('value' in result) return checkTerms(result.value.contract);
   return result.findings.map(finding => ({
     ...finding,
     path: finding.path.replace(/^\/contract/, ''),
--- /dev/null
+++ b/packages/daemon/src/peer/instanceCalls.ts
@@ -0,0 +1,164 @@
+/**
+ * @fileoverview The calls that the control parts make to other instances.
+ */
+import {
+  type ChangesReply,
+  type ChangesRequest,
+  type ConsensusMessage,
+  type ConsensusReply,
+  type FarewellRequest,
+  type FoundRequest,
+  type GossipReply,
+  type GossipRequest,
+  type IdentityRequest,
+  type PeerIdentity,
+  type QueryReply,
+  type QueryRequest,
+  type ReplicaView,
+  type SubmitReply,
+  type SubmitRequest,
+} from '@dogwoodtrestle/schema';
+
+import {type LedgerCalls} from '../ledgerClient/ledgerClient.js';
+import {type ReplicaCalls} from './peerApi.js';
+import {type PeerClient} from './peerClient.js';
+import {PeerRejectedError, PeerUnreachableError} from './peerErrors.js';
+import {type Clock} from '../util/clock.js';
+import {withTimeout} from '../util/withTimeout.js';
+
+/** Bounds of calls, in milliseconds. */
+const timeouts = {
+  consensus: 500,
+  gossip: 1000,
+  changes: 1000,
+  identity: 1000,
+  view: 1000,
+};
+
+/** What the calls need. */
+export interface InstanceCallsOptions {
+  client: PeerClient;
+  /** This instance's own peer address; calls to it take no network. */
+  ownAddress: string;
+  /** The local replica, once it is open. */
+  replica: () => ReplicaCalls | undefined;
+  clock: Clock;
+}
+
+/** Calls to instances by their peer addresses. */
+export class InstanceCalls implements LedgerCalls {
+  constructor(private readonly options: InstanceCallsOptions) {}
+
+  submit(
+    address: string,
+    request: SubmitRequest,
+    timeout: number,
+  ): Promise<SubmitReply> {
+    return this.local(
+      address,
+      timeout,
+      replica => replica.submit(request),
+      () =>
+        this.options.client.call(address, timeout, (calls, options) =>
+          calls.submit.mutate(request, options),
+        ),
+    );
+  }
+
+  query(
+    address: string,
+    request: QueryRequest,
+    timeout: number,
+  ): Promise<QueryReply> {
+    return this.local(
+      address,
+      timeout,
+      replica => replica.query(request),
+      () =>
+        this.options.client.call(address, timeout, (calls, options) =>
+          calls.query.mutate(request, options),
+        ),
+    );
+  }
+
+  changes(address: string, request: ChangesRequest): Promise<ChangesReply> {
+    const timeout = timeouts.changes;
+    return this.local(
+      address,
+      timeout,
+      replica => replica.changes(request),
+      () =>
+        this.options.client.call(address, timeout, (calls, options) =>
+          calls.changes.mutate(request, options),
+        ),
+    );
+  }
+
+  /** Delivers a consensus message. */
+  receive(address: string, message: ConsensusMessage): Promise<ConsensusReply> {
+    const {client} = this.options;
+    return client.call(address, timeouts.consensus, (calls, options) =>
+      calls.receive.mutate(message, options),
+    );
+  }
+
+  identity(address: string, request: IdentityRequest): Promise<PeerIdentity> {
+    const {client} = this.options;
+    return client.call(address, timeouts.identity, (calls, options) =>
+      calls.identity.mutate(request, options),
+    );
+  }
+
+  async found(address: string, request: FoundRequest): Promise<void> {
+    const {client} = this.options;
+    await client.call(address, timeouts.identity, (calls, options) =>
+      calls.found.mutate(request, options),
+    );
+  }
+
+  gossip(address: string, request: GossipRequest): Promise<GossipReply> {
+    const {client} = this.options;
+    return client.call(address, timeouts.gossip, (calls, options) =>
+      calls.gossip.mutate(request, options),
+    );
+  }
+
+  async farewell(address: string, request: FarewellRequest): Promise<void> {
+    const {client} = this.options;
+    await client.call(address, timeouts.gossip, (calls, options) =>
+      calls.farewell.mutate(request, options),
+    );
+  }
+
+  view(address: string): Promise<ReplicaView> {
+    const timeout = timeouts.view;
+    return this.local(
+      address,
+      timeout,
+      async replica => replica.view(),
+      () =>
+        this.options.client.call(address, timeout, (calls, options) =>
+          calls.view.mutate(undefined, options),
+        ),
+    );
+  }
+
+  private local<T>(
+    address: string,
+    timeoutMilliseconds: number,
+    here: (replica: ReplicaCalls) => Promise<T>,
+    there: () => Promise<T>,
+  ): Promise<T> {
+    const {ownAddress, replica, clock} = this.options;
+    const local = address === ownAddress ? replica() : undefined;
+    if (local === undefined) return there();
+    return withTimeout(here(local), timeoutMilliseconds, clock);
+  }
+}
+
+/** Whether a failed call may have reached the other instance. */
+export function maybeReceived(error: unknown): boolean {
+  if (error instanceof PeerRejectedError) return false;
+  if (error instanceof PeerUnreachableError) return error.maybeReceived;
+  return true;
+}
--- a/packages/daemon/src/peer/peerApi.ts
+++ b/packages/daemon/src/peer/peerApi.ts
@@ -7,13 +7,18 @@
 import {
   type ChangesReply,
   type ChangesRequest,
-  type ConsensusEnvelope,
+  type ConsensusMessage,
+  type ConsensusReply,
+  type FarewellRequest,
   type FoundRequest,
+  type GossipReply,
+  type GossipRequest,
   type IdentityRequest,
   parserOf,
   type PeerIdentity,
   type QueryReply,
   type QueryRequest,
+  type ReplicaView,
   type SubmitReply,
   type SubmitRequest,
 } from '@dogwoodtrestle/schema';
@@ -27,16 +32,20 @@
 
 /** Calls that only an instance with a ledger replica answers. */
 export interface ReplicaCalls {
-  receive(envelope: ConsensusEnvelope): Promise<object>;
+  receive(message: ConsensusMessage): Promise<ConsensusReply>;
   found(request: FoundRequest): Promise<void>;
   submit(request: SubmitRequest): Promise<SubmitReply>;
   query(request: QueryRequest): Promise<QueryReply>;
   changes(request: ChangesRequest): Promise<ChangesReply>;
+  /** The replica as operators see it. */
+  view(): ReplicaView;
 }
 
 /** What the procedures of an instance do. */
 export interface PeerHandlers {
   identity(request: IdentityRequest): Promise<PeerIdentity>;
+  gossip(request: GossipRequest): GossipReply;
+  receiveFarewell(request: FarewellRequest): void;
   /** Absent on an instance without a ledger replica. */
   replica?: ReplicaCalls;
 }
@@ -55,7 +64,7 @@
       .input(parserOf('IdentityRequest'))
       .mutation(({input}) => handlers.identity(input)),
     receive: trpc.procedure
-      .input(parserOf('ConsensusEnvelope'))
+      .input(parserOf('ConsensusMessage'))
       .mutation(({input}) => replicaOf(handlers).receive(input)),
     found: trpc.procedure
       .input(parserOf('FoundRequest'))
@@ -69,6 +78,13 @@
     changes: trpc.procedure
       .input(parserOf('ChangesRequest'))
       .mutation(({input}) => replicaOf(handlers).changes(input)),
+    view: trpc.procedure.mutation(() => replicaOf(handlers).view()),
+    gossip: trpc.procedure
+      .input(parserOf('GossipRequest'))
+      .mutation(({input}) => handlers.gossip(input)),
+    farewell: trpc.procedure
+      .input(parserOf('FarewellRequest'))
+      .mutation(({input}) => handlers.receiveFarewell(input)),
   });
 }
 
--- a/packages/daemon/src/util/httpError.ts
+++ b/packages/daemon/src/util/httpError.ts
@@ -3,7 +3,7 @@
  */
 import {type Finding} from '@dogwoodtrestle/schema';
 
-import {BaseError} from './baseError.js';
+import {BaseError, type ErrorClass} from './baseError.js';
 
 /** What a caller is told besides the status and the message. */
 export interface HttpErrorDetail {
@@ -13,11 +13,18 @@
   [field: string]: unknown;
 }
 
+/** What an HTTP error carries. */
+export interface HttpFailure {
+  status: number;
+  detail: HttpErrorDetail;
+}
+
 /** An answer other than success. */
-export const HttpError = BaseError.subclass('HttpError', {
-  props: {status: 500, detail: {code: 'internal'} as HttpErrorDetail},
-});
-export type HttpError = InstanceType<typeof HttpError>;
+export const HttpError: ErrorClass<HttpFailure> = BaseError.subclass(
+  'HttpError',
+  {props: {status: 500, detail: {code: 'internal'}}},
+);
+export type HttpError = Error & HttpFailure;
 
 /** Builds an answer other than success. */
 export function httpError(
--- a/packages/daemon/src/util/periodicTask.ts
+++ b/packages/daemon/src/util/periodicTask.ts
@@ -12,7 +12,7 @@
   intervalMilliseconds: number;
   /** Part of the interval by which each round varies, from 0 to 1. */
   jitter?: number;
-  run(): Promise<void>;
+  run: () => Promise<void>;
 }
 
 /**
--- /dev/null
+++ b/packages/daemon/tests/fixtures.ts
@@ -0,0 +1,137 @@
+import {mkdtemp, rm} from 'node:fs/promises';
+import {createServer} from 'node:net';
+import os from 'node:os';
+import path from 'node:path';
+
+import {
+  type Command,
+  type Contract,
+  parserOf,
+  type Settings,
+} from '@dogwoodtrestle/schema';
+
+import {type Control, createControl} from '../src/control.js';
+
+/** Runs clean-ups in the reverse order of their registration. */
+export class CleanUps {
+  private readonly actions: Array<() => Promise<unknown>> = [];
+
+  add(action: () => Promise<unknown>): void {
+    this.actions.unshift(action);
+  }
+
+  async run(): Promise<void> {
+    for (const action of this.actions.splice(0)) await action();
+  }
+}
+
+export async function temporaryFolder(cleanUps: CleanUps): Promise<string> {
+  const folder = await mkdtemp(path.join(os.tmpdir(), 'dogwoodtrestle-'));
+  cleanUps.add(() => rm(folder, {recursive: true, force: true}));
+  return folder;
+}
+
+/** Returns a port that was free a moment ago. */
+export function freePort(): Promise<number> {
+  return new Promise((resolve, reject) => {
+    const server = createServer();
+    server.once('error', reject);
+    server.listen(0, '127.0.0.1', () => {
+      const address = server.address();
+      const port = typeof address === 'object' ? (address?.port ?? 0) : 0;
+      server.close(() => resolve(port));
+    });
+  });
+}
+
+export interface InstancePlan {
+  name: string;
+  port: number;
+  dataFolder?: string;
+}
+
+/** Settings of one instance of a small cluster on loopback. */
+export function settingsOf(
+  plan: InstancePlan,
+  initialReplicas: string[],
+): Settings {
+  return parserOf('Settings')({
+    cluster: {name: 'barley', keyFile: 'unused', initialReplicas},
+    instance: {
+      name: plan.name,
+      failureDomain: `domain-${plan.name}`,
+      address: '127.0.0.1',
+      roles: plan.dataFolder === undefined ? ['router'] : ['router', 'ledger'],
+      ...(plan.dataFolder === undefined ? {} : {dataFolder: plan.dataFolder}),
+    },
+    listeners: {peerPort: plan.port},
+    ledger: {electionTimeoutMilliseconds: 300, heartbeatMilliseconds: 50},
+  });
+}
+
+export function contractOf(changes: Partial<Contract> = {}): Contract {
+  return parserOf('Contract')({
+    customer: 'exchange',
+    budget: {prepaid: 1000},
+    models: [{name: 'summary', inputPrice: 1, outputPrice: 2}],
+    workspaces: [{name: 'desk', keyHash: keyHashOf('a')}],
+    ...changes,
+  });
+}
+
+export function keyHashOf(digit: string): string {
+  return `sha256:${digit.repeat(64)}`;
+}
+
+export function openCommand(
+  changes: Partial<Extract<Command, {kind: 'openRequest'}>> = {},
+): Command {
+  return {
+    kind: 'openRequest',
+    requestKey: 'r1',
+    fingerprint: 'f1',
+    customer: 'exchange',
+    workspace: 'desk',
+    target: {kind: 'model', name: 'summary'},
+    maximumCost: 100,
+    unknownCost: 0,
+    contractVersion: 1,
+    holder: 'one',
+    idempotent: true,
+    traceId: 't1',
+    ...changes,
+  };
+}
+
+/** Starts a control side and stops it at clean-up. */
+export async function startControl(
+  settings: Settings,
+  cleanUps: CleanUps,
+): Promise<Control> {
+  const control = await createControl({
+    settings,
+    secrets: {clusterKey: 'k', operatorKey: 'operator', backendKey: 'backend'},
+  });
+  let stopped = false;
+  const {stop} = control;
+  control.stop = async () => {
+    if (stopped) return;
+    stopped = true;
+    await stop();
+  };
+  cleanUps.add(() => control.stop());
+  await control.start();
+  return control;
+}
+
+/** Polls until a condition holds. */
+export async function eventually(
+  condition: () => boolean | Promise<boolean>,
+  timeoutMilliseconds = 8000,
+): Promise<void> {
+  const deadline = Date.now() + timeoutMilliseconds;
+  while (!(await condition())) {
+    if (Date.now() > deadline) throw new Error('condition never held');
+    await new Promise(resolve => setTimeout(resolve, 20));
+  }
+}
--- a/packages/daemon/tests/peer.test.ts
+++ b/packages/daemon/tests/peer.test.ts
@@ -30,6 +30,8 @@
       address: request.address,
       wallTime: 5,
     }),
+    gossip: () => ({instances: [], backends: []}),
+    receiveFarewell: () => {},
     ...handlers,
   });
   const server = new PeerServer({
