feat(daemon): request path, settings, logs, metrics and traces

Cause: the whole path needs a way from the caller to the backend server. Ruled out: running a chat within its connection, since a caller's retry must be able to join it; the run writes into a buffer with many readers instead. Seen failing first: the test of the buffer's bound waited for ever while it pushed beyond the bound itself; the test was wrong and is as strict now.

--- /dev/null
+++ b/packages/daemon/src/requests/admissionGate.ts
@@ -0,0 +1,141 @@
+/**
+ * @fileoverview Lets requests through to the backend servers as these have
+ * room, in the order that admission decides.
+ */
+import {
+  Admission,
+  type AdmissionRefusal,
+  type AdmissionTicket,
+  type Priority,
+  type Target,
+} from '@dogwoodtrestle/routing';
+
+import {type BackendSelector} from './backendSelector.js';
+import {type RequestDependencies} from './dependencies.js';
+import {refusal} from './refusal.js';
+
+/** Requests that may wait inside the engines, as a share of their capacity. */
+const engineQueueShare = 0.25;
+
+/** Interval at which waiting requests are looked at, in milliseconds. */
+const turnIntervalMilliseconds = 50;
+
+/** A request that wants to get through. */
+export interface GateRequest {
+  customer: string;
+  workspace: string;
+  priority: Priority;
+  target: Target;
+}
+
+interface Waiter {
+  admit: () => void;
+  refuse: (refusal: AdmissionRefusal) => void;
+}
+
+/** Admission for each model and service. */
+export class AdmissionGate {
+  private readonly admissions = new Map<string, Admission>();
+  private readonly waiters = new Map<AdmissionTicket, Waiter>();
+  private timer: NodeJS.Timeout | undefined;
+
+  constructor(
+    private readonly dependencies: RequestDependencies,
+    private readonly selector: BackendSelector,
+  ) {}
+
+  /**
+   * Waits until a request may go on.
+   *
+   * @returns A function to call once the request has ended.
+   * @throws RefusalError where the request is shed, with the time to return.
+   */
+  async enter(request: GateRequest): Promise<() => void> {
+    const {now, settings} = this.dependencies;
+    const admission = this.admissionOf(request.target);
+    const outcome = admission.enter({
+      customer: request.customer,
+      workspace: request.workspace,
+      priority: request.priority,
+      deadline: now() + settings.requests.deadlineMilliseconds,
+      now: now(),
+    });
+    if (outcome.kind === 'refused') throw shedRefusal(outcome);
+    const {ticket} = outcome;
+    if (outcome.kind === 'queued') await this.wait(admission, ticket);
+    return () => {
+      admission.leave(ticket, now());
+      this.turn(admission);
+    };
+  }
+
+  private wait(admission: Admission, ticket: AdmissionTicket): Promise<void> {
+    return new Promise((resolve, reject) => {
+      this.waiters.set(ticket, {
+        admit: resolve,
+        refuse: reason => reject(shedRefusal(reason)),
+      });
+      this.turn(admission);
+      this.timer ??= setInterval(
+        () => this.turnAll(),
+        turnIntervalMilliseconds,
+      );
+    });
+  }
+
+  private turnAll(): void {
+    for (const [key, admission] of this.admissions) {
+      const [kind, name] = JSON.parse(key) as [Target['kind'], string];
+      this.updateCapacity(admission, {kind, name});
+      this.turn(admission);
+    }
+    if (this.waiters.size > 0) return;
+    clearInterval(this.timer);
+    this.timer = undefined;
+  }
+
+  private turn(admission: Admission): void {
+    const {started, refused} = admission.next(this.dependencies.now());
+    for (const ticket of started) this.take(ticket)?.admit();
+    for (const {ticket, ...reason} of refused)
+      this.take(ticket)?.refuse(reason);
+  }
+
+  private take(ticket: AdmissionTicket): Waiter | undefined {
+    const waiter = this.waiters.get(ticket);
+    this.waiters.delete(ticket);
+    return waiter;
+  }
+
+  private admissionOf(target: Target): Admission {
+    const key = JSON.stringify([target.kind, target.name]);
+    let admission = this.admissions.get(key);
+    if (admission === undefined) {
+      admission = new Admission({capacity: 1, random: Math.random});
+      this.admissions.set(key, admission);
+    }
+    this.updateCapacity(admission, target);
+    return admission;
+  }
+
+  /**
+   * Gives this instance its equal share of the servers' capacity, or more
+   * where the other instances leave theirs unused.
+   */
+  private updateCapacity(admission: Admission, target: Target): void {
+    const routers = Math.max(1, this.dependencies.instances.liveRouters());
+    const {total, spare} = this.selector.spareCapacity(target);
+    const allowance = engineQueueShare * total;
+    const equalShare = (total + allowance) / routers;
+    const unused = Math.max(0, spare + allowance) / routers;
+    const capacity = Math.max(equalShare, admission.runningCount + unused);
+    admission.setCapacity(Math.max(1, Math.floor(capacity)));
+  }
+}
+
+function shedRefusal({reason, retryAfterMilliseconds}: AdmissionRefusal) {
+  return refusal('overloaded', {
+    retryAfterSeconds: Math.max(1, Math.ceil(retryAfterMilliseconds / 1000)),
+    inputs: {reason, retryAfterMilliseconds},
+  });
+}
--- /dev/null
+++ b/packages/daemon/src/requests/chatHandler.ts
@@ -0,0 +1,246 @@
+/**
+ * @fileoverview Serves chat requests: opens them, joins repeated ones to the
+ * first, and starts their runs.
+ */
+import {
+  type DuplicateResult,
+  type ModelTerms,
+  type OpenRequest,
+} from '@dogwoodtrestle/schema';
+
+import {AnswerBuffer} from './answerBuffer.js';
+import {type AnswerStore} from './answerStore.js';
+import {type ChatBody, parseChatBody} from './chatBody.js';
+import {type ChatRunParts, runChat} from './chatRun.js';
+import {boundCost, type CostBound} from './costBound.js';
+import {type Limiter} from './limiter.js';
+import {type OpenedRequest, type Opener} from './opener.js';
+import {refreshCaller} from './refreshCaller.js';
+import {refusal} from './refusal.js';
+import {fingerprintOf} from './requestKey.js';
+import {
+  type Caller,
+  identify,
+  requestKeyOf,
+  type RequestScope,
+} from './requestScope.js';
+import {type ServedRequest} from './servedRequest.js';
+
+/** Contract versions that one request may run into while it opens. */
+const maximumRefreshes = 3;
+
+/** What the handler works with. */
+export interface ChatHandlerParts extends ChatRunParts {
+  opener: Opener;
+  answers: AnswerStore;
+  limiter: Limiter;
+}
+
+/** A chat request whose cost has been bounded under one contract version. */
+interface BoundChat {
+  caller: Caller;
+  terms: ModelTerms;
+  bound: CostBound;
+}
+
+/** Serves chat requests. */
+export class ChatHandler {
+  constructor(private readonly parts: ChatHandlerParts) {}
+
+  /**
+   * Serves one request.
+   *
+   * @returns The answer, which may still be running.
+   * @throws RefusalError where there is none.
+   */
+  async serve(
+    scope: RequestScope,
+    caller: Caller,
+    request: ServedRequest,
+  ): Promise<AnswerBuffer> {
+    const body = parseChatBody(request.json());
+    const {requestKey, isCallers} = requestKeyOf(
+      request.headers,
+      caller,
+      scope.requestId,
+    );
+    identify(scope, caller, requestKey);
+    const known = this.parts.answers.find(requestKey);
+    const fingerprint = fingerprintOf(['chat', request.body]);
+    const leave = await this.parts.limiter.enter(caller, scope, {
+      kind: 'model',
+      name: body.model,
+    });
+    try {
+      const {opening, bounded} = await this.open(scope, caller, body, {
+        requestKey,
+        fingerprint,
+      });
+      if (opening.kind === 'duplicate') {
+        const joined = await this.join(opening.result, known);
+        if ('answer' in joined) {
+          leave();
+          return joined.answer;
+        }
+        return this.start(
+          scope,
+          body,
+          bounded,
+          joined.opened,
+          isCallers,
+          leave,
+        );
+      }
+      return this.start(scope, body, bounded, opening.opened, isCallers, leave);
+    } catch (error) {
+      leave();
+      throw error;
+    }
+  }
+
+  /** Opens a request under the newest contract. */
+  private async open(
+    scope: RequestScope,
+    caller: Caller,
+    body: ChatBody,
+    identity: {requestKey: string; fingerprint: string},
+  ): Promise<{
+    opening:
+      | {kind: 'opened'; opened: OpenedRequest}
+      | {kind: 'duplicate'; result: DuplicateResult};
+    bounded: BoundChat;
+  }> {
+    const {dependencies, opener} = this.parts;
+    let current = caller;
+    for (let refreshes = 0; refreshes <= maximumRefreshes; refreshes++) {
+      const bounded = await this.bound(current, body);
+      const command = openCommand(
+        scope,
+        bounded,
+        identity,
+        dependencies.holder,
+      );
+      scope.explanation.add('open', {
+        maximumCost: command.maximumCost,
+        contractVersion: command.contractVersion,
+      });
+      const opening = await opener.open(command, scope.context);
+      if (opening.kind !== 'staleContract') return {opening, bounded};
+      current = await refreshCaller(this.parts.dependencies, current);
+    }
+    throw refusal('overloaded', {
+      message: 'The contract is changing; try again.',
+    });
+  }
+
+  /** Bounds the cost, under the newest contract if the model is unknown. */
+  private async bound(caller: Caller, body: ChatBody): Promise<BoundChat> {
+    let current = caller;
+    let terms = termsOf(current, body.model);
+    if (terms === undefined) {
+      current = await refreshCaller(this.parts.dependencies, caller);
+      terms = termsOf(current, body.model);
+    }
+    if (terms === undefined) {
+      throw refusal('modelNotAllowed', {
+        message: `The contract does not include the model '${body.model}'.`,
+        param: 'model',
+        inputs: {model: body.model, contractVersion: current.view.version},
+      });
+    }
+    const {maximumOutputTokens} = this.parts.dependencies.settings.requests;
+    const output =
+      body.max_completion_tokens ?? body.max_tokens ?? maximumOutputTokens;
+    return {caller: current, terms, bound: boundCost(body, terms, output)};
+  }
+
+  /** Finds the answer of a request that was opened before. */
+  private async join(
+    result: DuplicateResult,
+    known: AnswerBuffer | undefined,
+  ): Promise<{answer: AnswerBuffer} | {opened: OpenedRequest}> {
+    const {answers, dependencies, opener} = this.parts;
+    const here = answers.find(result.requestKey) ?? known;
+    if (here !== undefined && here.state !== 'failed') return {answer: here};
+    if (result.status === 'settled') {
+      const stored =
+        result.answer ??
+        (await dependencies.instances.fetchAnswer(
+          result.holder,
+          result.requestKey,
+        ));
+      if (stored === undefined) throw refusal('answerNotKept');
+      return {answer: AnswerBuffer.of(stored)};
+    }
+    if (dependencies.instances.isAlive(result.holder)) {
+      throw refusal('requestRunning');
+    }
+    const adopted = await opener.adopt(result);
+    if (adopted === undefined) throw refusal('requestRunning');
+    return {opened: adopted};
+  }
+
+  private start(
+    scope: RequestScope,
+    body: ChatBody,
+    {caller, terms, bound}: BoundChat,
+    opened: OpenedRequest,
+    isRepeatable: boolean,
+    leave: () => void,
+  ): AnswerBuffer {
+    const {dependencies, answers, selector} = this.parts;
+    const answer = new AnswerBuffer();
+    const ended = new AbortController();
+    const deadline = setTimeout(
+      () => ended.abort('deadline'),
+      dependencies.settings.requests.deadlineMilliseconds,
+    );
+    // A caller with a key of its own may come back for the answer.
+    if (!isRepeatable) answer.onAbandoned(() => ended.abort('callerLeft'));
+    answers.add(opened.requestKey, answer);
+    selector.recordRequest();
+    void runChat(this.parts, {
+      requestId: scope.requestId,
+      body,
+      terms,
+      bound,
+      priority: caller.view.contract.priority,
+      opened,
+      answer,
+      context: scope.context,
+      explanation: scope.explanation,
+      signal: ended.signal,
+    }).finally(() => {
+      clearTimeout(deadline);
+      answers.finish(opened.requestKey);
+      leave();
+    });
+    return answer;
+  }
+}
+
+function termsOf({view}: Caller, model: string): ModelTerms | undefined {
+  return view.contract.models.find(terms => terms.name === model);
+}
+
+function openCommand(
+  scope: RequestScope,
+  {caller, terms, bound}: BoundChat,
+  {requestKey, fingerprint}: {requestKey: string; fingerprint: string},
+  holder: string,
+): OpenRequest {
+  return {
+    kind: 'openRequest',
+    requestKey,
+    fingerprint,
+    customer: caller.view.contract.customer,
+    workspace: caller.workspace.name,
+    target: {kind: 'model', name: terms.name},
+    maximumCost: bound.maximumCost,
+    unknownCost: bound.unknownCost,
+    contractVersion: caller.view.version,
+    holder,
+    idempotent: true,
+    traceId: scope.traceId,
+  };
+}
--- /dev/null
+++ b/packages/daemon/src/requests/index.ts
@@ -0,0 +1,145 @@
+/**
+ * @fileoverview Face of the request path: builds everything that serves
+ * callers.
+ */
+import {type Announcement, type StoredAnswer} from '@dogwoodtrestle/schema';
+import {type FastifyInstance} from 'fastify';
+import {Agent} from 'undici';
+
+import {AdmissionGate} from './admissionGate.js';
+import {AnswerStore} from './answerStore.js';
+import {BackendSelector} from './backendSelector.js';
+import {addCallerRoutes} from './callerRoutes.js';
+import {ChatHandler} from './chatHandler.js';
+import {type RequestDependencies} from './dependencies.js';
+import {Explanations} from './explanations.js';
+import {Limiter} from './limiter.js';
+import {ModelClient} from './modelClient.js';
+import {Opener} from './opener.js';
+import {ServiceClient} from './serviceClient.js';
+import {ServiceHandler} from './serviceHandler.js';
+import {Settler} from './settler.js';
+
+export {type RequestDependencies} from './dependencies.js';
+
+/** Connections to one backend server. */
+const connectionsPerBackend = 512;
+
+/** Time to connect to a backend server, in milliseconds. */
+const connectTimeoutMilliseconds = 2000;
+
+/** Pause between two looks at what is still running, in milliseconds. */
+const drainPollMilliseconds = 20;
+
+/** Everything that serves callers on one instance. */
+export class RequestPath {
+  readonly explanations = new Explanations();
+  private readonly dispatcher = new Agent({
+    connections: connectionsPerBackend,
+    connect: {timeout: connectTimeoutMilliseconds},
+  });
+  private readonly answers: AnswerStore;
+  private readonly settler: Settler;
+  private readonly selector: BackendSelector;
+  private readonly chat: ChatHandler;
+  private readonly services: ServiceHandler;
+  private serving = true;
+
+  constructor(private readonly dependencies: RequestDependencies) {
+    const {answerMemoryBytes, idleStreamMilliseconds} =
+      dependencies.settings.requests;
+    const clientOptions = {
+      dispatcher: this.dispatcher,
+      idleMilliseconds: idleStreamMilliseconds,
+      onCrossed: () => dependencies.metrics.increment('attempts.crossed'),
+    };
+    this.answers = new AnswerStore(answerMemoryBytes);
+    this.settler = new Settler(dependencies);
+    this.selector = new BackendSelector(dependencies);
+    const parts = {
+      dependencies,
+      models: new ModelClient(clientOptions),
+      services: new ServiceClient(clientOptions),
+      selector: this.selector,
+      settler: this.settler,
+      opener: new Opener(dependencies),
+      answers: this.answers,
+      limiter: new Limiter(
+        dependencies,
+        new AdmissionGate(dependencies, this.selector),
+      ),
+    };
+    this.chat = new ChatHandler(parts);
+    this.services = new ServiceHandler(parts);
+  }
+
+  /** Number of requests in progress. */
+  get inFlight(): number {
+    return this.answers.running + this.services.inFlight;
+  }
+
+  /** Own requests in flight at a backend server. */
+  inFlightAt(backend: string): number {
+    return this.selector.inFlight(backend);
+  }
+
+  /** Whether failures keep a backend server from getting work. */
+  isEjected(backend: string): boolean {
+    return this.selector.isEjected(backend);
+  }
+
+  /** Takes in what a backend server says of itself. */
+  observe(announcement: Announcement): void {
+    this.selector.observe(announcement);
+  }
+
+  /** The kept answer of a finished request, for another instance. */
+  keptAnswer(requestKey: string): StoredAnswer | undefined {
+    const answer = this.answers.find(requestKey);
+    if (answer?.state !== 'complete' || answer.head === undefined) {
+      return undefined;
+    }
+    return {...answer.head, body: answer.text()};
+  }
+
+  /** Adds the callers' routes to a server. */
+  async addRoutes(server: FastifyInstance): Promise<void> {
+    await addCallerRoutes(server, {
+      dependencies: this.dependencies,
+      explanations: this.explanations,
+      chat: this.chat,
+      services: this.services,
+      isServing: () => this.serving,
+    });
+  }
+
+  /** Takes no new requests from now on. */
+  refuseNew(): void {
+    this.serving = false;
+  }
+
+  /**
+   * Waits until all requests have ended and are settled.
+   *
+   * @returns What was cut off at the deadline.
+   */
+  async drain(
+    milliseconds: number,
+  ): Promise<{requests: number; settlements: number}> {
+    const {now} = this.dependencies;
+    const deadline = now() + milliseconds;
+    while (this.inFlight > 0 && now() < deadline) {
+      await new Promise(resolve => {
+        setTimeout(resolve, drainPollMilliseconds);
+      });
+    }
+    const requests = this.inFlight;
+    const settlements = await this.settler.drain(Math.max(0, deadline - now()));
+    return {requests, settlements};
+  }
+
+  /** Closes the connections to backend servers. */
+  async close(): Promise<void> {
+    await this.dispatcher.destroy();
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/requests/opener.ts
@@ -0,0 +1,173 @@
+/**
+ * @fileoverview Makes the durable record that must exist before a request is
+ * sent to a backend server.
+ *
+ * The ledger's quorum records it where it can be reached. Where it can't,
+ * an idempotent request is recorded in the journal of a grant.
+ */
+import {type Context} from '@opentelemetry/api';
+import {
+  type DuplicateResult,
+  type OpenRequest,
+  type RefusalCode,
+  type RefusedResult,
+} from '@dogwoodtrestle/schema';
+
+import {QuorumUnreachableError} from '../ledgerClient/index.js';
+import {type RequestDependencies} from './dependencies.js';
+import {refusal, type Refusal, type RefusalReason} from './refusal.js';
+
+/** A request that may be sent now. */
+export type OpenedRequest =
+  | {by: 'quorum'; requestKey: string; attempt: number}
+  | {
+      by: 'grant';
+      requestKey: string;
+      attempt: number;
+      grantId: string;
+      sequence: number;
+    };
+
+/** Outcome of opening a request. */
+export type Opening =
+  | {kind: 'opened'; opened: OpenedRequest}
+  | {kind: 'duplicate'; result: DuplicateResult}
+  | {kind: 'staleContract'};
+
+/** What the ledger refuses, as callers see it. */
+const reasonTable: Partial<Record<RefusalCode, RefusalReason>> = {
+  budgetExhausted: 'budgetExhausted',
+  workspaceShareExhausted: 'workspaceShareExhausted',
+  modelNotAllowed: 'modelNotAllowed',
+  serviceNotAllowed: 'serviceNotAllowed',
+  unknownCustomer: 'unknownKey',
+  unknownWorkspace: 'unknownKey',
+  contractRetired: 'contractRetired',
+  keyReused: 'keyReused',
+  keyTooOld: 'keyTooOld',
+};
+
+/** Opens requests durably. */
+export class Opener {
+  constructor(private readonly dependencies: RequestDependencies) {}
+
+  /**
+   * Opens a request.
+   *
+   * @throws RefusalError where it may not run.
+   */
+  async open(request: OpenRequest, context: Context): Promise<Opening> {
+    const {tracing, metrics, now, ledger} = this.dependencies;
+    const startedAt = now();
+    try {
+      const result = await tracing.run(
+        'router to ledger: open',
+        context,
+        {'request.key': request.requestKey},
+        () => ledger.submit(request),
+      );
+      metrics.timing('ledger.open', now() - startedAt);
+      switch (result.kind) {
+        case 'opened':
+          return {
+            kind: 'opened',
+            opened: {
+              by: 'quorum',
+              requestKey: request.requestKey,
+              attempt: result.attempt,
+            },
+          };
+        case 'duplicate':
+          return {kind: 'duplicate', result};
+        case 'refused':
+          if (result.code === 'staleContract') return {kind: 'staleContract'};
+          throw refusalFor(result);
+        default:
+          throw refusal('internalError');
+      }
+    } catch (error) {
+      if (!(error instanceof QuorumUnreachableError)) throw error;
+      return this.openOnGrant(request, context);
+    }
+  }
+
+  /** Takes a request over from a holder that is gone. */
+  async adopt(result: DuplicateResult): Promise<OpenedRequest | undefined> {
+    const adopted = await this.dependencies.ledger.submit({
+      kind: 'adoptRequest',
+      requestKey: result.requestKey,
+      expectedAttempt: result.attempt,
+      holder: this.dependencies.holder,
+    });
+    return adopted.kind === 'opened'
+      ? {
+          by: 'quorum',
+          requestKey: result.requestKey,
+          attempt: adopted.attempt,
+        }
+      : undefined;
+  }
+
+  private async openOnGrant(
+    request: OpenRequest,
+    context: Context,
+  ): Promise<Opening> {
+    const {tracing, grants, metrics} = this.dependencies;
+    if (!request.idempotent) {
+      throw refusal('quorumUnreachable', {
+        message:
+          "The ledger's quorum can't be reached, and a call that must not be repeated never runs without it.",
+      });
+    }
+    const result = await tracing.run(
+      'router to journal: open',
+      context,
+      {'request.key': request.requestKey},
+      () => grants.open(request),
+    );
+    switch (result.kind) {
+      case 'opened':
+        metrics.increment('grants.opened');
+        return {
+          kind: 'opened',
+          opened: {
+            by: 'grant',
+            requestKey: request.requestKey,
+            attempt: 1,
+            grantId: result.grantId,
+            sequence: result.sequence,
+          },
+        };
+      case 'duplicate':
+        return {
+          kind: 'duplicate',
+          result: {
+            kind: 'duplicate',
+            requestKey: request.requestKey,
+            status: result.settled ? 'settled' : 'open',
+            attempt: 1,
+            holder: this.dependencies.holder,
+            idempotent: true,
+          },
+        };
+      case 'refused':
+        throw refusal('quorumUnreachable', {
+          message: `The ledger's quorum can't be reached, and ${result.reason}.`,
+          inputs: {grant: result.reason},
+        });
+    }
+  }
+}
+
+function refusalFor(result: RefusedResult): Refusal {
+  const reason = reasonTable[result.code] ?? 'internalError';
+  const {available, reserved, recallable, code} = result;
+  const mayBeReleased =
+    reason === 'budgetExhausted' &&
+    ((reserved ?? 0) > 0 || (recallable ?? []).length > 0);
+  return refusal(reason, {
+    didNotRun: reason === 'keyTooOld' ? false : true,
+    inputs: {code, available, reserved, recallable},
+    ...(mayBeReleased ? {retryAfterSeconds: 1} : {}),
+  });
+}
--- /dev/null
+++ b/packages/daemon/src/requests/servedRequest.ts
@@ -0,0 +1,34 @@
+/**
+ * @fileoverview A caller's request as the handlers see it.
+ */
+import {type IncomingHttpHeaders} from 'node:http';
+
+import {refusal} from './refusal.js';
+
+/** Head and body of a request. */
+export class ServedRequest {
+  constructor(
+    readonly method: string,
+    readonly headers: IncomingHttpHeaders,
+    readonly body: Buffer,
+  ) {}
+
+  /**
+   * Parses the body as JSON.
+   *
+   * @throws RefusalError for another content type or broken JSON.
+   */
+  json(): unknown {
+    const [type = ''] = (this.headers['content-type'] ?? '').split(';');
+    if (type.trim().toLowerCase() !== 'application/json') {
+      throw refusal('unsupportedMediaType');
+    }
+    try {
+      return JSON.parse(this.body.toString('utf8')) as unknown;
+    } catch (error) {
+      throw refusal('invalidJson', {
+        message: `The body is not valid JSON: ${(error as Error).message}`,
+      });
+    }
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/requests/serviceHandler.ts
@@ -0,0 +1,290 @@
+/**
+ * @fileoverview Serves calls to plain services.
+ *
+ * A call that must not be repeated names its backend server in the durable
+ * record before it is sent, so that whoever gets the caller's retry knows
+ * where to ask what became of it.
+ */
+import {type BackendEntry} from '@dogwoodtrestle/routing';
+import {type DuplicateResult, type StoredAnswer} from '@dogwoodtrestle/schema';
+
+import {type Limiter} from './limiter.js';
+import {type OpenedRequest, type Opener, type Opening} from './opener.js';
+import {refusal} from './refusal.js';
+import {refreshCaller} from './refreshCaller.js';
+import {fingerprintOf} from './requestKey.js';
+import {
+  type Caller,
+  identify,
+  requestKeyOf,
+  type RequestScope,
+} from './requestScope.js';
+import {type ServedRequest} from './servedRequest.js';
+import {isNonIdempotent} from './serviceClient.js';
+import {
+  reconcile,
+  runService,
+  selectBackend,
+  type ServiceJob,
+  type ServiceRunParts,
+} from './serviceRun.js';
+
+/** Times that one request is opened anew: newer contracts, dead servers. */
+const maximumOpenings = 6;
+
+/** What the handler works with. */
+export interface ServiceHandlerParts extends ServiceRunParts {
+  opener: Opener;
+  limiter: Limiter;
+}
+
+/** Where a call goes. */
+export interface ServicePath {
+  service: string;
+  /** Path and query below the service. */
+  path: string;
+}
+
+/** Serves calls to services. */
+export class ServiceHandler {
+  /** Calls in progress on this instance, by request key. */
+  private readonly running = new Map<string, Promise<StoredAnswer>>();
+
+  constructor(private readonly parts: ServiceHandlerParts) {}
+
+  /** Number of calls in progress. */
+  get inFlight(): number {
+    return this.running.size;
+  }
+
+  /**
+   * Serves one call.
+   *
+   * @throws RefusalError where there is no answer.
+   */
+  async serve(
+    scope: RequestScope,
+    caller: Caller,
+    request: ServedRequest,
+    {service, path}: ServicePath,
+  ): Promise<StoredAnswer> {
+    const idempotent = !this.mustNotRepeat(service, request.method, path);
+    const {requestKey, isCallers} = requestKeyOf(
+      request.headers,
+      caller,
+      scope.requestId,
+    );
+    if (!idempotent && !isCallers) throw refusal('idempotencyKeyRequired');
+    identify(scope, caller, requestKey);
+    const leave = await this.parts.limiter.enter(caller, scope, {
+      kind: 'service',
+      name: service,
+    });
+    const ended = new AbortController();
+    const {deadlineMilliseconds} = this.parts.dependencies.settings.requests;
+    const deadline = setTimeout(
+      () => ended.abort('deadline'),
+      deadlineMilliseconds,
+    );
+    try {
+      const call = new OpenCall(
+        this.parts,
+        this.running,
+        scope,
+        {
+          requestId: scope.requestId,
+          service,
+          path,
+          method: request.method,
+          contentType: request.headers['content-type'],
+          body: request.body,
+          idempotent,
+          context: scope.context,
+          explanation: scope.explanation,
+          signal: ended.signal,
+        },
+        requestKey,
+      );
+      return await call.serve(caller);
+    } finally {
+      clearTimeout(deadline);
+      leave();
+    }
+  }
+
+  /** Whether any server of the service says that the call isn't repeatable. */
+  private mustNotRepeat(
+    service: string,
+    method: string,
+    path: string,
+  ): boolean {
+    const {directory, now} = this.parts.dependencies;
+    return directory
+      .entries(now())
+      .some(
+        ({entry: {announcement}}) =>
+          announcement.service?.name === service &&
+          isNonIdempotent(announcement.service.nonIdempotent, method, path),
+      );
+  }
+}
+
+type CallTemplate = Omit<ServiceJob, 'opened' | 'callPrice'>;
+
+/** One call from its opening to its answer. */
+class OpenCall {
+  private readonly excluded = new Set<string>();
+
+  constructor(
+    private readonly parts: ServiceHandlerParts,
+    private readonly running: Map<string, Promise<StoredAnswer>>,
+    private readonly scope: RequestScope,
+    private readonly template: CallTemplate,
+    private readonly requestKey: string,
+  ) {}
+
+  async serve(caller: Caller): Promise<StoredAnswer> {
+    let current = caller;
+    for (let openings = 0; openings < maximumOpenings; openings++) {
+      const callPrice = this.priceUnder(current);
+      if (callPrice === undefined) {
+        current = await this.refreshForService(current);
+        continue;
+      }
+      const backend = selectBackend(this.parts, this.template, this.excluded);
+      const opening = await this.open(current, callPrice, backend);
+      if (opening.kind === 'staleContract') {
+        current = await refreshCaller(this.parts.dependencies, current);
+        continue;
+      }
+      if (opening.kind === 'duplicate') {
+        return this.join(opening.result, callPrice);
+      }
+      if (backend === undefined) throw refusal('noBackend');
+      const answer = await this.run(opening.opened, callPrice, backend);
+      if (answer !== undefined) return answer;
+      this.excluded.add(backend.announcement.name);
+    }
+    throw refusal('overloaded');
+  }
+
+  private priceUnder({view}: Caller): number | undefined {
+    return view.contract.services.find(
+      terms => terms.name === this.template.service,
+    )?.callPrice;
+  }
+
+  /** Refuses the service only under the newest contract. */
+  private async refreshForService(caller: Caller): Promise<Caller> {
+    const newest = await refreshCaller(this.parts.dependencies, caller);
+    if (this.priceUnder(newest) === undefined) {
+      const {service} = this.template;
+      throw refusal('serviceNotAllowed', {
+        message: `The contract does not include the service '${service}'.`,
+        inputs: {service, contractVersion: newest.view.version},
+      });
+    }
+    return newest;
+  }
+
+  /** Opens the call; without a server to send it to only a repeated one. */
+  private async open(
+    caller: Caller,
+    callPrice: number,
+    backend: BackendEntry | undefined,
+  ): Promise<Opening> {
+    if (backend === undefined) throw refusal('noBackend');
+    const {opener, dependencies} = this.parts;
+    const {service, idempotent, method, path, body} = this.template;
+    return opener.open(
+      {
+        kind: 'openRequest',
+        requestKey: this.requestKey,
+        fingerprint: fingerprintOf(['service', service, method, path, body]),
+        customer: caller.view.contract.customer,
+        workspace: caller.workspace.name,
+        target: {kind: 'service', name: service},
+        maximumCost: callPrice,
+        unknownCost: callPrice,
+        contractVersion: caller.view.version,
+        holder: dependencies.holder,
+        idempotent,
+        ...(idempotent ? {} : {backend: backend.announcement.name}),
+        traceId: this.scope.traceId,
+      },
+      this.template.context,
+    );
+  }
+
+  private async run(
+    opened: OpenedRequest,
+    callPrice: number,
+    backend: BackendEntry,
+  ): Promise<StoredAnswer | undefined> {
+    const run = runService(
+      this.parts,
+      {...this.template, opened, callPrice},
+      backend,
+    );
+    const shared = run.then(answer => {
+      if (answer === undefined) throw refusal('requestRunning');
+      return answer;
+    });
+    shared.catch(() => undefined); // the first caller sees the failure itself
+    this.running.set(this.requestKey, shared);
+    try {
+      return await run;
+    } finally {
+      this.running.delete(this.requestKey);
+    }
+  }
+
+  /** Finds the answer of a call that was opened before. */
+  private async join(
+    result: DuplicateResult,
+    callPrice: number,
+  ): Promise<StoredAnswer> {
+    const {dependencies, opener} = this.parts;
+    if (result.answer !== undefined) return result.answer;
+    if (result.status === 'settled') throw refusal('answerNotKept');
+    const running = this.running.get(this.requestKey);
+    if (running !== undefined) return running;
+    const isElsewhere =
+      result.holder !== dependencies.holder &&
+      dependencies.instances.isAlive(result.holder);
+    if (isElsewhere) throw refusal('requestRunning');
+    if (result.idempotent) {
+      const opened = await opener.adopt(result);
+      const backend = selectBackend(this.parts, this.template, this.excluded);
+      if (opened === undefined) throw refusal('requestRunning');
+      if (backend === undefined)
+        throw refusal('noBackend', {didNotRun: 'unknown'});
+      const answer = await this.run(opened, callPrice, backend);
+      if (answer === undefined) throw refusal('backendFailed');
+      return answer;
+    }
+    return this.learnOutcome(result, callPrice);
+  }
+
+  /** Asks the server that an unfinished call went to what became of it. */
+  private async learnOutcome(
+    result: DuplicateResult,
+    callPrice: number,
+  ): Promise<StoredAnswer> {
+    const {directory} = this.parts.dependencies;
+    const backend =
+      result.backend === undefined ? undefined : directory.get(result.backend);
+    if (backend === undefined) throw refusal('outcomeUnknown');
+    const opened: OpenedRequest = {
+      by: 'quorum',
+      requestKey: result.requestKey,
+      attempt: result.attempt,
+    };
+    return reconcile(
+      this.parts,
+      {...this.template, opened, callPrice},
+      backend,
+      1,
+    );
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/requests/settler.ts
@@ -0,0 +1,127 @@
+/**
+ * @fileoverview Bills requests, exactly once each.
+ *
+ * A settlement that can't reach the quorum is repeated in the background
+ * until the ledger has it. Repeating is safe: the first settlement of a
+ * request wins.
+ */
+import {type Context} from '@opentelemetry/api';
+import {
+  type JournalSettlement,
+  type StoredAnswer,
+} from '@dogwoodtrestle/schema';
+
+import {type RequestDependencies} from './dependencies.js';
+import {type OpenedRequest} from './opener.js';
+
+/** Pause between two tries to settle, in milliseconds. */
+const retryPauseMilliseconds = 500;
+
+/** Settles opened requests. */
+export class Settler {
+  private readonly unsettled = new Set<Promise<void>>();
+  private stopping = false;
+
+  constructor(private readonly dependencies: RequestDependencies) {}
+
+  /**
+   * Settles a request.
+   *
+   * @returns Whether the settlement is durable now. It goes on in the
+   *     background where it isn't.
+   */
+  async settle(
+    opened: OpenedRequest,
+    settlement: Omit<JournalSettlement, 'settledAt'>,
+    context: Context,
+    answer?: StoredAnswer,
+  ): Promise<boolean> {
+    const full = {...settlement, settledAt: Date.now()};
+    if (opened.by === 'grant') {
+      return this.settleOnGrant(opened, full, context);
+    }
+    try {
+      await this.submit(opened, full, context, answer);
+      return true;
+    } catch {
+      const retry = this.retry(opened, full, context, answer);
+      this.unsettled.add(retry);
+      void retry.finally(() => this.unsettled.delete(retry));
+      return false;
+    }
+  }
+
+  /** Resolves once nothing is left to settle, or the time is up. */
+  async drain(milliseconds: number): Promise<number> {
+    const timeout = new Promise<void>(resolve => {
+      setTimeout(resolve, milliseconds).unref();
+    });
+    await Promise.race([Promise.all(this.unsettled), timeout]);
+    this.stopping = true;
+    return this.unsettled.size;
+  }
+
+  private async settleOnGrant(
+    opened: Extract<OpenedRequest, {by: 'grant'}>,
+    settlement: JournalSettlement,
+    context: Context,
+  ): Promise<boolean> {
+    const {tracing, grants, logger} = this.dependencies;
+    try {
+      await tracing.run(
+        'router to journal: settle',
+        context,
+        {'request.key': opened.requestKey},
+        () => grants.settle(opened.grantId, opened.sequence, settlement),
+      );
+      return true;
+    } catch (error) {
+      logger.error({error, requestKey: opened.requestKey}, 'journal failed');
+      return false;
+    }
+  }
+
+  private async submit(
+    opened: OpenedRequest,
+    settlement: JournalSettlement,
+    context: Context,
+    answer: StoredAnswer | undefined,
+  ): Promise<void> {
+    const {tracing, ledger, holder, metrics, now} = this.dependencies;
+    const startedAt = now();
+    await tracing.run(
+      'router to ledger: settle',
+      context,
+      {'request.key': opened.requestKey, cost: settlement.cost},
+      () =>
+        ledger.submit({
+          kind: 'settleRequest',
+          requestKey: opened.requestKey,
+          attempt: opened.attempt,
+          instance: holder,
+          ...settlement,
+          ...(answer === undefined ? {} : {answer}),
+        }),
+    );
+    metrics.timing('ledger.settle', now() - startedAt);
+  }
+
+  private async retry(
+    opened: OpenedRequest,
+    settlement: JournalSettlement,
+    context: Context,
+    answer: StoredAnswer | undefined,
+  ): Promise<void> {
+    while (!this.stopping) {
+      await new Promise(resolve => {
+        setTimeout(resolve, retryPauseMilliseconds).unref();
+      });
+      try {
+        await this.submit(opened, settlement, context, answer);
+        return;
+      } catch {
+        // The quorum is still out of reach; the reservation covers the cost.
+      }
+    }
+  }
+}
--- /dev/null
+++ b/packages/daemon/tests/requests/answerBuffer.test.ts
@@ -0,0 +1,73 @@
+import {describe, expect, it} from 'vitest';
+
+import {AnswerBuffer} from '../../src/requests/answerBuffer.js';
+import {AnswerStore} from '../../src/requests/answerStore.js';
+
+async function readAll(answer: AnswerBuffer): Promise<string> {
+  let text = '';
+  for await (const piece of answer.read(new AbortController().signal)) {
+    text += piece;
+  }
+  return text;
+}
+
+function completeAnswer(text: string): AnswerBuffer {
+  return AnswerBuffer.of({status: 200, contentType: 'text/plain', body: text});
+}
+
+describe('AnswerBuffer', () => {
+  it('gives a late reader the answer from its start', async () => {
+    const answer = new AnswerBuffer();
+    await answer.push('a');
+    const early = readAll(answer);
+    await answer.push('b');
+    const late = readAll(answer);
+    await answer.push('c');
+    answer.complete();
+    expect(await Promise.all([early, late])).toEqual(['abc', 'abc']);
+  });
+
+  it('makes the run wait for its fastest reader', async () => {
+    const answer = new AnswerBuffer();
+    const reader = answer.read(new AbortController().signal);
+    const large = 'x'.repeat(200_000);
+    await answer.push(large);
+    await reader.next();
+    let isPushed = false;
+    const push = answer.push(large).then(() => (isPushed = true));
+    await new Promise(resolve => setImmediate(resolve));
+    expect(isPushed).toBe(false);
+    await reader.next();
+    await push;
+    await reader.return();
+  });
+
+  it('tells when its last reader has left', async () => {
+    const answer = new AnswerBuffer();
+    let isAbandoned = false;
+    answer.onAbandoned(() => (isAbandoned = true));
+    const closed = new AbortController();
+    const reading = (async () => {
+      for await (const _piece of answer.read(closed.signal));
+    })();
+    closed.abort();
+    await reading;
+    expect(isAbandoned).toBe(true);
+  });
+});
+
+describe('AnswerStore', () => {
+  it('drops the oldest finished answers beyond its bound', () => {
+    const store = new AnswerStore(10);
+    const running = new AnswerBuffer();
+    store.add('running', running);
+    for (const key of ['first', 'second', 'third']) {
+      store.add(key, completeAnswer('12345'));
+      store.finish(key);
+    }
+    expect(store.find('first')).toBeUndefined();
+    expect(store.find('second')).toBeDefined();
+    expect(store.find('third')).toBeDefined();
+    expect(store.find('running')).toBe(running);
+  });
+});
