--- a/packages/testkit/src/index.ts
+++ b/packages/testkit/src/index.ts
@@ -1,2 +1,32 @@
-/** @fileoverview Face of the package; see its README. */
-export {};
+/**
+ * @fileoverview Stand-in backend servers, a relay, and a launcher of whole
+ * clusters on loopback, for scenarios, measurements and the example.
+ */
+export {
+  Cluster,
+  type ClusterOptions,
+  type DaemonInstance,
+  defaultClusterOptions,
+  type StandInProcess,
+} from './launcher/cluster.js';
+export {freePort, isFree} from './launcher/freePort.js';
+export {
+  ManagedProcess,
+  type ProcessExit,
+  type ProcessOptions,
+} from './launcher/managedProcess.js';
+export {healthyLink, type LinkState, Relay} from './relay.js';
+export {answerTokens, promptTokens} from './standIn/answerText.js';
+export {ModelServer} from './standIn/modelServer.js';
+export {
+  type ControlMessage,
+  defaultStandInOptions,
+  type FailureMode,
+  type ReceivedCall,
+  type StandInOptions,
+} from './standIn/options.js';
+export {
+  type Execution,
+  readExecutions,
+  ServiceServer,
+} from './standIn/serviceServer.js';
--- /dev/null
+++ b/packages/testkit/src/launcher/cluster.ts
@@ -0,0 +1,283 @@
+/**
+ * @fileoverview Runs a whole cluster on loopback: daemons, stand-in backend
+ * servers and relays, each daemon on an address of its own. Everything that
+ * was started is stopped by {@link Cluster.stop}, also after a failure.
+ */
+import {randomBytes} from 'node:crypto';
+import {existsSync} from 'node:fs';
+import {mkdir, mkdtemp, rm, writeFile} from 'node:fs/promises';
+import os from 'node:os';
+import path from 'node:path';
+import {fileURLToPath} from 'node:url';
+
+import {type LinkState, Relay} from '../relay.js';
+import {type StandInOptions} from '../standIn/options.js';
+import {freePort, isFree} from './freePort.js';
+import {ManagedProcess, type ProcessExit} from './managedProcess.js';
+import {type DaemonPlan, settingsText} from './settings.js';
+
+/** Options of a cluster. */
+export interface ClusterOptions {
+  routers: number;
+  /** The first so many instances also hold a ledger replica. */
+  replicas: number;
+  failureDomains: string[];
+  /** First three parts of the instances' addresses. */
+  network: string;
+  /** Whether the instances reach each other through relays. */
+  relays: boolean;
+  /** Port for callers on each address; 0 picks a free one. */
+  callerPort: number;
+  /** Folder for data, keys and logs; by default a temporary one, removed at the end. */
+  folder?: string;
+  /** Further settings of each daemon, merged by section. */
+  settings: Record<string, Record<string, unknown>>;
+  readyTimeoutMilliseconds: number;
+  stopTimeoutMilliseconds: number;
+}
+
+/** Defaults of {@link ClusterOptions}. */
+export const defaultClusterOptions: ClusterOptions = {
+  routers: 3,
+  replicas: 3,
+  failureDomains: ['a', 'b', 'c', 'd'],
+  network: `127.${100 + (process.pid % 100)}.${process.pid % 250}`,
+  relays: false,
+  callerPort: 0,
+  settings: {},
+  readyTimeoutMilliseconds: 15_000,
+  stopTimeoutMilliseconds: 40_000,
+};
+
+/** One daemon: its plan, and its process while one was started. */
+export interface DaemonInstance {
+  plan: DaemonPlan;
+  url: string;
+  process?: ManagedProcess;
+}
+
+/** One stand-in backend server as a process. */
+export interface StandInProcess {
+  name: string;
+  url: string;
+  options: Partial<StandInOptions> & {kind: 'model' | 'service'};
+  process: ManagedProcess;
+}
+
+const daemonScript = fileURLToPath(
+  new URL('../../../daemon/bin/dogwoodtrestled.js', import.meta.url),
+);
+const standInScript = fileURLToPath(
+  new URL('../standInMain.js', import.meta.url),
+);
+
+/** A cluster of daemons and stand-ins. */
+export class Cluster {
+  readonly daemons = new Map<string, DaemonInstance>();
+  readonly standIns = new Map<string, StandInProcess>();
+  private readonly relays = new Map<string, Relay>();
+  private readonly processes: ManagedProcess[] = [];
+
+  private constructor(
+    readonly options: ClusterOptions,
+    readonly folder: string,
+    readonly operatorKey: string,
+    readonly backendKey: string,
+  ) {}
+
+  /** Makes the folder with keys and settings; starts nothing but relays. */
+  static async create(options: Partial<ClusterOptions>): Promise<Cluster> {
+    const all = {...defaultClusterOptions, ...options};
+    const folder = await clusterFolder(all.folder);
+    const key = () => randomBytes(24).toString('base64url');
+    const cluster = new Cluster(all, folder, key(), key());
+    await writeFile(cluster.file('cluster.key'), key(), {mode: 0o600});
+    await writeFile(cluster.file('operator.key'), cluster.operatorKey, {
+      mode: 0o600,
+    });
+    await writeFile(cluster.file('backend.key'), cluster.backendKey, {
+      mode: 0o600,
+    });
+    const plans: DaemonPlan[] = [];
+    for (let number = 1; number <= all.routers; number++) {
+      plans.push(await cluster.plan(number));
+    }
+    for (const plan of plans) await cluster.prepare(plan, plans);
+    return cluster;
+  }
+
+  /** Starts all daemons and waits until they serve. */
+  async startAll(): Promise<void> {
+    const names = [...this.daemons.keys()];
+    await Promise.all(names.map(name => this.start(name)));
+  }
+
+  /** Starts one daemon without waiting for it. */
+  launch(name: string): void {
+    const instance = this.daemon(name);
+    instance.process = this.track(
+      ManagedProcess.start({
+        name,
+        command: [daemonScript, '--settings', this.file(`${name}.yaml`)],
+        logFile: this.file(`${name}.log`),
+        readyTimeoutMilliseconds: this.options.readyTimeoutMilliseconds,
+      }),
+    );
+  }
+
+  /** Starts one daemon and waits until it serves. */
+  async start(name: string): Promise<void> {
+    this.launch(name);
+    await this.daemon(name).process?.ready();
+  }
+
+  /** Kills a daemon at once. */
+  async kill(name: string): Promise<void> {
+    await this.daemon(name).process?.kill();
+  }
+
+  /** Stops a daemon gracefully. */
+  async terminate(name: string): Promise<ProcessExit> {
+    const {process} = this.daemon(name);
+    if (process === undefined) throw new Error(`${name} was never started`);
+    return process.terminate(this.options.stopTimeoutMilliseconds);
+  }
+
+  /** Deletes the data folder of a daemon that isn't running. */
+  async loseDisk(name: string): Promise<void> {
+    const {dataFolder} = this.daemon(name).plan;
+    if (dataFolder === undefined) return;
+    await rm(dataFolder, {recursive: true, force: true});
+    await mkdir(dataFolder, {recursive: true});
+  }
+
+  /** Starts a stand-in that announces itself to all daemons. */
+  async startStandIn(
+    options: Partial<StandInOptions> & {
+      kind: 'model' | 'service';
+      name: string;
+    },
+  ): Promise<StandInProcess> {
+    const {name} = options;
+    const known = this.standIns.get(name);
+    const full = {
+      host: `${this.options.network}.1`,
+      routers: [...this.daemons.values()].map(each => each.url),
+      key: this.backendKey,
+      recordFile: this.file(`${name}.jsonl`),
+      ...options,
+      // A restarted server keeps its address.
+      ...(known === undefined ? {} : {port: Number(new URL(known.url).port)}),
+    };
+    const process = this.track(
+      ManagedProcess.start({
+        name,
+        command: [standInScript, JSON.stringify(full)],
+        logFile: this.file(`${name}.log`),
+        readyTimeoutMilliseconds: this.options.readyTimeoutMilliseconds,
+      }),
+    );
+    const {url} = (await process.ready()) as {url: string};
+    const standIn = {name, url, options: full, process};
+    this.standIns.set(name, standIn);
+    return standIn;
+  }
+
+  /** Sets the link between two groups of daemons, in both directions. */
+  setLinks(
+    left: readonly string[],
+    right: readonly string[],
+    state: Partial<LinkState>,
+  ): void {
+    for (const from of left) {
+      for (const to of right) {
+        this.setLink(from, to, state);
+        this.setLink(to, from, state);
+      }
+    }
+  }
+
+  /** Sets the link of the connections that one daemon makes to another. */
+  setLink(from: string, to: string, state: Partial<LinkState>): void {
+    const relay = this.relays.get(to);
+    if (relay === undefined) throw new Error(`no relay before ${to}`);
+    relay.setLink(this.daemon(from).plan.address, state);
+  }
+
+  /** Ends everything that was started and removes a temporary folder. */
+  async stop(): Promise<void> {
+    await Promise.all(this.processes.map(each => each.kill()));
+    await Promise.all([...this.relays.values()].map(each => each.stop()));
+    if (this.options.folder === undefined) {
+      await rm(this.folder, {recursive: true, force: true});
+    }
+  }
+
+  /** Path of a file in the cluster's folder. */
+  file(name: string): string {
+    return path.join(this.folder, name);
+  }
+
+  /** Returns the daemon of a name. */
+  daemon(name: string): DaemonInstance {
+    const instance = this.daemons.get(name);
+    if (instance === undefined) throw new Error(`no daemon '${name}'`);
+    return instance;
+  }
+
+  private track(process: ManagedProcess): ManagedProcess {
+    this.processes.push(process);
+    return process;
+  }
+
+  private async plan(number: number): Promise<DaemonPlan> {
+    const {network, failureDomains, replicas, relays} = this.options;
+    const name = `r${number}`;
+    const address = `${network}.${number}`;
+    const callerPort = this.options.callerPort || (await freePort(address));
+    if (!(await isFree(address, callerPort))) {
+      throw new Error(
+        `port ${callerPort} of ${address} is taken; stop what listens there`,
+      );
+    }
+    const peerPort = await freePort(address);
+    return {
+      name,
+      address,
+      failureDomain: failureDomains[(number - 1) % failureDomains.length] ?? '',
+      callerPort,
+      peerPort,
+      advertisedPeerPort: relays ? await freePort(address) : peerPort,
+      ...(number <= replicas ? {dataFolder: this.file(`${name}-data`)} : {}),
+    };
+  }
+
+  private async prepare(
+    plan: DaemonPlan,
+    plans: readonly DaemonPlan[],
+  ): Promise<void> {
+    const {name, address, callerPort, dataFolder} = plan;
+    if (dataFolder !== undefined) await mkdir(dataFolder, {recursive: true});
+    await writeFile(
+      this.file(`${name}.yaml`),
+      settingsText(this.folder, plan, plans, this.options.settings),
+    );
+    this.daemons.set(name, {plan, url: `http://${address}:${callerPort}`});
+    if (!this.options.relays) return;
+    const relay = new Relay({
+      host: address,
+      port: plan.advertisedPeerPort,
+      targetPort: plan.peerPort,
+    });
+    await relay.start();
+    this.relays.set(name, relay);
+  }
+}
+
+async function clusterFolder(folder: string | undefined): Promise<string> {
+  if (folder === undefined) {
+    return mkdtemp(path.join(os.tmpdir(), 'dogwoodtrestle-'));
+  }
+  if (!existsSync(folder)) throw new Error(`folder ${folder} does not exist`);
+  return folder;
+}
