fix(daemon): count content chunks only, send an answer's end once

Cause: a resumed stream is asked for behind the Nth content chunk, but role and end chunks were counted too.

--- a/packages/daemon/src/requests/chatRun.ts
+++ b/packages/daemon/src/requests/chatRun.ts
@@ -265,12 +265,12 @@
             usageChunk = chunk;
             if ((chunk.choices ?? []).length === 0) continue;
           }
-          received++;
+          if (hasContent(chunk)) received++;
           const spliced = this.splicer.splice(chunk);
           if (spliced === 'diverged')
             throw attemptError('diverged', {sent: true});
           if (spliced !== undefined) await this.push(spliced);
-          if (received > this.job.bound.maximumOutputTokens + 2) {
+          if (received > this.job.bound.maximumOutputTokens) {
             return await this.cutOff(call);
           }
         }
@@ -444,6 +444,12 @@
   }
 }
 
+/** Whether a chunk carries a part of the answer: at least one token. */
+function hasContent({choices}: ChatChunk): boolean {
+  const delta = choices?.[0]?.delta;
+  return Boolean(delta?.content) || delta?.tool_calls !== undefined;
+}
+
 /** Tells failures of the backend server from those of the caller. */
 function blameOf(error: unknown, signal: AbortSignal): 'failure' | 'neutral' {
   if (!(error instanceof AttemptError) || signal.aborted) return 'neutral';
--- a/packages/daemon/src/requests/streamSplicer.ts
+++ b/packages/daemon/src/requests/streamSplicer.ts
@@ -14,6 +14,7 @@
   private expected = '';
   private hasRole = false;
   private hasToolCalls = false;
+  private hasFinish = false;
 
   /** Starts the next attempt's text. */
   restart(): void {
@@ -29,6 +30,11 @@
   splice(chunk: ChatChunk): ChatChunk | 'diverged' | undefined {
     const choice = chunk.choices?.[0];
     if (choice === undefined) return undefined;
+    if (choice.finish_reason != null) {
+      // A later attempt repeats the end if that had been sent before.
+      if (this.hasFinish) return this.expected === '' ? undefined : 'diverged';
+      this.hasFinish = true;
+    }
     const delta = choice.delta ?? {};
     const isRepeating = this.expected.length > 0;
     if (isRepeating && this.hasToolCalls) return 'diverged';
