feat(ledger): open again what was billed nothing; keep a call's backend server

Cause: a caller's retry of a request that did not run, or was cut off for free, must run; and whoever gets the retry of a non-idempotent call must know where to read its outcome back. Ruled out: dropping the key at such a settlement, which would let a late first attempt bill a second one.

--- a/packages/ledger/src/commands/requestCommands.ts
+++ b/packages/ledger/src/commands/requestCommands.ts
@@ -51,8 +51,8 @@
   const requestKey = scopedKey(command);
   const known = knownRequest(state, requestKey);
   if (known !== undefined) {
-    if (known.fingerprint === command.fingerprint) return duplicateOf(known);
-    return refuse('keyReused');
+    if (known.fingerprint !== command.fingerprint) return refuse('keyReused');
+    if (!isReopenable(known)) return duplicateOf(known);
   }
   if (state.requests.isForgotten(requestKey)) return refuse('keyTooOld');
   const account = state.accounts.get(command.customer);
@@ -74,14 +74,30 @@
   const exhausted = exhaustionOf(account, workspace, command.maximumCost);
   if (exhausted !== undefined) return exhausted;
   reserve(account, command.workspace, command.maximumCost);
+  const attempt = known === undefined ? 1 : known.bill.attempt + 1;
+  state.requests.settled.delete(requestKey);
   state.requests.open.set(requestKey, {
     ...openFields(command),
     ...prices,
     requestKey,
-    attempt: 1,
+    attempt,
     openedAt: state.now,
   });
-  return {kind: 'opened', requestKey, attempt: 1};
+  return {kind: 'opened', requestKey, attempt};
+}
+
+/**
+ * Whether a request may be opened again under its key: it was billed nothing,
+ * because it did not run or its answer was cut off.
+ */
+function isReopenable(
+  record: OpenRequestRecord | SettledRequestRecord,
+): record is SettledRequestRecord {
+  return 'bill' in record && isFree(record.bill);
+}
+
+function isFree({cost, outcome}: Pick<Bill, 'cost' | 'outcome'>): boolean {
+  return cost === 0 && (outcome === 'didNotRun' || outcome === 'cutOff');
 }
 
 /** Hands an open idempotent request to another instance. */
@@ -117,8 +133,8 @@
       ? refuseUnknown(state, requestKey)
       : {kind: 'billed', bill: settled.bill, repeated: true};
   }
-  // That an earlier attempt did not run says nothing about the newest one.
-  if (command.attempt < record.attempt && command.outcome === 'didNotRun') {
+  // That an earlier attempt failed says nothing about the newest one.
+  if (command.attempt < record.attempt && isFree(command)) {
     return refuse('attemptSuperseded');
   }
   const {cost, outcome} = boundedCost(command, record.maximumCost);
@@ -229,8 +245,15 @@
   const {requestKey, holder, idempotent} = record;
   const base = {kind: 'duplicate', requestKey, holder, idempotent} as const;
   if ('openedAt' in record) {
-    const {attempt, openedAt, traceId} = record;
-    return {...base, status: 'open', attempt, openedAt, traceId};
+    const {attempt, openedAt, traceId, backend} = record;
+    const result = {
+      ...base,
+      status: 'open',
+      attempt,
+      openedAt,
+      traceId,
+    } as const;
+    return backend === undefined ? result : {...result, backend};
   }
   const {bill, answer} = record;
   const {attempt, traceId} = bill;
@@ -279,6 +302,7 @@
     unknownCost,
     contractVersion,
     holder,
+    backend,
     idempotent,
     traceId,
   } = command;
@@ -291,6 +315,7 @@
     unknownCost: Math.min(unknownCost ?? 0, maximumCost),
     contractVersion,
     holder,
+    ...(backend === undefined ? {} : {backend}),
     idempotent,
     traceId,
   };
--- a/packages/ledger/src/requestBook.ts
+++ b/packages/ledger/src/requestBook.ts
@@ -29,6 +29,8 @@
   inputPrice: number;
   outputPrice: number;
   holder: string;
+  /** Where a non-idempotent request went. */
+  backend?: string;
   idempotent: boolean;
   traceId: string;
   attempt: number;
@@ -94,6 +96,8 @@
       const record = this.settledQueue.peek();
       if (record === undefined || record.billedAt >= oldest) break;
       this.settledQueue.shift();
+      // A request that was opened again has a newer record.
+      if (this.settled.get(record.requestKey) !== record) continue;
       this.settled.delete(record.requestKey);
       this.forgotten.add(record.requestKey, now);
     }
