feat(consensus): repair decision, and hand-over by a removed leader

Cause: a removed leader left the group without one for an election timeout; found could be refused for ever after a crash between its two writes; a stopped replica could still write to its folder. The repair decision is pure: learner, promotion, and only then removal.

--- a/packages/consensus/src/election.ts
+++ b/packages/consensus/src/election.ts
@@ -1,7 +1,11 @@
 /**
  * @fileoverview Election with pre-vote.
  */
-import {type VoteReply, type VoteRequest} from '@dogwoodtrestle/schema';
+import {
+  type Member,
+  type VoteReply,
+  type VoteRequest,
+} from '@dogwoodtrestle/schema';
 
 import {type ReplicaState} from './replicaState.js';
 import {majorityOf} from './util/quorum.js';
@@ -41,7 +45,8 @@
    */
   async campaign(isTransfer: boolean): Promise<void> {
     const {state} = this;
-    if (!state.isVoter || state.leadership !== undefined) return;
+    if (state.isStopped || state.leadership !== undefined) return;
+    if (!state.isVoter) return;
     const campaign = ++this.campaigns;
     const {term} = state;
     state.role = 'candidate';
@@ -129,28 +134,36 @@
     return new Promise(resolve => {
       if (granted >= needed) resolve(true);
       for (const voter of others) {
-        const request = this.requestTo(voter.id, ballot);
-        const sent = state.options.transport.send(voter, request);
-        const {messageTimeoutMilliseconds, clock} = state.options;
-        withTimeout(sent, messageTimeoutMilliseconds, clock)
-          .then(reply => {
-            if (reply.kind !== 'vote') return;
-            if (reply.granted) granted++;
-            else if (reply.term > state.term) void state.follow(reply.term);
-          })
-          .catch(() => undefined)
-          .finally(() => {
-            open--;
-            if (granted >= needed) resolve(true);
-            else if (granted + open < needed) resolve(false);
-          });
+        void this.ask(voter, ballot).then(isGranted => {
+          open--;
+          if (isGranted) granted++;
+          if (granted >= needed) resolve(true);
+          else if (granted + open < needed) resolve(false);
+        });
       }
     });
   }
 
-  private requestTo(to: string, ballot: Ballot): VoteRequest {
-    const {id, log} = this.state;
-    const {lastIndex, lastTerm} = log;
-    return {kind: 'vote', from: id, to, lastIndex, lastTerm, ...ballot};
+  /** Asks one voter; no answer counts as a refusal. */
+  private async ask(voter: Member, ballot: Ballot): Promise<boolean> {
+    const {state} = this;
+    const {transport, messageTimeoutMilliseconds, clock} = state.options;
+    const {lastIndex, lastTerm} = state.log;
+    const sent = transport.send(voter, {
+      kind: 'vote',
+      from: state.id,
+      to: voter.id,
+      lastIndex,
+      lastTerm,
+      ...ballot,
+    });
+    try {
+      const reply = await withTimeout(sent, messageTimeoutMilliseconds, clock);
+      if (reply.kind !== 'vote') return false;
+      if (reply.term > state.term) void state.follow(reply.term);
+      return reply.granted;
+    } catch {
+      return false;
+    }
   }
 }
--- a/packages/consensus/src/follower.ts
+++ b/packages/consensus/src/follower.ts
@@ -89,7 +89,12 @@
     const {state} = this;
     const {snapshot: header} = chunk;
     const committedIndex = state.commitIndex;
-    state.options.stateMachine.restore(JSON.parse(text));
+    try {
+      state.options.stateMachine.restore(JSON.parse(text));
+    } catch (error) {
+      state.fail(error);
+      throw error;
+    }
     state.log.reset(header);
     state.commitIndex = header.index;
     state.lastApplied = header.index;
@@ -104,7 +109,7 @@
     if (term === state.term && state.leadership !== undefined) {
       throw new ProtocolBreach(`two leaders in term ${term}`);
     }
-    void state.follow(term, leader).catch(() => undefined);
+    void state.follow(term, leader);
     state.leaderContact = state.options.clock.now();
     this.election.resetTimer();
     return true;
--- a/packages/consensus/src/index.ts
+++ b/packages/consensus/src/index.ts
@@ -23,6 +23,15 @@
   FileStorage,
   type FileStorageOptions,
 } from './fileStorage/fileStorage.js';
+export {
+  decideRepair,
+  defaultRepairOptions,
+  type RepairCandidate,
+  type RepairInput,
+  type RepairOptions,
+  type RepairPause,
+  type RepairStep,
+} from './repair.js';
 export {
   type PeerStatus,
   Replica,
--- a/packages/consensus/src/leadership.ts
+++ b/packages/consensus/src/leadership.ts
@@ -4,6 +4,7 @@
 import {type Entry, type Member} from '@dogwoodtrestle/schema';
 
 import {type Applier} from './applier.js';
+import {longestLog, orderElection} from './electionOrder.js';
 import {NotLeader, OutcomeUnknown, Stopped} from './errors.js';
 import {ProposalQueue} from './proposalQueue.js';
 import {ReadBarriers} from './readBarriers.js';
@@ -42,6 +43,7 @@
 
   /** Commits an entry of the own term, which commits all earlier ones. */
   start(): void {
+    this.updateReplicators();
     this.firstIndex = this.append({kind: 'noop'}).index;
     this.scheduleHeartbeat();
   }
@@ -135,7 +137,6 @@
       () => this.onDurable(),
       () => undefined, // the writer reports it
     );
-    this.updateReplicators();
     this.replicate();
     return entry;
   }
@@ -218,7 +219,10 @@
     }
   }
 
-  /** Tells removed members of the commit; a removed leader steps down. */
+  /**
+   * Tells removed members of the commit. A removed leader steps down, and lets
+   * another voter take over at once.
+   */
   private afterMembership(entry: Entry): void {
     const ids = new Set(entry.members?.map(member => member.id));
     for (const [id, replicator] of this.replicators) {
@@ -226,7 +230,10 @@
       replicator.send();
       this.replicators.delete(id);
     }
-    if (!ids.has(this.state.id)) void this.state.follow(this.term);
+    if (ids.has(this.state.id)) return;
+    const successor = longestLog(this.state, this.replicators);
+    void this.state.follow(this.term);
+    if (successor !== undefined) orderElection(this.state, successor);
   }
 
   private notLeader(): Error {
--- a/packages/consensus/src/leadershipTransfer.ts
+++ b/packages/consensus/src/leadershipTransfer.ts
@@ -1,11 +1,15 @@
 /**
  * @fileoverview Hands leadership to another voter before a planned stop.
  */
+import {longestLog, orderElection} from './electionOrder.js';
 import {TransferFailed} from './errors.js';
 import {type Leadership} from './leadership.js';
 import {type Replicator} from './replicator.js';
 import {type ReplicaState} from './replicaState.js';
 
+/** Time between two looks at the successor's position. */
+const pollMilliseconds = 5;
+
 /**
  * Takes no more proposals, waits until the voter with the longest log has all
  * entries, and orders it to stand for election.
@@ -21,7 +25,7 @@
   leadership.isHandingOver = true;
   let ordered: Replicator | undefined;
   while (!leadership.isEnded && clock.now() < deadline) {
-    const successor = longestLog(state, leadership);
+    const successor = longestLog(state, leadership.replicators);
     if (successor !== ordered && isCaughtUp(state, successor)) {
       ordered = successor;
       orderElection(state, successor);
@@ -33,34 +37,15 @@
   throw new TransferFailed('no voter took over in time');
 }
 
-const pollMilliseconds = 5;
-
 function pause({options}: ReplicaState): Promise<void> {
   return new Promise(resolve => {
     options.clock.setTimer(pollMilliseconds, resolve);
   });
 }
 
-function longestLog(
-  state: ReplicaState,
-  leadership: Leadership,
-): Replicator | undefined {
-  return state.voters
-    .map(voter => leadership.replicators.get(voter.id))
-    .filter(replicator => replicator !== undefined)
-    .sort((a, b) => b.matchIndex - a.matchIndex || b.contact - a.contact)[0];
-}
-
 function isCaughtUp(
   state: ReplicaState,
   replicator: Replicator | undefined,
 ): replicator is Replicator {
   return replicator?.matchIndex === state.log.lastIndex;
 }
-
-function orderElection(state: ReplicaState, {member}: Replicator): void {
-  const {id, term} = state;
-  state.options.transport
-    .send(member, {kind: 'elect', from: id, to: member.id, term})
-    .catch(() => undefined); // the deadline covers it
-}
--- a/packages/consensus/src/logWriter.ts
+++ b/packages/consensus/src/logWriter.ts
@@ -4,6 +4,7 @@
  */
 import {type Entry} from '@dogwoodtrestle/schema';
 
+import {Stopped} from './errors.js';
 import {type Storage, type StoredSnapshot} from './storage.js';
 
 /** Entries that wait for their turn to be written together. */
@@ -23,6 +24,7 @@
   /** Durable entries from this index on were replaced while being written. */
   private replacedFrom = Infinity;
   private durable: number;
+  private isClosed = false;
 
   constructor(
     private readonly storage: Storage,
@@ -68,9 +70,10 @@
     return this.run(() => operation(this.storage));
   }
 
-  /** Resolves once all operations so far have ended, well or not. */
-  async drained(): Promise<void> {
+  /** Refuses later operations, and resolves once the earlier ones have ended. */
+  async close(): Promise<void> {
     await this.tail.catch(() => undefined);
+    this.isClosed = true;
   }
 
   /**
@@ -98,7 +101,10 @@
   }
 
   private run<T>(operation: () => Promise<T>): Promise<T> {
-    const result = this.tail.then(operation);
+    const result = this.tail.then(() => {
+      if (this.isClosed) throw new Stopped('the storage is closed');
+      return operation();
+    });
     this.tail = result;
     result.catch(this.onFailure);
     return result;
--- a/packages/consensus/src/replica.ts
+++ b/packages/consensus/src/replica.ts
@@ -107,7 +107,7 @@
   async stop(): Promise<void> {
     this.state.stop();
     this.election.stop();
-    await this.state.writer.drained();
+    await this.state.writer.close();
     await this.state.options.storage.close();
   }
 
@@ -117,9 +117,9 @@
    */
   async found(members: Member[]): Promise<void> {
     this.state.assertRunning();
-    const {log, writer, term} = this.state;
-    if (log.lastIndex > 0 || term > 0) {
-      throw new MembershipRefused('the log is not empty');
+    const {log, writer, term, votedFor} = this.state;
+    if (log.lastIndex > 0 || term > 1 || votedFor !== undefined) {
+      throw new MembershipRefused('the replica already belongs to a group');
     }
     const entry: Entry = {
       index: 1,
--- a/packages/consensus/src/replicaState.ts
+++ b/packages/consensus/src/replicaState.ts
@@ -88,7 +88,7 @@
    * leadership. Resolves once a new term is durable.
    */
   follow(term: number, leader?: Member): Promise<void> {
-    const isNewTerm = term > this.term;
+    const isNewTerm = term > this.term && !this.isStopped;
     if (isNewTerm) {
       this.term = term;
       this.votedFor = undefined;
--- a/packages/consensus/src/replicator.ts
+++ b/packages/consensus/src/replicator.ts
@@ -132,7 +132,7 @@
     if (this.host.isEnded || !this.host.checkQuorum()) return;
     if (reply.kind !== 'append' && reply.kind !== 'snapshot') return;
     if (reply.term > this.host.term) {
-      void this.state.follow(reply.term).catch(() => undefined);
+      void this.state.follow(reply.term);
       return;
     }
     this.contact = Math.max(this.contact, sentAt);
--- /dev/null
+++ b/packages/consensus/tests/repair.test.ts
@@ -0,0 +1,140 @@
+import {describe, expect, it} from 'vitest';
+
+import {decideRepair, type Member, type RepairInput} from '../src/index.js';
+
+const domains = new Map([
+  ['i1', 'kamloops-1'],
+  ['i2', 'kamloops-2'],
+  ['i3', 'dawson'],
+]);
+
+function member(id: string, role: Member['role'] = 'voter'): Member {
+  return {id, instance: `i${id}`, address: `10.0.0.${id}`, role};
+}
+
+function candidate(id: string, failureDomain: string) {
+  return {id, instance: `i${id}`, address: `10.0.0.${id}`, failureDomain};
+}
+
+/** Members 1 to n, led by 1; each peer has match index and contact age. */
+function input(
+  members: Member[],
+  peers: Record<string, {match?: number; age?: number}> = {},
+  candidates: RepairInput['candidates'] = [],
+): RepairInput {
+  return {
+    status: {
+      id: '1',
+      commitIndex: 1_000,
+      members,
+      peers: members.slice(1).map(({id}) => ({
+        id,
+        matchIndex: peers[id]?.match ?? 1_000,
+        lastContactMs: peers[id]?.age ?? 10,
+      })),
+    },
+    candidates,
+    failureDomains: domains,
+  };
+}
+
+const three = ['1', '2', '3'].map(id => member(id));
+const lost = {age: 60_000};
+const spare = [candidate('5', 'kamloops-1'), candidate('6', 'prince-george')];
+
+const cases: [string, RepairInput, object][] = [
+  ['all are well', input(three, {}, spare), {kind: 'none', reason: 'complete'}],
+  [
+    'a voter is lost: a candidate in a free failure domain joins',
+    input(three, {3: lost}, spare),
+    {kind: 'addLearner', member: member('6', 'learner')},
+  ],
+  [
+    'the failure domain of the lost voter counts as free',
+    input(three, {3: lost}, [
+      candidate('5', 'kamloops-2'),
+      candidate('6', 'dawson'),
+    ]),
+    {kind: 'addLearner', member: member('6', 'learner')},
+  ],
+  [
+    'the instance of the lost voter comes back with another disk',
+    input(three, {3: lost}, [{...candidate('7', 'dawson'), instance: 'i3'}]),
+    {
+      kind: 'addLearner',
+      member: {...member('7', 'learner'), instance: 'i3'},
+    },
+  ],
+  [
+    'an instance with a reachable voter is no candidate',
+    input(three, {3: lost}, [{...candidate('7', 'dawson'), instance: 'i2'}]),
+    {kind: 'none', reason: 'noCandidate'},
+  ],
+  [
+    'the lost voter is kept while nobody replaces it',
+    input(three, {3: lost}),
+    {kind: 'none', reason: 'noCandidate'},
+  ],
+  [
+    'a voter that is late but within the bound is kept',
+    input(three, {3: {age: 29_000}}, spare),
+    {kind: 'none', reason: 'complete'},
+  ],
+  [
+    'the learner lags',
+    input([...three, member('6', 'learner')], {3: lost, 6: {match: 10}}),
+    {kind: 'none', reason: 'learnerCatchesUp'},
+  ],
+  [
+    'the learner has caught up',
+    input([...three, member('6', 'learner')], {3: lost, 6: {match: 990}}),
+    {kind: 'promote', id: '6'},
+  ],
+  [
+    'the learner is lost too',
+    input([...three, member('6', 'learner')], {3: lost, 6: lost}),
+    {kind: 'remove', id: '6'},
+  ],
+  [
+    'the lost voter came back before the promotion',
+    input([...three, member('6', 'learner')]),
+    {kind: 'remove', id: '6'},
+  ],
+  [
+    'the replacement is promoted: the lost voter goes',
+    input([...three, member('6')], {3: lost}),
+    {kind: 'remove', id: '3'},
+  ],
+  [
+    'one more is lost right after the promotion: another joins first',
+    input([...three, member('6')], {3: lost, 6: lost}, spare.slice(0, 1)),
+    {kind: 'addLearner', member: member('5', 'learner')},
+  ],
+  [
+    'two of six are lost: one goes',
+    input(
+      ['1', '2', '3', '4', '5', '6'].map(id => member(id)),
+      {5: lost, 6: lost},
+    ),
+    {kind: 'remove', id: '5'},
+  ],
+  [
+    'the group is smaller than it should be',
+    input(three.slice(0, 2), {}, spare),
+    {kind: 'addLearner', member: member('6', 'learner')},
+  ],
+];
+
+describe('decideRepair', () => {
+  it.each(cases)('%s', (_name, situation, expected) => {
+    expect(decideRepair(situation)).toEqual(expected);
+  });
+
+  it('waits with a removal that would not survive the next loss', () => {
+    const two = input([member('1'), member('2')], {2: lost});
+    expect(decideRepair(two, {targetVoters: 1})).toEqual({
+      kind: 'none',
+      reason: 'wouldNotSurviveLoss',
+    });
+  });
+});
--- a/packages/consensus/tests/replica.test.ts
+++ b/packages/consensus/tests/replica.test.ts
@@ -141,8 +141,9 @@
   for (let n = 0; n < 300; n++) await replica.propose([n]);
   const instances = [...group.nodes.keys()];
   for (const instance of instances) await group.stop(instance);
-  for (const instance of instances)
+  for (const instance of instances) {
     (await group.open(instance)).replica.start();
+  }
   const leader = await group.leader();
   await leader.replica.barrier();
   const numbers = Array.from({length: 300}, (_, n) => n);
