--- a/packages/ledger/tests/requests.test.ts
+++ b/packages/ledger/tests/requests.test.ts
@@ -1,4 +1,5 @@
 import {
+  type Command,
   type BilledResult,
   type GrantResult,
   type LeaseResult,
@@ -145,11 +146,11 @@
     const merge = {kind: 'mergeJournal', grantId: 'g1', records} as const;
     expect(fixture.apply(merge)).toMatchObject({billed: 30, returned: 0});
     expect(fixture.apply(merge)).toMatchObject({billed: 0, returned: 0});
-    const final = {
+    const final: Command = {
       kind: 'returnGrant',
       grantId: 'g1',
       records: [...records, recordOf(4, undefined, {unknownCost: 7})],
-    } as const;
+    };
     // Record 3 states no unknown cost and is billed its maximum of 50.
     expect(fixture.apply(final)).toMatchObject({billed: 57, returned: 113});
     expect(fixture.apply(final)).toMatchObject({billed: 0, returned: 0});
@@ -183,11 +184,11 @@
   it('bills a key once on both sides of a partition, the first to arrive', () => {
     const fixture = LedgerFixture.withContract();
     fixture.applyAll([grantOf(), openOf({requestKey: 'j1'})]);
-    const merge = {
+    const merge: Command = {
       kind: 'mergeJournal',
       grantId: 'g1',
       records: [recordOf(1, 30)],
-    } as const;
+    };
     expect(fixture.apply<MergedResult>(merge).billed).toBe(30);
     const late = settleOf({requestKey: 'barley/desk/j1', cost: 99});
     expect(fixture.apply(late)).toMatchObject({
