--- /dev/null
+++ b/packages/operator-cli/src/commands/index.ts
@@ -0,0 +1,52 @@
+/** @fileoverview Table of all commands, by group. */
+import {backends} from './backends.js';
+import {bills} from './bills.js';
+import {budgetShow} from './budgetShow.js';
+import {budgetTopUp} from './budgetTopUp.js';
+import {type CommandModule} from './commandModule.js';
+import {completion} from './completion.js';
+import {contractApply} from './contractApply.js';
+import {contractCheck} from './contractCheck.js';
+import {contractHistory} from './contractHistory.js';
+import {contractList} from './contractList.js';
+import {contractRetire} from './contractRetire.js';
+import {contractShow} from './contractShow.js';
+import {doctor} from './doctor.js';
+import {explain} from './explain.js';
+import {instances} from './instances.js';
+import {keyNew} from './keyNew.js';
+import {replicas} from './replicas.js';
+
+/** Commands with subcommands. */
+export const groups: Record<
+  string,
+  {description: string; commands: CommandModule[]}
+> = {
+  contract: {
+    description: 'contracts of customers',
+    commands: [
+      contractCheck,
+      contractApply,
+      contractShow,
+      contractList,
+      contractHistory,
+      contractRetire,
+    ],
+  },
+  budget: {
+    description: 'prepaid budgets',
+    commands: [budgetShow, budgetTopUp],
+  },
+  key: {description: 'bearer keys of workspaces', commands: [keyNew]},
+};
+
+/** Commands of their own. */
+export const topLevel: readonly CommandModule[] = [
+  bills,
+  instances,
+  backends,
+  replicas,
+  explain,
+  doctor,
+  completion,
+];
--- /dev/null
+++ b/packages/operator-cli/src/context.ts
@@ -0,0 +1,100 @@
+/**
+ * @fileoverview What every command works with: a client, and where its output
+ * goes.
+ */
+import {readFileSync} from 'node:fs';
+import os from 'node:os';
+
+import {OperatorClient} from './client/operatorClient.js';
+import {UsageError} from './errors.js';
+import {type ExitCode, exitCodes} from './exitCodes.js';
+
+/** Options that all commands share. */
+export interface GlobalOptions {
+  url: string[];
+  keyFile?: string;
+  operator: string;
+  timeout: number;
+  json?: boolean;
+}
+
+/** Streams and environment of the process. */
+export interface Host {
+  stdout: {write(text: string): unknown};
+  stderr: {write(text: string): unknown};
+  env: Record<string, string | undefined>;
+}
+
+/** Environment variable with the operator key. */
+export const keyVariable = 'DOGWOODTRESTLE_OPERATOR_KEY';
+
+/** Environment variable with URLs of daemons, separated by commas. */
+export const urlVariable = 'DOGWOODTRESTLE_URL';
+
+const defaultUrl = 'http://127.0.0.1:8080';
+
+/** State of one run of the command line. */
+export class Context {
+  exitCode: ExitCode = exitCodes.ok;
+
+  constructor(
+    readonly host: Host,
+    readonly options: GlobalOptions,
+  ) {}
+
+  /** Client of the daemons that the options name. */
+  get client(): OperatorClient {
+    return new OperatorClient({
+      urls: this.urls,
+      key: this.key,
+      timeoutMilliseconds: this.options.timeout,
+    });
+  }
+
+  /** Base URLs of the daemons. */
+  get urls(): string[] {
+    if (this.options.url.length > 0) return this.options.url;
+    return (this.host.env[urlVariable] ?? defaultUrl).split(',');
+  }
+
+  /** Name of the operator for the records. */
+  get operator(): string {
+    return this.options.operator;
+  }
+
+  /** Writes JSON with `--json`, else the text. */
+  print(value: unknown, text: () => string): void {
+    if (this.options.json === true) {
+      this.host.stdout.write(`${JSON.stringify(value, undefined, 2)}\n`);
+    } else {
+      this.host.stdout.write(`${text()}\n`);
+    }
+  }
+
+  /** Writes a line of progress. */
+  note(text: string): void {
+    this.host.stderr.write(`${text}\n`);
+  }
+
+  private get key(): string {
+    const {keyFile} = this.options;
+    if (keyFile !== undefined) return readText(keyFile).trim();
+    const key = this.host.env[keyVariable];
+    if (key !== undefined) return key;
+    throw new UsageError(`give --key-file or set ${keyVariable}`);
+  }
+}
+
+/** Reads a text file. */
+export function readText(file: string | number): string {
+  try {
+    return readFileSync(file, 'utf8');
+  } catch (error) {
+    throw new UsageError(`cannot read ${file}: ${(error as Error).message}`);
+  }
+}
+
+/** Name of the person who runs the command. */
+export function defaultOperator(): string {
+  return os.userInfo().username;
+}
--- a/packages/operator-cli/src/index.ts
+++ b/packages/operator-cli/src/index.ts
@@ -1,2 +1,17 @@
-/** @fileoverview Face of the package; see its README. */
-export {};
+/** @fileoverview The operators' command line, and its client of the operator API. */
+export {
+  type BillFilter,
+  type ChangeOrder,
+  type HistoryEntry,
+  OperatorClient,
+} from './client/operatorClient.js';
+export {keyHashOf} from './commands/keyNew.js';
+export {
+  CliError,
+  OutcomeUnknownError,
+  RefusedError,
+  UnreachableError,
+  UsageError,
+} from './errors.js';
+export {type ExitCode, exitCodes} from './exitCodes.js';
+export {main} from './main.js';
