--- a/packages/testkit/src/index.ts
+++ b/packages/testkit/src/index.ts
@@ -2,6 +2,14 @@
  * @fileoverview Stand-in backend servers, a relay, and a launcher of whole
  * clusters on loopback, for scenarios, measurements and the example.
  */
+export {
+  call,
+  type CallerAnswer,
+  type CallerCall,
+  type CallerError,
+  chat,
+  type ChatCall,
+} from './callers.js';
 export {
   Cluster,
   type ClusterOptions,
@@ -9,6 +17,7 @@
   defaultClusterOptions,
   type StandInProcess,
 } from './launcher/cluster.js';
+export {ctl} from './launcher/ctl.js';
 export {freePort, isFree} from './launcher/freePort.js';
 export {
   ManagedProcess,
@@ -30,3 +39,4 @@
   readExecutions,
   ServiceServer,
 } from './standIn/serviceServer.js';
+export {eventually} from './util/eventually.js';
--- /dev/null
+++ b/packages/testkit/src/launcher/ctl.ts
@@ -0,0 +1,33 @@
+/** @fileoverview Runs `dogwoodctl` against a cluster. */
+import {execFile} from 'node:child_process';
+import {fileURLToPath} from 'node:url';
+import {promisify} from 'node:util';
+
+import {type Cluster} from './cluster.js';
+
+const ctlScript = fileURLToPath(
+  new URL('../../../operator-cli/bin/dogwoodctl.js', import.meta.url),
+);
+
+/**
+ * Runs a command and returns what it printed.
+ *
+ * @throws Where the exit code isn't 0, with what it wrote.
+ */
+export async function ctl(
+  cluster: Cluster,
+  args: readonly string[],
+): Promise<string> {
+  const urls = [...cluster.daemons.values()].flatMap(each => [
+    '--url',
+    each.url,
+  ]);
+  const key = ['--key-file', cluster.file('operator.key')];
+  const {stdout} = await promisify(execFile)(process.execPath, [
+    ctlScript,
+    ...urls,
+    ...key,
+    ...args,
+  ]);
+  return stdout.trimEnd();
+}
--- /dev/null
+++ b/packages/testkit/src/util/eventually.ts
@@ -0,0 +1,23 @@
+/** @fileoverview Waits for something to become true. */
+import {setTimeout as sleep} from 'node:timers/promises';
+
+const pollMilliseconds = 50;
+
+/**
+ * Polls until the probe returns something other than a string or fails no
+ * more. A string says what is still missing.
+ */
+export async function eventually<T>(
+  timeoutMilliseconds: number,
+  probe: () => Promise<T | string>,
+): Promise<Exclude<T, string>> {
+  const deadline = Date.now() + timeoutMilliseconds;
+  for (;;) {
+    const result = await probe().catch((error: unknown) => String(error));
+    if (typeof result !== 'string') return result as Exclude<T, string>;
+    if (Date.now() > deadline) {
+      throw new Error(`after ${timeoutMilliseconds} ms: ${result}`);
+    }
+    await sleep(pollMilliseconds);
+  }
+}
