--- /dev/null
+++ b/packages/bench/src/routing/index.ts
@@ -0,0 +1,2 @@
+/** @fileoverview Measurements of the routing decisions. */
+export {comparedPolicies, comparePolicies} from './policyBench.js';
--- /dev/null
+++ b/packages/bench/src/routing/measurements.ts
@@ -0,0 +1,146 @@
+/** @fileoverview What a run measures: delays, goodput, hits, fairness. */
+import {build, type Histogram} from 'hdr-histogram-js';
+import {type Priority} from '@dogwoodtrestle/routing';
+
+import {type GeneratedRequest} from './workload.js';
+
+const microsecondsPerMillisecond = 1_000;
+const longestDelayMicroseconds = 600_000_000;
+
+/** Histogram of delays, recorded in milliseconds. */
+export class Delays {
+  private readonly histogram: Histogram = build({
+    lowestDiscernibleValue: 1,
+    highestTrackableValue: longestDelayMicroseconds,
+    numberOfSignificantValueDigits: 3,
+  });
+
+  record(milliseconds: number): void {
+    const value = Math.round(milliseconds * microsecondsPerMillisecond);
+    this.histogram.recordValue(Math.min(value, longestDelayMicroseconds));
+  }
+
+  /** Milliseconds; 0 while nothing was recorded. */
+  percentile(percent: number): number {
+    if (this.histogram.totalCount === 0) return 0;
+    const value = this.histogram.getValueAtPercentile(percent);
+    return value / microsecondsPerMillisecond;
+  }
+}
+
+/** What became of one request with all tries of its caller. */
+export interface RequestRecord {
+  request: GeneratedRequest;
+  sentAt: number;
+  tries: number;
+  /** From the first try; undefined if none came. */
+  firstTokenMilliseconds?: number;
+  /** When the whole answer was there, within the deadline of its try. */
+  completedAt?: number;
+}
+
+export class Measurements {
+  readonly records: RequestRecord[] = [];
+  readonly betweenTokens = new Delays();
+  /** By cause, each try counted. */
+  readonly refusals = new Map<string, number>();
+  attempts = 0;
+  localAttempts = 0;
+  promptTokens = 0;
+  cachedTokens = 0;
+
+  refuse(cause: string): void {
+    this.refusals.set(cause, (this.refusals.get(cause) ?? 0) + 1);
+  }
+
+  /** Requests sent in the time span, in milliseconds. */
+  sentBetween(from: number, to: number): RequestRecord[] {
+    return this.records.filter(({sentAt}) => sentAt >= from && sentAt < to);
+  }
+
+  /** Whole answers in time, per second of the time span. */
+  goodput(from: number, to: number): number {
+    const good = this.records.filter(
+      ({completedAt = -1}) => completedAt >= from && completedAt < to,
+    );
+    return (good.length * 1_000) / (to - from);
+  }
+
+  cacheHitShare(): number {
+    return this.cachedTokens / Math.max(1, this.promptTokens);
+  }
+
+  refusalText(): string {
+    const causes = [...this.refusals].map(([cause, n]) => `${cause} ${n}`);
+    return causes.join(', ') || 'none';
+  }
+}
+
+/** Times to first token; a request without one counts as its whole wait. */
+export function firstTokenDelays(
+  records: readonly RequestRecord[],
+  priority?: Priority,
+): Delays {
+  const delays = new Delays();
+  for (const {request, firstTokenMilliseconds} of records) {
+    if (priority && request.kind.priority !== priority) continue;
+    delays.record(firstTokenMilliseconds ?? request.kind.deadlineMilliseconds);
+  }
+  return delays;
+}
+
+/** Served share of what each customer asked for. */
+export function servedShares(
+  records: readonly RequestRecord[],
+): Map<string, number> {
+  const asked = new Map<string, number>();
+  const served = new Map<string, number>();
+  for (const {request, completedAt} of records) {
+    const {customer} = request;
+    asked.set(customer, (asked.get(customer) ?? 0) + 1);
+    const done = completedAt === undefined ? 0 : 1;
+    served.set(customer, (served.get(customer) ?? 0) + done);
+  }
+  return new Map(
+    [...asked].map(([name, count]) => [name, (served.get(name) ?? 0) / count]),
+  );
+}
+
+/**
+ * Jain's index, from 1 / n to 1, over what each customer got of the smaller
+ * of its demand and an equal part of all that was served (max-min fairness).
+ */
+export function fairnessIndex(records: readonly RequestRecord[]): number {
+  const asked = new Map<string, number>();
+  const served = new Map<string, number>();
+  for (const {request, completedAt} of records) {
+    const {customer} = request;
+    asked.set(customer, (asked.get(customer) ?? 0) + 1);
+    if (completedAt === undefined) continue;
+    served.set(customer, (served.get(customer) ?? 0) + 1);
+  }
+  const total = [...served.values()].reduce((sum, each) => sum + each, 0);
+  const fair = fairShares(asked, total);
+  const ratios = [...fair].map(([name, share]) =>
+    Math.min(1, (served.get(name) ?? 0) / Math.max(1, share)),
+  );
+  const sum = ratios.reduce((a, b) => a + b, 0);
+  const squares = ratios.reduce((a, b) => a + b * b, 0);
+  return squares === 0 ? 1 : (sum * sum) / (ratios.length * squares);
+}
+
+/** Max-min fair division of a total among demands. */
+function fairShares(
+  demands: ReadonlyMap<string, number>,
+  total: number,
+): Map<string, number> {
+  const shares = new Map<string, number>();
+  const ascending = [...demands].sort(([, a], [, b]) => a - b);
+  let left = total;
+  ascending.forEach(([name, demand], index) => {
+    const share = Math.min(demand, left / (ascending.length - index));
+    shares.set(name, share);
+    left -= share;
+  });
+  return shares;
+}
--- /dev/null
+++ b/packages/bench/src/routing/modelServer.ts
@@ -0,0 +1,233 @@
+/**
+ * @fileoverview Virtual-time model of one model engine: continuous batching,
+ * whose steps take longer the more requests share them, chunked prefill in the
+ * same steps, and a prefix cache.
+ */
+import {type Announcement} from '@dogwoodtrestle/schema';
+import {type Priority, rankOf} from '@dogwoodtrestle/routing';
+
+import {PrefixCache} from './prefixCache.js';
+import {type VirtualTime} from './virtualTime.js';
+
+export const blockTokens = 64;
+
+export interface EngineOptions {
+  /** Requests in one batch. */
+  capacity: number;
+  /** Requests beyond these wait no longer; they fail. */
+  maximumQueued: number;
+  cacheBlocks: number;
+  /** Duration of an empty step. */
+  stepMilliseconds: number;
+  /** Added to a step by each request that decodes in it. */
+  sequenceMilliseconds: number;
+  /** Added to a step by each prompt token computed in it. */
+  prefillMilliseconds: number;
+  /** Prompt tokens computed in one step at most. */
+  prefillChunkTokens: number;
+}
+
+export const defaultEngineOptions: EngineOptions = {
+  capacity: 16,
+  maximumQueued: 64,
+  cacheBlocks: 2_000,
+  stepMilliseconds: 10,
+  sequenceMilliseconds: 0.5,
+  prefillMilliseconds: 0.125,
+  prefillChunkTokens: 512,
+};
+
+export interface EngineJob {
+  blocks: readonly string[];
+  promptTokens: number;
+  outputTokens: number;
+  priority: Priority;
+  onToken: (isLast: boolean) => void;
+  onFailure: () => void;
+  /** Told once, when the job enters a batch. */
+  onCacheHits: (tokens: number) => void;
+}
+
+interface RunningJob {
+  job: EngineJob;
+  prefillLeft: number;
+  outputLeft: number;
+}
+
+/** How an engine misbehaves. */
+export type EngineFault = 'none' | 'down' | 'failsFast';
+
+const failFastMilliseconds = 3;
+const failFastShare = 0.9;
+
+export class ModelServer {
+  private readonly options: EngineOptions;
+  private readonly cache: PrefixCache;
+  private running: RunningJob[] = [];
+  private queue: EngineJob[] = [];
+  private isStepping = false;
+  private fault: EngineFault = 'none';
+  private incarnation = 1;
+  private sequence = 0;
+  private cacheSequence = 0;
+  /** Load at the last announcement, which the next one reports. */
+  private laggingLoad = {running: 0, queued: 0};
+  /** Steps take this many times as long until the engine is warm. */
+  slowdown = 1;
+
+  constructor(
+    readonly name: string,
+    readonly failureDomain: string,
+    private readonly time: VirtualTime,
+    private readonly random: () => number,
+    options: Partial<EngineOptions> = {},
+  ) {
+    this.options = {...defaultEngineOptions, ...options};
+    this.cache = new PrefixCache(this.options.cacheBlocks);
+  }
+
+  get capacity(): number {
+    return this.options.capacity;
+  }
+
+  get isDown(): boolean {
+    return this.fault === 'down';
+  }
+
+  setFault(fault: EngineFault): void {
+    if (fault === 'down') this.crash();
+    if (this.fault === 'down' && fault !== 'down') this.incarnation += 1;
+    this.fault = fault;
+  }
+
+  submit(job: EngineJob): void {
+    const failsFast =
+      this.fault === 'failsFast' && this.random() < failFastShare;
+    const isFull = this.queue.length >= this.options.maximumQueued;
+    if (this.isDown || failsFast || isFull) {
+      this.time.after(failFastMilliseconds, job.onFailure);
+      return;
+    }
+    this.enqueue(job);
+    this.startStepping();
+  }
+
+  cancel(job: EngineJob): void {
+    this.queue = this.queue.filter(each => each !== job);
+    this.running = this.running.filter(each => each.job !== job);
+  }
+
+  /** The announcement of this second, its load as it was a second ago. */
+  announce(fullCache: boolean): Announcement {
+    this.sequence += 1;
+    this.cacheSequence += 1;
+    const load = {...this.laggingLoad, capacity: this.capacity};
+    this.laggingLoad = {
+      running: this.running.length,
+      queued: this.queue.length,
+    };
+    return {
+      name: this.name,
+      incarnation: this.incarnation,
+      sequence: this.sequence,
+      state: 'serving',
+      url: `http://${this.name}`,
+      region: 'default',
+      failureDomain: this.failureDomain,
+      kind: 'model',
+      load: {...load, tokensPerSecond: 0},
+      models: [{name: 'm', adapters: []}],
+      features: {
+        fencing: 'checked',
+        priorities: true,
+        resume: true,
+        cancel: true,
+        attemptReport: true,
+        kvTransfer: false,
+      },
+      cache: {
+        sequence: this.cacheSequence,
+        full: fullCache,
+        ...this.cache.takeChanges(fullCache),
+      },
+    };
+  }
+
+  private crash(): void {
+    const lost = [...this.running.map(({job}) => job), ...this.queue];
+    this.running = [];
+    this.queue = [];
+    this.cache.clear();
+    for (const job of lost)
+      this.time.after(failFastMilliseconds, job.onFailure);
+  }
+
+  private enqueue(job: EngineJob): void {
+    const rank = rankOf(job.priority);
+    let place = this.queue.length;
+    while (place > 0 && rankOf(this.queue[place - 1]!.priority) > rank) {
+      place -= 1;
+    }
+    this.queue.splice(place, 0, job);
+  }
+
+  private startStepping(): void {
+    if (this.isStepping) return;
+    this.isStepping = true;
+    this.step();
+  }
+
+  private step(): void {
+    this.fillBatch();
+    if (this.running.length === 0) {
+      this.isStepping = false;
+      return;
+    }
+    const decoding = this.running.filter(({prefillLeft}) => prefillLeft === 0);
+    const prefilled = this.prefill();
+    const {stepMilliseconds, sequenceMilliseconds, prefillMilliseconds} =
+      this.options;
+    const duration =
+      stepMilliseconds +
+      sequenceMilliseconds * decoding.length +
+      prefillMilliseconds * prefilled;
+    this.time.after(duration * this.slowdown, () => {
+      for (const each of decoding) this.decode(each);
+      this.step();
+    });
+  }
+
+  private fillBatch(): void {
+    while (this.running.length < this.options.capacity) {
+      const job = this.queue.shift();
+      if (!job) return;
+      const hits = this.cache.hits(job.blocks) * blockTokens;
+      job.onCacheHits(hits);
+      // The last token is always computed, to get the first output from it.
+      const prefillLeft = Math.max(1, job.promptTokens - hits);
+      this.running.push({job, prefillLeft, outputLeft: job.outputTokens});
+    }
+  }
+
+  /** Computes prompt tokens of the first jobs; returns their number. */
+  private prefill(): number {
+    let left = this.options.prefillChunkTokens;
+    for (const each of this.running) {
+      if (each.prefillLeft === 0) continue;
+      const tokens = Math.min(left, each.prefillLeft);
+      each.prefillLeft -= tokens;
+      left -= tokens;
+      if (each.prefillLeft === 0) this.cache.store(each.job.blocks);
+      if (left === 0) break;
+    }
+    return this.options.prefillChunkTokens - left;
+  }
+
+  private decode(running: RunningJob): void {
+    if (!this.running.includes(running)) return;
+    running.outputLeft -= 1;
+    const isLast = running.outputLeft === 0;
+    if (isLast) this.running = this.running.filter(each => each !== running);
+    running.job.onToken(isLast);
+  }
+}
--- /dev/null
+++ b/packages/bench/src/routing/policy.ts
@@ -0,0 +1,43 @@
+/** @fileoverview Which parts of the policy a modelled router uses. */
+import {type ChoiceOptions} from '@dogwoodtrestle/routing';
+
+export type ChoiceName = 'policy' | 'randomOfTwo' | 'leastInFlight';
+
+export interface Policy {
+  choice: ChoiceName;
+  choiceOptions: Partial<ChoiceOptions>;
+  /** Admission with priorities; otherwise everything is sent at once. */
+  admission: boolean;
+  /** Admitted requests per place of the servers. */
+  admissionHeadroom: number;
+  retryBudget: boolean;
+  outlierDetection: boolean;
+  slowStart: boolean;
+  /** Whether priorities are passed to the engines. */
+  enginePriorities: boolean;
+}
+
+export const fullPolicy: Policy = {
+  choice: 'policy',
+  choiceOptions: {},
+  admission: true,
+  admissionHeadroom: 1,
+  retryBudget: true,
+  outlierDetection: true,
+  slowStart: true,
+  enginePriorities: true,
+};
+
+/** A plain router: the choice alone, nothing that holds work back. */
+export function baselinePolicy(choice: ChoiceName): Policy {
+  return {
+    choice,
+    choiceOptions: {},
+    admission: false,
+    admissionHeadroom: 1,
+    retryBudget: false,
+    outlierDetection: false,
+    slowStart: false,
+    enginePriorities: false,
+  };
+}
--- /dev/null
+++ b/packages/bench/src/routing/prefixCache.ts
@@ -0,0 +1,58 @@
+/**
+ * @fileoverview Model of a server's prefix cache: blocks in limited memory,
+ * the least recently used evicted first, with a log of changes.
+ */
+
+export class PrefixCache {
+  /** Least recently used first. */
+  private readonly blocks = new Set<string>();
+  private added = new Set<string>();
+  private removed = new Set<string>();
+
+  constructor(private readonly capacityBlocks: number) {}
+
+  /** Length of the run of cached blocks from the start. */
+  hits(blocks: readonly string[]): number {
+    let count = 0;
+    while (count < blocks.length && this.blocks.has(blocks[count]!)) count += 1;
+    return count;
+  }
+
+  /** Stores or renews blocks; the first ones are kept longest. */
+  store(blocks: readonly string[]): void {
+    for (let index = blocks.length - 1; index >= 0; index -= 1) {
+      this.touch(blocks[index]!);
+    }
+    for (const block of this.blocks) {
+      if (this.blocks.size <= this.capacityBlocks) break;
+      this.blocks.delete(block);
+      if (!this.added.delete(block)) this.removed.add(block);
+    }
+  }
+
+  clear(): void {
+    this.blocks.clear();
+    this.added.clear();
+    this.removed.clear();
+  }
+
+  /** Changes since the last call; the whole content where `full`. */
+  takeChanges(full: boolean): {added: string[]; removed: string[]} {
+    const changes = {
+      added: [...(full ? this.blocks : this.added)],
+      removed: full ? [] : [...this.removed],
+    };
+    this.added = new Set();
+    this.removed = new Set();
+    return changes;
+  }
+
+  private touch(block: string): void {
+    if (this.blocks.delete(block)) {
+      this.blocks.add(block);
+      return;
+    }
+    this.blocks.add(block);
+    if (!this.removed.delete(block)) this.added.add(block);
+  }
+}
--- /dev/null
+++ b/packages/bench/src/routing/routerModel.ts
@@ -0,0 +1,330 @@
+/**
+ * @fileoverview One modelled router: its own view of the servers, and the
+ * decisions of the routing package or of a baseline.
+ */
+import {type Announcement} from '@dogwoodtrestle/schema';
+import {
+  Admission,
+  type AdmissionTicket,
+  type BackendEntry,
+  chooseBackend,
+  Directory,
+  LoadTracker,
+  OutlierDetector,
+  PrefixIndex,
+  RetryBudget,
+  SlowStart,
+} from '@dogwoodtrestle/routing';
+
+import {type Measurements} from './measurements.js';
+import {type EngineJob, type ModelServer} from './modelServer.js';
+import {type ChoiceName, type Policy} from './policy.js';
+import {type VirtualTime} from './virtualTime.js';
+import {type GeneratedRequest} from './workload.js';
+
+const maximumAttempts = 3;
+const firstTokenTimeoutMilliseconds = 5_000;
+/** Time per output token that a router expects. */
+const expectedTokenMilliseconds = 20;
+
+/** What a router tells its caller; exactly one of the endings is called. */
+export interface Caller {
+  onToken: () => void;
+  onDone: () => void;
+  onFailure: () => void;
+  onRefusal: (reason: string, retryAfterMilliseconds: number) => void;
+}
+
+interface Attempt {
+  id: string;
+  server: string;
+  job: EngineJob;
+  hasToken: boolean;
+}
+
+/** A request in a router. */
+export interface Handle {
+  request: GeneratedRequest;
+  caller: Caller;
+  ticket?: AdmissionTicket;
+  attempt?: Attempt;
+  attempts: number;
+  tried: Set<string>;
+  isOver: boolean;
+}
+
+export interface RouterModelOptions {
+  failureDomain: string;
+  routerCount: number;
+  policy: Policy;
+  time: VirtualTime;
+  random: () => number;
+  servers: ReadonlyMap<string, ModelServer>;
+  measurements: Measurements;
+}
+
+export class RouterModel {
+  readonly directory = new Directory();
+  private readonly tracker = new LoadTracker();
+  private readonly prefixes = new PrefixIndex();
+  private readonly outliers = new OutlierDetector();
+  private readonly slowStart: SlowStart;
+  private readonly retryBudget = new RetryBudget();
+  private readonly admission: Admission;
+  private readonly byTicket = new Map<AdmissionTicket, Handle>();
+  private attemptCount = 0;
+  private readonly choices: Record<
+    ChoiceName,
+    (handle: Handle, candidates: BackendEntry[]) => BackendEntry | undefined
+  > = {
+    policy: (handle, candidates) => this.chooseByPolicy(handle, candidates),
+    randomOfTwo: (handle, candidates) => {
+      const usable = untried(handle, candidates);
+      const draw = () =>
+        usable[Math.floor(this.options.random() * usable.length)];
+      const [first, second] = [draw(), draw()];
+      if (!first || !second) return first;
+      return loadOf(first) <= loadOf(second) ? first : second;
+    },
+    leastInFlight: (handle, candidates) =>
+      this.leastInFlight(untried(handle, candidates)),
+  };
+
+  constructor(private readonly options: RouterModelOptions) {
+    const {time, random} = options;
+    this.slowStart = new SlowStart(time.now);
+    this.admission = new Admission({capacity: 1, random});
+  }
+
+  observe(announcement: Announcement, ageMilliseconds: number): void {
+    const {now} = this.options.time;
+    const observedAt = now - ageMilliseconds;
+    const observation = this.directory.observe(announcement, observedAt);
+    if (observation === 'ignored') return;
+    this.slowStart.observe(announcement, now);
+    this.prefixes.observe(announcement);
+    this.updateCapacity();
+  }
+
+  send(request: GeneratedRequest, caller: Caller): Handle {
+    const handle: Handle = {
+      request,
+      caller,
+      attempts: 0,
+      tried: new Set(),
+      isOver: false,
+    };
+    this.retryBudget.recordRequest(this.options.time.now);
+    if (this.options.policy.admission) this.enter(handle);
+    else this.startAttempt(handle);
+    return handle;
+  }
+
+  /** The caller has given up. */
+  cancel(handle: Handle): void {
+    if (handle.isOver) return;
+    this.endAttempt(handle, true);
+    this.end(handle);
+  }
+
+  private enter(handle: Handle): void {
+    const {now} = this.options.time;
+    const {kind, customer, workspace, promptTokens} = handle.request;
+    const outcome = this.admission.enter({
+      customer,
+      workspace,
+      priority: kind.priority,
+      deadline: now + kind.deadlineMilliseconds,
+      expectedMilliseconds: kind.outputTokens * expectedTokenMilliseconds,
+      cost: 1 + promptTokens / 1_000,
+      now,
+    });
+    if (outcome.kind === 'refused') {
+      handle.isOver = true;
+      const {reason, retryAfterMilliseconds} = outcome;
+      handle.caller.onRefusal(reason, retryAfterMilliseconds);
+      return;
+    }
+    handle.ticket = outcome.ticket;
+    this.byTicket.set(outcome.ticket, handle);
+    if (outcome.kind === 'admitted') this.startAttempt(handle);
+    this.serveQueue();
+  }
+
+  private serveQueue(): void {
+    const {started, refused} = this.admission.next(this.options.time.now);
+    for (const {ticket, reason, retryAfterMilliseconds} of refused) {
+      const handle = this.byTicket.get(ticket);
+      this.byTicket.delete(ticket);
+      if (!handle || handle.isOver) continue;
+      handle.isOver = true;
+      handle.caller.onRefusal(reason, retryAfterMilliseconds);
+    }
+    for (const ticket of started) {
+      const handle = this.byTicket.get(ticket);
+      if (handle && !handle.isOver) this.startAttempt(handle);
+    }
+  }
+
+  private startAttempt(handle: Handle): void {
+    const {time, servers, measurements, failureDomain} = this.options;
+    const candidates = this.directory.candidates(
+      {kind: 'model', name: 'm'},
+      time.now,
+    );
+    const entry = this.choices[this.options.policy.choice](handle, candidates);
+    const server = entry && servers.get(entry.announcement.name);
+    if (!entry || !server) {
+      this.fail(handle);
+      return;
+    }
+    const attempt = this.attemptOn(entry.announcement.name, handle);
+    handle.attempt = attempt;
+    handle.attempts += 1;
+    handle.tried.add(attempt.server);
+    measurements.attempts += 1;
+    if (server.failureDomain === failureDomain) measurements.localAttempts += 1;
+    this.tracker.start(attempt.server, attempt.id, time.now);
+    this.prefixes.recordSent(attempt.server, handle.request.blocks, time.now);
+    server.submit(attempt.job);
+    time.after(firstTokenTimeoutMilliseconds, () => {
+      if (handle.attempt !== attempt || attempt.hasToken) return;
+      this.attemptFailed(handle, attempt);
+    });
+  }
+
+  private attemptOn(server: string, handle: Handle): Attempt {
+    const {request} = handle;
+    const {measurements, policy} = this.options;
+    this.attemptCount += 1;
+    const attempt: Attempt = {
+      id: String(this.attemptCount),
+      server,
+      hasToken: false,
+      job: {
+        blocks: request.blocks,
+        promptTokens: request.promptTokens,
+        outputTokens: request.outputTokens,
+        priority: policy.enginePriorities ? request.kind.priority : 'normal',
+        onCacheHits: tokens => {
+          measurements.promptTokens += request.promptTokens;
+          measurements.cachedTokens += tokens;
+        },
+        onToken: isLast => {
+          if (handle.attempt !== attempt) return;
+          attempt.hasToken = true;
+          handle.caller.onToken();
+          if (isLast) this.done(handle);
+        },
+        onFailure: () => {
+          if (handle.attempt === attempt) this.attemptFailed(handle, attempt);
+        },
+      },
+    };
+    return attempt;
+  }
+
+  private done(handle: Handle): void {
+    this.record(handle, 'success');
+    this.endAttempt(handle, false);
+    this.end(handle);
+    handle.caller.onDone();
+  }
+
+  private attemptFailed(handle: Handle, attempt: Attempt): void {
+    const {time, policy} = this.options;
+    this.record(handle, 'failure');
+    this.endAttempt(handle, true);
+    // A stream that has begun isn't run again here.
+    const mayRetry = !attempt.hasToken && handle.attempts < maximumAttempts;
+    const hasBudget =
+      mayRetry && (!policy.retryBudget || this.retryBudget.tryRetry(time.now));
+    if (hasBudget) this.startAttempt(handle);
+    else this.fail(handle);
+  }
+
+  private fail(handle: Handle): void {
+    this.end(handle);
+    handle.caller.onFailure();
+  }
+
+  private endAttempt(handle: Handle, isCancelled: boolean): void {
+    const {attempt} = handle;
+    if (!attempt) return;
+    const {time, servers} = this.options;
+    this.tracker.end(attempt.server, attempt.id, time.now);
+    if (isCancelled) servers.get(attempt.server)?.cancel(attempt.job);
+    handle.attempt = undefined;
+  }
+
+  private end(handle: Handle): void {
+    handle.isOver = true;
+    if (!handle.ticket) return;
+    this.byTicket.delete(handle.ticket);
+    this.admission.leave(handle.ticket, this.options.time.now);
+    this.serveQueue();
+  }
+
+  private record(handle: Handle, outcome: 'success' | 'failure'): void {
+    const {policy, servers, time} = this.options;
+    if (!policy.outlierDetection || !handle.attempt) return;
+    const {server} = handle.attempt;
+    this.outliers.record(server, outcome, servers.size, time.now);
+  }
+
+  private chooseByPolicy(
+    handle: Handle,
+    candidates: BackendEntry[],
+  ): BackendEntry | undefined {
+    const {policy, time, random, failureDomain} = this.options;
+    const {now} = time;
+    return chooseBackend({
+      candidates,
+      now,
+      inFlight: name => this.tracker.inFlight(name),
+      correction: entry => this.tracker.correction(entry),
+      failureDomain,
+      prefixHits: name => this.prefixes.hits(name, handle.request.blocks, now),
+      health: name => ({
+        ejected: this.outliers.ejected(name, now),
+        weight: policy.slowStart ? this.slowStart.weight(name, now) : 1,
+      }),
+      exclude: handle.tried,
+      random,
+      options: policy.choiceOptions,
+    }).backend;
+  }
+
+  private leastInFlight(candidates: BackendEntry[]): BackendEntry | undefined {
+    let least = Infinity;
+    for (const {announcement} of candidates) {
+      least = Math.min(least, this.tracker.inFlight(announcement.name));
+    }
+    const best = candidates.filter(
+      ({announcement}) => this.tracker.inFlight(announcement.name) === least,
+    );
+    return best[Math.floor(this.options.random() * best.length)];
+  }
+
+  /** This router's part of the places of the servers that may get work. */
+  private updateCapacity(): void {
+    const {time, routerCount, policy} = this.options;
+    const target = {kind: 'model', name: 'm'} as const;
+    let places = 0;
+    for (const {announcement} of this.directory.candidates(target, time.now)) {
+      places += announcement.load.capacity;
+    }
+    const share = (places * policy.admissionHeadroom) / routerCount;
+    this.admission.setCapacity(Math.max(1, Math.round(share)));
+  }
+}
+
+function untried(handle: Handle, candidates: BackendEntry[]): BackendEntry[] {
+  return candidates.filter(
+    ({announcement}) => !handle.tried.has(announcement.name),
+  );
+}
+
+function loadOf({announcement: {load}}: BackendEntry): number {
+  return load.running + load.queued;
+}
