feat(daemon): the whole path as separate processes

Cause: a first request from end to end is what all else is measured on. Found on the way, each with a test seen failing first: Node.js swaps the timeouts for headers and body where the first is longer, so that an endless body was never refused; a connection on which no request ever came keeps server.close() waiting.

--- /dev/null
+++ b/packages/daemon/src/daemon.ts
@@ -0,0 +1,134 @@
+/**
+ * @fileoverview Builds a daemon from its settings and runs it.
+ */
+import {type Settings} from '@dogwoodtrestle/schema';
+
+import {type Control, createControl} from './control.js';
+import {closeHttpServer, createHttpServer} from './httpServer.js';
+import {type Logger} from './observability/logger.js';
+import {createMetrics} from './observability/metrics.js';
+import {createTracing} from './observability/tracing.js';
+import {
+  type GrantSpender,
+  type InstanceSource,
+} from './requests/dependencies.js';
+import {RequestPath} from './requests/index.js';
+import {type Secrets} from './settings/loadSettings.js';
+import {type Stoppable} from './shutdown.js';
+
+/** What a daemon is built from. */
+export interface DaemonOptions {
+  settings: Settings;
+  secrets: Secrets;
+  logger: Logger;
+}
+
+/** A running daemon. */
+export interface Daemon extends Stoppable {
+  /** Base URL for callers. */
+  address: string;
+}
+
+/** Starts a daemon; resolves once it serves. */
+export async function startDaemon({
+  settings,
+  secrets,
+  logger,
+}: DaemonOptions): Promise<Daemon> {
+  const metrics = createMetrics(settings);
+  const tracing = createTracing(settings);
+  const control = await createControl({
+    settings,
+    secrets,
+    logger,
+    metrics,
+    explain: requestId =>
+      Promise.resolve(requests.explanations.view(requestId)),
+    inFlight: backend => requests.inFlightAt(backend),
+    isEjected: backend => requests.isEjected(backend),
+    onReplicaFailure: error => {
+      logger.fatal({err: error}, 'the ledger replica has stopped');
+    },
+  });
+  const requests = new RequestPath({
+    settings,
+    holder: ownHolder(settings, control),
+    logger,
+    metrics,
+    tracing,
+    ledger: control.ledgerClient,
+    grants: noGrants,
+    contracts: control.configuration,
+    instances: instanceSource(control),
+    directory: control.directory,
+    now: () => performance.now(),
+  });
+  const server = createHttpServer(settings);
+  let isReady = false;
+  server.get('/health/live', () => ({live: true}));
+  server.get('/health/ready', (_request, reply) =>
+    reply.code(isReady ? 200 : 503).send({ready: isReady}),
+  );
+  await server.register(control.operatorRoutes);
+  await server.register(control.announcementRoutes);
+  await requests.addRoutes(server);
+  await control.start();
+  const {address} = settings.instance;
+  const {callerPort} = settings.listeners;
+  await server.listen({host: address, port: callerPort});
+  isReady = true;
+
+  return {
+    address: `http://${address}:${callerPort}`,
+    unfinished: () => ({requests: requests.inFlight, settlements: 0}),
+    async stop() {
+      const {announceMilliseconds, drainMilliseconds} = settings.shutdown;
+      isReady = false;
+      await control.leave();
+      await new Promise(resolve => {
+        setTimeout(resolve, announceMilliseconds);
+      });
+      requests.refuseNew();
+      const report = await requests.drain(drainMilliseconds);
+      await closeHttpServer(server);
+      await control.stop();
+      await requests.close();
+      await tracing.close();
+      await metrics.close();
+      return report;
+    },
+  };
+}
+
+/** Identity under which this process holds requests and grants. */
+function ownHolder(settings: Settings, {membership}: Control): string {
+  const {name} = settings.instance;
+  return holderOf(name, membership.instance(name)?.incarnation ?? 0);
+}
+
+function holderOf(name: string, incarnation: number): string {
+  return `${name}#${incarnation}`;
+}
+
+function instanceSource({membership}: Control): InstanceSource {
+  return {
+    isAlive: holder => {
+      const [name = ''] = holder.split('#');
+      const record = membership.instance(name);
+      return (
+        record !== undefined &&
+        holderOf(name, record.incarnation) === holder &&
+        membership.isAlive(name)
+      );
+    },
+    liveRouters: () => membership.routers,
+    fetchAnswer: () => Promise.resolve(undefined),
+  };
+}
+
+/** Grants of an instance that holds none. */
+const noGrants: GrantSpender = {
+  open: () => Promise.resolve({kind: 'refused', reason: 'no grant is held'}),
+  settle: () => Promise.reject(new Error('no grant is held')),
+  observe: () => undefined,
+};
--- a/packages/daemon/src/httpServer.ts
+++ b/packages/daemon/src/httpServer.ts
@@ -51,6 +51,8 @@
     clientErrorHandler: (error, socket) =>
       answerProtocolError((error as {code?: string}).code, socket as Socket),
   });
+  // Node.js swaps the two timeouts where the one for headers is the longer.
+  server.server.headersTimeout = bodyTimeoutMilliseconds;
   server.setNotFoundHandler((_request, reply) =>
     reply.code(404).send({
       error: {
@@ -90,3 +92,19 @@
     ].join('\r\n'),
   );
 }
+
+/** Time for last answers to reach their callers, in milliseconds. */
+const closeGraceMilliseconds = 300;
+
+/**
+ * Closes a server that has no requests left. A connection on which no request
+ * ever came counts as busy, so it is closed by force.
+ */
+export async function closeHttpServer(server: FastifyInstance): Promise<void> {
+  const force = setTimeout(
+    () => server.server.closeAllConnections(),
+    closeGraceMilliseconds,
+  );
+  await server.close();
+  clearTimeout(force);
+}
