style(daemon): lint clean

Cause: the linter does not take instances of modern-errors for errors; they have explicit types now.

--- a/packages/bench/src/routing/modelServer.ts
+++ b/packages/bench/src/routing/modelServer.ts
@@ -159,7 +159,7 @@
     this.queue = [];
     this.cache.clear();
     for (const job of lost)
-      this.time.after(failFastMilliseconds, job.onFailure);
+      {this.time.after(failFastMilliseconds, job.onFailure);}
   }
 
   private enqueue(job: EngineJob): void {
--- a/packages/daemon/src/httpServer.ts
+++ b/packages/daemon/src/httpServer.ts
@@ -49,7 +49,7 @@
     forceCloseConnections: 'idle',
     return503OnClosing: false,
     clientErrorHandler: (error, socket) =>
-      answerProtocolError((error as {code?: string}).code, socket as Socket),
+      answerProtocolError((error as {code?: string}).code, socket),
   });
   // Node.js swaps the two timeouts where the one for headers is the longer.
   server.server.headersTimeout = bodyTimeoutMilliseconds;
--- a/packages/daemon/src/requests/admissionGate.ts
+++ b/packages/daemon/src/requests/admissionGate.ts
@@ -97,8 +97,9 @@
   private turn(admission: Admission): void {
     const {started, refused} = admission.next(this.dependencies.now());
     for (const ticket of started) this.take(ticket)?.admit();
-    for (const {ticket, ...reason} of refused)
+    for (const {ticket, ...reason} of refused) {
       this.take(ticket)?.refuse(reason);
+    }
   }
 
   private take(ticket: AdmissionTicket): Waiter | undefined {
--- a/packages/daemon/src/requests/attemptError.ts
+++ b/packages/daemon/src/requests/attemptError.ts
@@ -29,6 +29,14 @@
   },
 });
 
+/** An instance of `AttemptError`. */
+export interface FailedAttempt extends Error {
+  failure: AttemptFailure;
+  sent: boolean;
+  status?: number;
+  body?: string;
+}
+
 /** Properties of an attempt's failure. */
 export interface AttemptErrorDetail {
   sent: boolean;
@@ -41,13 +49,18 @@
 export function attemptError(
   failure: AttemptFailure,
   {sent, status, body, cause}: AttemptErrorDetail,
-): InstanceType<typeof AttemptError> {
+): FailedAttempt {
   return new AttemptError(`attempt failed: ${failure}`, {
     cause,
     props: {failure, sent, status, body},
   });
 }
 
+/** Whether an error is the failure of an attempt. */
+export function isFailedAttempt(error: unknown): error is FailedAttempt {
+  return error instanceof AttemptError;
+}
+
 /** Codes of errors that come before a request has been written. */
 const connectCodes = new Set([
   'ECONNREFUSED',
@@ -58,12 +71,8 @@
 ]);
 
 /** Tells a failed connection from a request that may have been received. */
-export function connectionError(
-  error: unknown,
-): InstanceType<typeof AttemptError> {
-  if (error instanceof AttemptError) {
-    return error as InstanceType<typeof AttemptError>;
-  }
+export function connectionError(error: unknown): FailedAttempt {
+  if (isFailedAttempt(error)) return error;
   const {code, name} = error as {code?: string; name?: string};
   if (code !== undefined && connectCodes.has(code)) {
     return attemptError('connect', {sent: false, cause: error});
--- a/packages/daemon/src/requests/callerRoutes.ts
+++ b/packages/daemon/src/requests/callerRoutes.ts
@@ -127,8 +127,9 @@
     const closed = new AbortController();
     reply.raw.once('close', () => closed.abort());
     await answer.headKnown();
-    if (answer.head === undefined)
+    if (answer.head === undefined) {
       throw answer.failure ?? refusal('internalError');
+    }
     const {status, contentType} = answer.head;
     reply.code(status).header('content-type', contentType);
     if (contentType === 'text/event-stream') {
@@ -234,8 +235,9 @@
   const {requestId, traceId, explanation, span} = scope;
   explanation.code = error.reason;
   explanation.message = error.message;
-  if (error.detail.inputs !== undefined)
+  if (error.detail.inputs !== undefined) {
     explanation.add('refusal', error.detail.inputs);
+  }
   dependencies.metrics.increment('requests.refused', 1, {code: error.reason});
   const status = statusOf(error);
   dependencies.logger.info(
--- a/packages/daemon/src/requests/chatRun.ts
+++ b/packages/daemon/src/requests/chatRun.ts
@@ -17,11 +17,7 @@
 
 import {type Hop, traceparentOf} from '../observability/tracing.js';
 import {type AnswerBuffer} from './answerBuffer.js';
-import {
-  attemptError,
-  AttemptError,
-  type AttemptFailure,
-} from './attemptError.js';
+import {attemptError, isFailedAttempt} from './attemptError.js';
 import {type BackendSelector} from './backendSelector.js';
 import {type ChatBody} from './chatBody.js';
 import {type CostBound, costOf} from './costBound.js';
@@ -116,8 +112,9 @@
         cause: (error as Error).message,
       });
       await this.settleFailure();
-      if (answer.started)
+      if (answer.started) {
         await this.pushError(refusalBody(failure, this.job.requestId));
+      }
       answer.fail(failure);
     }
   }
@@ -125,7 +122,9 @@
   private async runOnce(): Promise<void> {
     const {job} = this;
     const body = await this.tryEach(async (call, attempt) => {
-      const {stream: _stream, stream_options: _options, ...rest} = call.body;
+      const rest = {...call.body};
+      delete rest['stream'];
+      delete rest['stream_options'];
       const answer = await this.parts.models.complete({...call, body: rest});
       return {answer, attempt};
     });
@@ -218,8 +217,8 @@
   /** Decides whether a failed attempt is followed by another. */
   private afterFailure(error: unknown, attempt: Attempt): void {
     const {dependencies, models, selector} = this.parts;
-    if (!(error instanceof AttemptError)) throw error;
-    const {failure, sent} = error as {failure: AttemptFailure; sent: boolean};
+    if (!isFailedAttempt(error)) throw error;
+    const {failure, sent} = error;
     const {name} = attempt.backend.announcement;
     this.wasSent ||= sent;
     dependencies.metrics.increment('attempts.failed', 1, {reason: failure});
@@ -267,8 +266,9 @@
           }
           if (hasContent(chunk)) received++;
           const spliced = this.splicer.splice(chunk);
-          if (spliced === 'diverged')
+          if (spliced === 'diverged') {
             throw attemptError('diverged', {sent: true});
+          }
           if (spliced !== undefined) await this.push(spliced);
           if (received > this.job.bound.maximumOutputTokens) {
             return await this.cutOff(call);
@@ -284,8 +284,8 @@
   }
 
   private isResumable(error: unknown, {backend, signal}: ModelCall): boolean {
-    if (!(error instanceof AttemptError) || signal.aborted) return false;
-    const {failure} = error as {failure: AttemptFailure};
+    if (!isFailedAttempt(error) || signal.aborted) return false;
+    const {failure} = error;
     return (
       backend.announcement.features.resume &&
       (failure === 'dropped' ||
@@ -429,12 +429,8 @@
 
   private failureOf(error: unknown): ReturnType<typeof refusal> {
     if (this.job.signal.aborted) return refusal('deadlineExceeded');
-    if (!(error instanceof AttemptError)) return refusalOf(error);
-    const {failure, status, body} = error as {
-      failure: AttemptFailure;
-      status?: number;
-      body?: string;
-    };
+    if (!isFailedAttempt(error)) return refusalOf(error);
+    const {failure, status, body} = error;
     if (failure === 'rejected') {
       return refusal('invalidRequest', {
         message: `The model engine rejected the request (status ${status}): ${body?.slice(0, 500) ?? ''}`,
@@ -452,7 +448,7 @@
 
 /** Tells failures of the backend server from those of the caller. */
 function blameOf(error: unknown, signal: AbortSignal): 'failure' | 'neutral' {
-  if (!(error instanceof AttemptError) || signal.aborted) return 'neutral';
-  const {failure} = error as {failure: AttemptFailure};
+  if (!isFailedAttempt(error) || signal.aborted) return 'neutral';
+  const {failure} = error;
   return failure === 'rejected' ? 'neutral' : 'failure';
 }
--- a/packages/daemon/src/requests/refusal.ts
+++ b/packages/daemon/src/requests/refusal.ts
@@ -240,12 +240,15 @@
 export const RefusalError = ModernError.subclass('RefusalError', {
   props: {
     reason: 'internalError' as RefusalReason,
-    detail: {} as RefusalDetail,
+    detail: {},
   },
 });
 
 /** An instance of `RefusalError`. */
-export type Refusal = InstanceType<typeof RefusalError>;
+export interface Refusal extends Error {
+  reason: RefusalReason;
+  detail: RefusalDetail;
+}
 
 /** Creates a refusal for its code. */
 export function refusal(
@@ -259,7 +262,7 @@
 
 /** Returns what callers are told of an error. */
 export function refusalOf(error: unknown): Refusal {
-  if (error instanceof RefusalError) return error as Refusal;
+  if (error instanceof RefusalError) return error;
   if (error instanceof QuorumUnreachableError) {
     const {outcome} = error as {outcome: UnreachableOutcome};
     return refusal('quorumUnreachable', {
--- a/packages/daemon/src/requests/serviceClient.ts
+++ b/packages/daemon/src/requests/serviceClient.ts
@@ -56,7 +56,7 @@
       response = await this.options.dispatcher.request({
         origin,
         path: `${base}${call.path}`,
-        method: call.method as Dispatcher.HttpMethod,
+        method: call.method,
         headers: {
           'x-attempt-id': call.attemptId,
           traceparent: call.traceparent,
--- a/packages/daemon/src/requests/serviceHandler.ts
+++ b/packages/daemon/src/requests/serviceHandler.ts
@@ -257,8 +257,9 @@
       const opened = await opener.adopt(result);
       const backend = selectBackend(this.parts, this.template, this.excluded);
       if (opened === undefined) throw refusal('requestRunning');
-      if (backend === undefined)
+      if (backend === undefined) {
         throw refusal('noBackend', {didNotRun: 'unknown'});
+      }
       const answer = await this.run(opened, callPrice, backend);
       if (answer === undefined) throw refusal('backendFailed');
       return answer;
--- a/packages/daemon/src/requests/serviceRun.ts
+++ b/packages/daemon/src/requests/serviceRun.ts
@@ -10,7 +10,7 @@
 import {type StoredAnswer} from '@dogwoodtrestle/schema';
 
 import {type Hop, traceparentOf} from '../observability/tracing.js';
-import {AttemptError, type AttemptFailure} from './attemptError.js';
+import {isFailedAttempt} from './attemptError.js';
 import {type BackendSelector} from './backendSelector.js';
 import {type RequestDependencies} from './dependencies.js';
 import {type Explanation} from './explanations.js';
@@ -110,8 +110,8 @@
   backend: BackendEntry,
   error: unknown,
 ): boolean {
-  if (!(error instanceof AttemptError)) throw error;
-  const {failure, sent} = error as {failure: AttemptFailure; sent: boolean};
+  if (!isFailedAttempt(error)) throw error;
+  const {failure, sent} = error;
   dependencies.metrics.increment('attempts.failed', 1, {reason: failure});
   const {name} = backend.announcement;
   job.explanation.add('attempt failed', {backend: name, failure, sent});
--- a/packages/daemon/tests/requests/answerBuffer.test.ts
+++ b/packages/daemon/tests/requests/answerBuffer.test.ts
@@ -48,7 +48,8 @@
     answer.onAbandoned(() => (isAbandoned = true));
     const closed = new AbortController();
     const reading = (async () => {
-      for await (const _piece of answer.read(closed.signal));
+      for await (const piece of answer.read(closed.signal))
+        {expect(piece).toBe('');}
     })();
     closed.abort();
     await reading;
--- a/packages/daemon/tests/requests/fixture.ts
+++ b/packages/daemon/tests/requests/fixture.ts
@@ -111,7 +111,9 @@
         get: (_target, name) => {
           const {directory} = fixture!;
           const value: unknown = Reflect.get(directory, name);
-          return typeof value === 'function' ? value.bind(directory) : value;
+          return typeof value === 'function'
+            ? (value as () => unknown).bind(directory)
+            : value;
         },
       }),
       now: () => performance.now(),
@@ -238,8 +240,9 @@
     await standIn.start();
     this.cleanups.push(() => standIn.stop());
     for (let tries = 0; tries < 100; tries++) {
-      if (this.directory.get(standIn.options.name) !== undefined)
+      if (this.directory.get(standIn.options.name) !== undefined) {
         return standIn;
+      }
       await new Promise(resolve => setTimeout(resolve, 10));
     }
     throw new Error('the stand-in was never announced');
