feat(ledger): audit of balances against the committed history

Commands are applied again for their decisions; every movement of money is entered into books that share nothing with the state machine's sums, and judged by them. Findings name customer and entry.

--- /dev/null
+++ b/packages/ledger/src/audit/customerBook.ts
@@ -0,0 +1,105 @@
+/**
+ * @fileoverview An auditor's books of one customer.
+ *
+ * They are kept from commands, results and bills alone, by plain additions,
+ * and share nothing with the sums that the state machine maintains.
+ */
+import {type Bill, type BudgetView} from '@dogwoodtrestle/schema';
+
+/** Books of one customer; amounts in micros. */
+export class CustomerBook {
+  prepaid = 0;
+  toppedUp = 0;
+  billed = 0;
+  reserved = 0;
+  granted = 0;
+  /** Index of the newest entry that altered the books. */
+  lastIndex = 0;
+  /** Reserved amount by request key. */
+  private readonly reservations = new Map<string, number>();
+  /** What is left of each grant. */
+  private readonly grants = new Map<string, number>();
+
+  constructor(readonly customer: string) {}
+
+  /** What is held beyond the prepaid amount, or 0. */
+  get excess(): number {
+    const held = this.billed + this.reserved + this.granted;
+    return Math.max(0, held - this.prepaid - this.toppedUp);
+  }
+
+  enterReservation(requestKey: string, amount: number): void {
+    this.reservations.set(requestKey, amount);
+    this.reserved += amount;
+  }
+
+  /** Enters a grant; returns whether it is a new one. */
+  enterGrant(grantId: string, amount: number): boolean {
+    if (this.grants.has(grantId)) return false;
+    this.grants.set(grantId, amount);
+    this.granted += amount;
+    return true;
+  }
+
+  /** Enters a returned grant; returns what was left of it. */
+  enterReturn(grantId: string): number | undefined {
+    const left = this.grants.get(grantId);
+    this.grants.delete(grantId);
+    this.granted -= left ?? 0;
+    return left;
+  }
+
+  /** Enters a bill; returns what is wrong with it. */
+  enterBill(bill: Bill): string[] {
+    const {requestKey, cost, grantId} = bill;
+    const reserved = this.reservations.get(requestKey);
+    const cover = grantId === undefined ? reserved : this.grants.get(grantId);
+    const messages: string[] = [];
+    if (cover === undefined) {
+      messages.push(`bill of ${requestKey} has no reservation and no grant`);
+    } else if (cost > cover) {
+      messages.push(
+        `bill of ${requestKey} is ${cost}, but only ${cover} was held for it`,
+      );
+    }
+    const priced = pricedCost(bill);
+    if (priced !== undefined && priced !== cost) {
+      messages.push(
+        `bill of ${requestKey} is ${cost}, but its usage at its prices is ${priced}`,
+      );
+    }
+    this.billed += cost;
+    this.reserved -= reserved ?? 0;
+    this.reservations.delete(requestKey);
+    if (grantId !== undefined) {
+      this.grants.set(grantId, (cover ?? 0) - cost);
+      this.granted -= cost;
+    }
+    return messages;
+  }
+
+  /** Compares the books with a balance; returns the differences. */
+  compare(view: BudgetView): string[] {
+    const pairs: Array<[string, number, number]> = [
+      ['topped up', view.toppedUp, this.toppedUp],
+      ['billed', view.billed, this.billed],
+      ['reserved', view.reserved, this.reserved],
+      ['granted', view.granted, this.granted],
+      ['open requests', view.openRequests, this.reservations.size],
+    ];
+    return pairs
+      .filter(([, shown, counted]) => shown !== counted)
+      .map(
+        ([name, shown, counted]) =>
+          `${name} is shown as ${shown}, the history gives ${counted}`,
+      );
+  }
+}
+
+/** Cost of a completed model request by its tokens, where they are known. */
+function pricedCost(bill: Bill): number | undefined {
+  const {usage, target, outcome, inputPrice, outputPrice} = bill;
+  if (usage === undefined || target.kind !== 'model') return undefined;
+  if (outcome !== 'completed') return undefined;
+  return usage.inputTokens * inputPrice + usage.outputTokens * outputPrice;
+}
--- a/packages/ledger/src/index.ts
+++ b/packages/ledger/src/index.ts
@@ -16,3 +16,11 @@
   type SettledRequestRecord,
 } from './requestBook.js';
 export {scopedKey} from './util/scopedKey.js';
+export {auditHistory, HistoryAudit} from './audit/auditHistory.js';
+export {
+  type AuditCounts,
+  type AuditEvidence,
+  type AuditFinding,
+  type AuditReport,
+  type HistoryEntry,
+} from './audit/auditReport.js';
--- /dev/null
+++ b/packages/ledger/tests/audit.test.ts
@@ -0,0 +1,210 @@
+import {
+  type AuditEvidence,
+  type AuditReport,
+  auditHistory,
+  type HistoryEntry,
+} from '@dogwoodtrestle/ledger';
+import {type Command} from '@dogwoodtrestle/schema';
+import fc from 'fast-check';
+import {describe, expect, it} from 'vitest';
+
+import {
+  applyOf,
+  grantOf,
+  LedgerFixture,
+  openOf,
+  recordOf,
+  settleOf,
+} from './fixtures.js';
+
+interface Books {
+  entries: HistoryEntry[];
+  evidence: Required<AuditEvidence>;
+}
+
+/** A history with requests, a grant and a top-up, and its true evidence. */
+function books(): Books {
+  const fixture = new LedgerFixture();
+  const commands: Command[] = [
+    applyOf('first', 0),
+    {
+      kind: 'topUp',
+      changeId: 't',
+      operator: 'ann',
+      customer: 'barley',
+      amount: 50,
+    },
+    grantOf(),
+    openOf(),
+    openOf({requestKey: 'k2', maximumCost: 90}),
+    settleOf({cost: 8, usage: {inputTokens: 2, outputTokens: 3}}),
+    {kind: 'mergeJournal', grantId: 'g1', records: [recordOf(1, 30)]},
+    settleOf({cost: 9}),
+    {kind: 'returnGrant', grantId: 'g1', records: [recordOf(2, 40)]},
+    openOf({requestKey: 'k3', maximumCost: 10}),
+    settleOf({requestKey: 'barley/desk/k3', cost: 10}),
+  ];
+  const entries = commands.map((command, position) => {
+    fixture.apply(command, 1);
+    const index = position + 1;
+    return {
+      index,
+      term: 1,
+      timestamp: fixture.now,
+      kind: 'commands',
+      commands: [command],
+    };
+  });
+  const bills = fixture.ledger.takeBills();
+  return {entries, evidence: {budgets: fixture.ledger.budgets(), bills}};
+}
+
+function audit({entries, evidence}: Books): AuditReport {
+  return auditHistory(entries, evidence);
+}
+
+/** Name, what is altered, and what the audit must say. */
+const corruptions: Array<[string, (books: Books) => void, object]> = [
+  [
+    'a balance',
+    ({evidence}) => evidence.budgets[0]!.billed--,
+    {
+      customer: 'barley',
+      index: 11,
+      message: expect.stringContaining(
+        'billed is shown as 87, the history gives 88',
+      ),
+    },
+  ],
+  [
+    'an archived cost',
+    ({evidence}) => evidence.bills[1]!.cost++,
+    {
+      customer: 'barley',
+      index: 7,
+      message: expect.stringContaining(
+        'is 31 in entry 7, the history gives 30',
+      ),
+    },
+  ],
+  [
+    'a bill that is gone',
+    ({evidence}) => evidence.bills.splice(2, 1),
+    {
+      customer: 'barley',
+      index: 9,
+      message: expect.stringContaining('not archived'),
+    },
+  ],
+  [
+    'a bill that stands twice',
+    ({evidence}) => evidence.bills.push(evidence.bills[0]!),
+    {
+      customer: 'barley',
+      index: 6,
+      message: expect.stringContaining('archived twice'),
+    },
+  ],
+  [
+    'a settlement in the history',
+    ({entries}) =>
+      (entries[5]!.commands = [
+        settleOf({cost: 7, usage: {inputTokens: 2, outputTokens: 3}}),
+      ]),
+    {
+      customer: 'barley',
+      index: 6,
+      message: expect.stringContaining('its usage at its prices is 8'),
+    },
+  ],
+  [
+    'a top-up in the history',
+    ({entries}) => ((entries[1]!.commands![0] as {amount: number}).amount = 51),
+    {
+      customer: 'barley',
+      index: 11,
+      message: expect.stringContaining('topped up is shown as 50'),
+    },
+  ],
+  [
+    'an entry that is gone',
+    ({entries}) => entries.splice(7, 1),
+    {index: 9, message: 'entry 9: follows entry 7'},
+  ],
+  [
+    'an entry out of shape',
+    ({entries}) => (entries[3]!.commands = [{...openOf(), maximumCost: -1}]),
+    {index: 4, message: expect.stringContaining('/maximumCost must be >= 0')},
+  ],
+  [
+    'time that goes back',
+    ({entries}) => (entries[4]!.timestamp -= 5),
+    {index: 5, message: 'entry 5: time goes back by 4 ms'},
+  ],
+  [
+    'a balance that is not shown',
+    ({evidence}) => evidence.budgets.pop(),
+    {
+      customer: 'barley',
+      index: 11,
+      message: expect.stringContaining('none is shown'),
+    },
+  ],
+];
+
+describe('auditHistory', () => {
+  it('finds nothing in true books, and counts what it checked', () => {
+    expect(audit(books())).toEqual({
+      checked: {
+        entries: 11,
+        commands: 11,
+        customers: 1,
+        contractVersions: 1,
+        topUps: 1,
+        opens: 3,
+        grants: 1,
+        bills: 4,
+        billedAmount: 88,
+        balances: 1,
+        archivedBills: 4,
+      },
+      findings: [],
+    });
+  });
+
+  it.each(corruptions)('names %s', (_name, corrupt, finding) => {
+    const altered = books();
+    corrupt(altered);
+    expect(audit(altered).findings).toContainEqual(finding);
+  });
+
+  it('finds any altered cost or balance', () => {
+    const names = [
+      'billed',
+      'reserved',
+      'granted',
+      'toppedUp',
+      'openRequests',
+    ] as const;
+    fc.assert(
+      fc.property(
+        fc.constantFrom(...names),
+        fc.nat(3),
+        fc.integer({min: 1, max: 1_000_000}),
+        fc.boolean(),
+        (name, position, amount, isBill) => {
+          const altered = books();
+          if (isBill) altered.evidence.bills[position]!.cost += amount;
+          else altered.evidence.budgets[0]![name] += amount;
+          const {findings} = audit(altered);
+          expect(findings).toHaveLength(1);
+          expect(findings[0]).toMatchObject({
+            customer: 'barley',
+            index: expect.any(Number),
+          });
+        },
+      ),
+      {seed: 20261203, numRuns: 100},
+    );
+  });
+});
--- a/packages/ledger/tests/requests.test.ts
+++ b/packages/ledger/tests/requests.test.ts
@@ -1,8 +1,10 @@
 import {
   type BilledResult,
+  type Command,
   type GrantResult,
   type LeaseResult,
   type MergedResult,
+  type MergeJournal,
 } from '@dogwoodtrestle/schema';
 import {describe, expect, it} from 'vitest';
 
@@ -142,14 +144,14 @@
     const fixture = LedgerFixture.withContract();
     fixture.apply(grantOf());
     const records = [recordOf(2, 20), recordOf(1, 10), recordOf(3)];
-    const merge = {kind: 'mergeJournal', grantId: 'g1', records} as const;
+    const merge: MergeJournal = {kind: 'mergeJournal', grantId: 'g1', records};
     expect(fixture.apply(merge)).toMatchObject({billed: 30, returned: 0});
     expect(fixture.apply(merge)).toMatchObject({billed: 0, returned: 0});
-    const final = {
+    const final: Command = {
       kind: 'returnGrant',
       grantId: 'g1',
       records: [...records, recordOf(4, undefined, {unknownCost: 7})],
-    } as const;
+    };
     // Record 3 states no unknown cost and is billed its maximum of 50.
     expect(fixture.apply(final)).toMatchObject({billed: 57, returned: 113});
     expect(fixture.apply(final)).toMatchObject({billed: 0, returned: 0});
@@ -183,11 +185,11 @@
   it('bills a key once on both sides of a partition, the first to arrive', () => {
     const fixture = LedgerFixture.withContract();
     fixture.applyAll([grantOf(), openOf({requestKey: 'j1'})]);
-    const merge = {
+    const merge: MergeJournal = {
       kind: 'mergeJournal',
       grantId: 'g1',
       records: [recordOf(1, 30)],
-    } as const;
+    };
     expect(fixture.apply<MergedResult>(merge).billed).toBe(30);
     const late = settleOf({requestKey: 'barley/desk/j1', cost: 99});
     expect(fixture.apply(late)).toMatchObject({
@@ -207,6 +209,24 @@
     expect(fixture.ledger.verifySums()).toEqual([]);
   });
 
+  it('merges a record once, even when nothing is left of its key', () => {
+    const short = {
+      requestRetentionMilliseconds: second,
+      forgottenKeyRetentionMilliseconds: second,
+    };
+    const fixture = LedgerFixture.withContract({}, short);
+    const records = [recordOf(1, 30)];
+    const merge: Command = {kind: 'mergeJournal', grantId: 'g1', records};
+    fixture.applyAll([grantOf(), merge]);
+    fixture.apply({kind: 'advanceTime'}, 2 * second);
+    fixture.apply({kind: 'advanceTime'}, 4 * second);
+    expect(fixture.ledger.keyCounts()).toMatchObject({
+      settled: 0,
+      forgotten: 0,
+    });
+    expect(fixture.apply(merge)).toMatchObject({billed: 0});
+  });
+
   it('does not bill a key again that was forgotten meanwhile', () => {
     const fixture = LedgerFixture.withContract();
     fixture.applyAll([grantOf(), openOf({requestKey: 'j1'})]);
