--- a/packages/ledger/src/commands/grantCommands.ts
+++ b/packages/ledger/src/commands/grantCommands.ts
@@ -27,6 +27,7 @@
 import {
   boundedCost,
   closeOpenRequest,
+  isFree,
   pricesOf,
   recordBill,
   refuse,
@@ -242,10 +243,15 @@
   const {workspace, fingerprint} = record;
   const requestKey = scopedKey({...record, customer});
   const {requests} = state;
-  const isBilled = requests.settled.has(requestKey);
+  const settled = requests.settled.get(requestKey);
+  const isBilled = settled !== undefined && !isFree(settled.bill);
   if (isBilled || requests.isForgotten(requestKey)) return 0;
   const open = requests.open.get(requestKey);
-  if (open !== undefined) closeOpenRequest(state, open);
+  if (open !== undefined) {
+    // That the record's attempt failed says nothing about the open one.
+    if (isFree(settlement)) return 0;
+    closeOpenRequest(state, open);
+  }
   const most = Math.min(record.maximumCost, remainingOf(grant));
   const {cost, outcome} = boundedCost(settlement, most);
   spend(account, grant, workspace, cost);
--- a/packages/ledger/src/commands/requestCommands.ts
+++ b/packages/ledger/src/commands/requestCommands.ts
@@ -88,16 +88,21 @@
 
 /**
  * Whether a request may be opened again under its key: it was billed nothing,
- * because it did not run or its answer was cut off.
+ * because it did not run or, if it may be repeated, its answer was cut off.
  */
 function isReopenable(
   record: OpenRequestRecord | SettledRequestRecord,
 ): record is SettledRequestRecord {
-  return 'bill' in record && isFree(record.bill);
+  if (!('bill' in record) || !isFree(record.bill)) return false;
+  return record.idempotent || record.bill.outcome === 'didNotRun';
 }
 
-function isFree({cost, outcome}: Pick<Bill, 'cost' | 'outcome'>): boolean {
-  return cost === 0 && (outcome === 'didNotRun' || outcome === 'cutOff');
+/** Whether a settlement costs nothing because the attempt failed. */
+export function isFree({
+  cost,
+  outcome,
+}: Pick<Bill, 'cost' | 'outcome'>): boolean {
+  return outcome === 'didNotRun' || (outcome === 'cutOff' && cost === 0);
 }
 
 /** Hands an open idempotent request to another instance. */
--- a/packages/ledger/src/requestBook.ts
+++ b/packages/ledger/src/requestBook.ts
@@ -72,6 +72,8 @@
   }
 
   addSettled(record: SettledRequestRecord): void {
+    // The newest record comes last, as in the queue.
+    this.settled.delete(record.requestKey);
     this.settled.set(record.requestKey, record);
     this.settledQueue.push(record);
   }
--- a/packages/ledger/tests/requests.test.ts
+++ b/packages/ledger/tests/requests.test.ts
@@ -93,6 +93,22 @@
     expect(fixture.ledger.budget('barley')?.billed).toBe(cost);
   });
 
+  it.each([
+    ['completed', true, 'duplicate'],
+    ['cutOff', true, 'opened'],
+    ['didNotRun', true, 'opened'],
+    ['cutOff', false, 'duplicate'],
+    ['didNotRun', false, 'opened'],
+  ] as const)(
+    'after %s for nothing, idempotent %s, answers an open by %s',
+    (outcome, idempotent, kind) => {
+      const fixture = LedgerFixture.withContract();
+      const open = openOf({idempotent});
+      fixture.applyAll([open, settleOf({cost: 0, outcome})]);
+      expect(fixture.apply(open).kind).toBe(kind);
+    },
+  );
+
   it('forgets keys in two steps', () => {
     const fixture = LedgerFixture.withContract();
     fixture.applyAll([openOf(), settleOf()]);
@@ -209,6 +225,33 @@
     expect(fixture.ledger.verifySums()).toEqual([]);
   });
 
+  it('bills a record whose key was settled for nothing elsewhere', () => {
+    const fixture = LedgerFixture.withContract();
+    fixture.applyAll([grantOf(), openOf({requestKey: 'j1'})]);
+    const requestKey = 'barley/desk/j1';
+    fixture.apply(settleOf({requestKey, outcome: 'didNotRun'}));
+    const records = [recordOf(1, 30)];
+    expect(
+      fixture.apply({kind: 'mergeJournal', grantId: 'g1', records}),
+    ).toMatchObject({billed: 30});
+    expect(fixture.ledger.request(requestKey)).toMatchObject({
+      bill: {cost: 30},
+    });
+  });
+
+  it('leaves a request open whose journalled attempt did not run', () => {
+    const fixture = LedgerFixture.withContract();
+    fixture.applyAll([grantOf(), openOf({requestKey: 'j1'})]);
+    const record = recordOf(1, 0);
+    record.settlement!.outcome = 'didNotRun';
+    fixture.apply({kind: 'mergeJournal', grantId: 'g1', records: [record]});
+    const settle = settleOf({requestKey: 'barley/desk/j1', cost: 9});
+    expect(fixture.apply(settle)).toMatchObject({
+      repeated: false,
+      bill: {cost: 9},
+    });
+  });
+
   it('merges a record once, even when nothing is left of its key', () => {
     const short = {
       requestRetentionMilliseconds: second,
