--- /dev/null
+++ b/packages/bench/src/money/index.ts
@@ -0,0 +1,7 @@
+/** @fileoverview Measurements of money: overspend and false refusals. */
+export {
+  compareMoney,
+  defaultMoneyBenchOptions,
+  type MoneyBenchOptions,
+} from './moneyBench.js';
+export {barleyDesk, type MoneySetting, tentCommons} from './moneySetting.js';
--- /dev/null
+++ b/packages/bench/src/money/moneyBench.ts
@@ -0,0 +1,137 @@
+/**
+ * @fileoverview Overspend and false refusals of the ledger with grants,
+ * against plain ways to keep a budget, over the same requests.
+ */
+import {type Row} from '../util/table.js';
+import {Accountant, type Admission, StaticShares} from './admission.js';
+import {LedgerAdmission} from './ledgerAdmission.js';
+import {type MoneyOutcome, runMoney} from './moneyRun.js';
+import {barleyDesk, type MoneySetting, tentCommons} from './moneySetting.js';
+import {
+  drawWorkload,
+  type InputBound,
+  type MoneyWorkload,
+} from './moneyWorkload.js';
+import {type VirtualTime} from '../routing/virtualTime.js';
+
+/** Options of the money bench. */
+export interface MoneyBenchOptions {
+  seeds: readonly number[];
+  durationMilliseconds: number;
+  settings: readonly MoneySetting[];
+  inputBounds: readonly InputBound[];
+}
+
+export const defaultMoneyBenchOptions: MoneyBenchOptions = {
+  seeds: [1, 2, 3, 4, 5],
+  durationMilliseconds: 1_800_000,
+  settings: [barleyDesk, tentCommons],
+  inputBounds: ['bytes', 'half of the bytes', 'exact'],
+};
+
+type AdmissionFactory = (
+  setting: MoneySetting,
+  workload: MoneyWorkload,
+  time: VirtualTime,
+) => Admission;
+
+const admissions: Record<string, AdmissionFactory> = {
+  'ledger with grants': (setting, {payments}, time) =>
+    new LedgerAdmission({setting, payments, time, withGrants: true}),
+  'quorum only': (setting, {payments}, time) =>
+    new LedgerAdmission({setting, payments, time, withGrants: false}),
+  'static shares': (setting, {payments}) =>
+    new StaticShares(payments, setting.routers.length),
+  accountant: (_setting, {payments}) => new Accountant(payments),
+};
+
+/** One row for each setting, partition, input bound and way to admit. */
+export function compareMoney(changes: Partial<MoneyBenchOptions> = {}): Row[] {
+  const options = {...defaultMoneyBenchOptions, ...changes};
+  return options.settings.flatMap(setting =>
+    [false, true].flatMap(withPartition =>
+      options.inputBounds.flatMap(inputBound =>
+        compareOne(options, setting, withPartition, inputBound),
+      ),
+    ),
+  );
+}
+
+/** Sums over all seeds. */
+interface Totals {
+  requests: number;
+  refused: number;
+  falselyRefused: number;
+  overspend: number;
+  spent: number;
+  paid: number;
+}
+
+function compareOne(
+  {seeds, durationMilliseconds}: MoneyBenchOptions,
+  setting: MoneySetting,
+  withPartition: boolean,
+  inputBound: InputBound,
+): Row[] {
+  const totals = new Map<string, Totals>();
+  for (const seed of seeds) {
+    const options = {seed, durationMilliseconds, inputBound};
+    const workload = drawWorkload(setting, options);
+    const run = (factory: AdmissionFactory): MoneyOutcome =>
+      runMoney({
+        setting,
+        workload,
+        withPartition,
+        admission: time => factory(setting, workload, time),
+      });
+    const ideal = run(admissions['accountant']!);
+    for (const [name, factory] of Object.entries(admissions)) {
+      const total = totals.get(name) ?? emptyTotals();
+      addOutcome(total, workload, run(factory), ideal);
+      totals.set(name, total);
+    }
+  }
+  return [...totals].map(([name, total]) => ({
+    user: setting.name,
+    partition: withPartition ? 'yes' : 'no',
+    'input bound': inputBound,
+    admission: name,
+    requests: total.requests,
+    'overspend micros': total.overspend,
+    'refused %': percent(total.refused, total.requests),
+    'false refusals %': percent(total.falselyRefused, total.requests),
+    'stranded %': percent(total.paid - total.spent, total.paid),
+  }));
+}
+
+function emptyTotals(): Totals {
+  return {
+    requests: 0,
+    refused: 0,
+    falselyRefused: 0,
+    overspend: 0,
+    spent: 0,
+    paid: 0,
+  };
+}
+
+function addOutcome(
+  total: Totals,
+  {requests}: MoneyWorkload,
+  outcome: MoneyOutcome,
+  ideal: MoneyOutcome,
+): void {
+  total.requests += requests.length;
+  total.spent += outcome.spent;
+  total.paid += outcome.paid;
+  total.overspend += outcome.overspend;
+  for (const {id} of requests) {
+    if (outcome.served.has(id)) continue;
+    total.refused++;
+    if (ideal.served.has(id)) total.falselyRefused++;
+  }
+}
+
+function percent(part: number, whole: number): string {
+  return ((part / whole) * 100).toFixed(2);
+}
