feat(routing): trust reported differences in load only in part

Cause: six routers act on the same reports, which lag 1 to 2 s, and all send to whichever server looked idle then. Costs were also per prompt, so that recomputing 6,000 tokens weighed as little as 200. Now own requests count in full, what others have running counts as the mean plus 0.2 of the reported difference, and recomputing costs by token.

--- a/packages/bench/src/routing/routerModel.ts
+++ b/packages/bench/src/routing/routerModel.ts
@@ -284,6 +284,7 @@
       inFlight: name => this.tracker.inFlight(name),
       correction: entry => this.tracker.correction(entry),
       failureDomain,
+      promptTokens: handle.request.promptTokens,
       prefixHits: name => this.prefixes.hits(name, handle.request.blocks, now),
       health: name => ({
         ejected: this.outliers.ejected(name, now),
--- a/packages/routing/src/chooseBackend.ts
+++ b/packages/routing/src/chooseBackend.ts
@@ -10,6 +10,7 @@
  * all pick the same server.
  */
 import {type BackendEntry} from './directory.js';
+import {type Utilisation, utilisations} from './utilisation.js';
 
 export interface Health {
   ejected: boolean;
@@ -18,10 +19,15 @@
 }
 
 export interface ChoiceOptions {
-  /** Cost of recomputing the whole prompt, in units of utilisation. */
+  /** Cost of computing 1,000 prompt tokens, in units of utilisation. */
   recomputeCost: number;
   /** The cache counts up to this much utilisation above the least loaded. */
   affinityHeadroom: number;
+  /**
+   * How far a report counts for what other routers have running there, from 0
+   * (all servers taken for equally loaded by them) to 1.
+   */
+  reportTrust: number;
   /** Cost of leaving the failure domain, in units of utilisation. */
   remoteCost: number;
   /** Candidates within this much of the lowest cost are as good. */
@@ -32,8 +38,9 @@
 
 export const defaultChoiceOptions: ChoiceOptions = {
   recomputeCost: 0.5,
-  affinityHeadroom: 0.5,
-  remoteCost: 0.3,
+  affinityHeadroom: 1,
+  reportTrust: 0.2,
+  remoteCost: 0.2,
   tolerance: 0.05,
   explainedCandidates: 12,
 };
@@ -48,6 +55,8 @@
   correction?: (entry: BackendEntry) => number;
   /** Of this instance. */
   failureDomain: string;
+  /** Length of the prompt; an ordinary one where it is left out. */
+  promptTokens?: number;
   /** Share of the prompt that is cached there, from 0 to 1. */
   prefixHits: (name: string) => number;
   health: (name: string) => Health;
@@ -74,24 +83,26 @@
   considered: Consideration[];
 }
 
-interface Scored {
-  entry: BackendEntry;
-  utilisation: number;
+const ordinaryPromptTokens = 1_000;
+
+interface Scored extends Utilisation {
   cost: number;
 }
 
 export function chooseBackend(input: ChoiceInput): Choice {
   const options = {...defaultChoiceOptions, ...input.options};
   const ruledOut: Consideration[] = [];
-  const scored: Scored[] = [];
+  const usable: BackendEntry[] = [];
   for (const entry of input.candidates) {
     const {name} = entry.announcement;
     const why = reasonToRuleOut(name, input);
     if (why) ruledOut.push({name, score: Infinity, why});
-    else {
-      scored.push({entry, utilisation: utilisationOf(entry, input), cost: 0});
-    }
+    else usable.push(entry);
   }
+  const scored = utilisations(usable, input, options).map(each => ({
+    ...each,
+    cost: 0,
+  }));
   addCosts(scored, input, options);
   const chosen = pick(scored, input.random, options);
   return {
@@ -108,21 +119,12 @@
   return health(name).ejected ? 'ejected' : undefined;
 }
 
-/** Expected load as a share of the capacity, this request included. */
-function utilisationOf(entry: BackendEntry, input: ChoiceInput): number {
-  const {name, load} = entry.announcement;
-  const reported = load.running + load.queued;
-  const expected = reported + (input.correction?.(entry) ?? 0);
-  const atLeast = input.inFlight(name);
-  const capacity = load.capacity * Math.max(input.health(name).weight, 0.01);
-  return (Math.max(expected, atLeast) + 1) / capacity;
-}
-
 function addCosts(
   scored: Scored[],
-  {prefixHits, failureDomain}: ChoiceInput,
+  {prefixHits, failureDomain, promptTokens = ordinaryPromptTokens}: ChoiceInput,
   options: ChoiceOptions,
 ): void {
+  const recomputeCost = (options.recomputeCost * promptTokens) / 1_000;
   let lowest = Infinity;
   for (const {utilisation} of scored) lowest = Math.min(lowest, utilisation);
   const affinityLimit = lowest + options.affinityHeadroom;
@@ -131,7 +133,7 @@
     const hits = candidate.utilisation <= affinityLimit ? prefixHits(name) : 0;
     candidate.cost =
       candidate.utilisation +
-      options.recomputeCost * (1 - hits) +
+      recomputeCost * (1 - hits) +
       (domain === failureDomain ? 0 : options.remoteCost);
   }
 }
--- a/packages/routing/tests/limits.test.ts
+++ b/packages/routing/tests/limits.test.ts
@@ -115,6 +115,15 @@
   });
 });
 
+describe('RetryBudget window', () => {
+  it('forgets the requests of earlier windows', () => {
+    const budget = new RetryBudget();
+    for (let index = 0; index < 1_000; index += 1) budget.recordRequest(0);
+    const retries = Array.from({length: 50}, () => budget.tryRetry(20_000));
+    expect(retries.filter(Boolean)).toHaveLength(3);
+  });
+});
+
 describe('OutlierDetector', () => {
   const fail = (detector: OutlierDetector, name: string, now: number) => {
     for (let index = 0; index < 5; index += 1) {
@@ -191,6 +200,11 @@
   it.each([
     {name: 'a long prompt', change: {}, transfer: true},
     {name: 'a short prompt', change: {promptTokens: 20}, transfer: false},
+    {
+      name: 'a gain within the margin',
+      change: {prefillTokensPerSecond: 6_000},
+      transfer: false,
+    },
     {name: 'a cached prompt', change: {destinationHits: 1}, transfer: false},
     {name: 'no support', change: {supported: false}, transfer: false},
     {
