fix(daemon): an instance that nobody's settings name becomes known

Records are only pulled, so nobody ever asked a newcomer. A question now carries its sender, and an unknown sender is asked back at once. The control test was seen failing without it (condition never held, 8 s); with it 3 of 3 runs pass in about 2 s.

--- a/packages/daemon/src/membership/membership.ts
+++ b/packages/daemon/src/membership/membership.ts
@@ -124,8 +124,10 @@
   }
 
   /** Answers a peer's question. */
-  answer({instances, backends}: GossipRequest): GossipReply {
+  answer({from, instances, backends}: GossipRequest): GossipReply {
     const now = this.options.clock.now();
+    // Nobody would ever ask a newcomer that no settings name.
+    if (this.isNews(from)) this.ask(from.address).catch(() => undefined);
     return {
       instances: this.table.newerThan(instances, now),
       backends: this.directory.newerThan(backends, now),
@@ -250,9 +252,17 @@
     this.report();
   }
 
+  private isNews({name, incarnation}: GossipRequest['from']): boolean {
+    if (name === this.table.own.name) return false;
+    const known = this.table.get(name);
+    return known?.incarnation !== incarnation || !this.isAlive(name);
+  }
+
   private async ask(address: string): Promise<void> {
-    const {clock, exchange, metrics} = this.options;
+    const {settings, clock, exchange, metrics} = this.options;
+    const {name, incarnation} = this.table.own;
     const request: GossipRequest = {
+      from: {name, incarnation, address: ownPeerAddress(settings)},
       instances: this.table.digest(),
       backends: this.directory.digest(),
     };
--- a/packages/daemon/tests/control.test.ts
+++ b/packages/daemon/tests/control.test.ts
@@ -80,7 +80,9 @@
     await eventually(() =>
       controls.every(({configuration}) => configuration.revision === 1),
     );
-    await eventually(() => four.membership.instances().length === 4);
+    await eventually(() =>
+      controls.every(({membership}) => membership.livePeers().length === 3),
+    );
     expect(four.configuration.renewedMillisecondsAgo).toBeLessThan(2000);
   });
 });
