--- /dev/null
+++ b/packages/daemon/tests/ledgerClient.test.ts
@@ -0,0 +1,147 @@
+import {
+  type Command,
+  type Result,
+  type SubmitReply,
+} from '@dogwoodtrestle/schema';
+import {describe, expect, it} from 'vitest';
+
+import {LedgerClient} from '../src/ledgerClient/ledgerClient.js';
+import {openCommand} from './fixtures.js';
+
+type Script = (
+  address: string,
+  commands: Command[],
+  call: number,
+) => SubmitReply | Error;
+
+/** A client whose calls are answered by a script; `probe` calls count too. */
+function clientOf(script: Script) {
+  const calls: Array<{address: string; commands: Command[]}> = [];
+  const client = new LedgerClient({
+    calls: {
+      submit: async (address, {commands}) => {
+        calls.push({address, commands});
+        await new Promise(resolve => setTimeout(resolve, 1));
+        const reply = script(address, commands, calls.length);
+        if (reply instanceof Error) throw reply;
+        return reply;
+      },
+      query: async () => ({kind: 'notLeader'}),
+    },
+    addresses: () => ['a', 'b'],
+    maybeReceived: error => (error as Error).message === 'lost',
+    submitTimeoutMilliseconds: 150,
+    retryMilliseconds: 5,
+    probeMilliseconds: 20,
+  });
+  return {client, calls};
+}
+
+function results(list: Result[], ledgerTime = 100): SubmitReply {
+  return {kind: 'results', results: list, ledgerTime};
+}
+
+function duplicate(changes: object = {}): Result {
+  return {
+    kind: 'duplicate',
+    requestKey: 'exchange/desk/r1',
+    status: 'open',
+    attempt: 1,
+    holder: 'one',
+    idempotent: true,
+    openedAt: 200,
+    ...changes,
+  };
+}
+
+/** The first copy's answer is lost, the second one is `answer`. */
+async function resend(answer: Result, earlierOpens = 0) {
+  const lost = earlierOpens + 2; // the first call is a probe
+  const {client} = clientOf((_address, commands, call) =>
+    call === lost ? new Error('lost') : results(commands.map(() => answer)),
+  );
+  await client.probe();
+  for (let i = 0; i < earlierOpens; i++) await client.submit(openCommand());
+  return client.submit(openCommand());
+}
+
+describe('LedgerClient', () => {
+  it('takes its own resent open for opened', async () => {
+    expect(await resend(duplicate())).toMatchObject({
+      kind: 'opened',
+      attempt: 1,
+    });
+  });
+
+  it.each([
+    ['held by another instance', duplicate({holder: 'two'})],
+    ['settled already', duplicate({status: 'settled'})],
+    ['opened by an earlier process', duplicate({openedAt: 100})],
+    ['of unknown age', duplicate({openedAt: undefined})],
+  ])('leaves a duplicate that is %s', async (_name, answer) => {
+    expect(await resend(answer)).toMatchObject({kind: 'duplicate'});
+  });
+
+  it('leaves a duplicate of a key that two callers have sent', async () => {
+    const answer = await resend(duplicate(), 1);
+    expect(answer).toMatchObject({kind: 'duplicate'});
+  });
+
+  it('leaves a duplicate that was answered at once', async () => {
+    const {client} = clientOf((_address, commands) =>
+      results(commands.map(() => duplicate())),
+    );
+    await client.probe();
+    const answer = await client.submit(openCommand());
+    expect(answer).toMatchObject({kind: 'duplicate'});
+  });
+
+  it('follows the named leader and sends queued commands together', async () => {
+    const {client, calls} = clientOf((address, commands) =>
+      address === 'a'
+        ? {kind: 'notLeader', leader: 'c'}
+        : results(commands.map(() => ({kind: 'done'}))),
+    );
+    await Promise.all(
+      [1, 2, 3].map(() => client.submit({kind: 'advanceTime'})),
+    );
+    const sizes = calls.map(({address, commands}) => [
+      address,
+      commands.length,
+    ]);
+    expect(sizes).toEqual([
+      ['a', 1],
+      ['c', 3],
+    ]);
+    expect(client.leaderAddress).toBe('c');
+  });
+
+  it.each([
+    ['refused', 'notSent'],
+    ['lost', 'unknown'],
+  ])('gives up in time when calls are %s', async (message, outcome) => {
+    const failing = {on: true};
+    const {client} = clientOf((_address, commands) =>
+      failing.on
+        ? new Error(message)
+        : results(commands.map(() => ({kind: 'done'}))),
+    );
+    const startedAt = Date.now();
+    await expect(client.submit(openCommand())).rejects.toMatchObject({
+      name: 'QuorumUnreachableError',
+      outcome,
+    });
+    expect(Date.now() - startedAt).toBeLessThan(1000);
+    expect(client.connected).toBe(false);
+    failing.on = false;
+    await expect.poll(() => client.connected).toBe(true);
+    await client.stop();
+  });
+
+  it('refuses an invalid command without sending it', async () => {
+    const {client, calls} = clientOf(() => results([]));
+    const command = openCommand({maximumCost: -1});
+    await expect(client.submit(command)).rejects.toThrow('maximumCost');
+    expect(calls).toEqual([]);
+  });
+});
