--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -23,7 +23,11 @@
     settings: {jsdoc: {tagNamePreference: {file: 'fileoverview'}}},
     languageOptions: {
       parserOptions: {
-        project: ['./packages/*/tsconfig.json', './tsconfig.tests.json'],
+        project: [
+          './packages/*/tsconfig.json',
+          './features/tsconfig.json',
+          './tsconfig.tests.json',
+        ],
         tsconfigRootDir: import.meta.dirname,
       },
     },
--- /dev/null
+++ b/features/steps/callerSteps.ts
@@ -0,0 +1,210 @@
+/** @fileoverview Steps of callers: chats, bookings, loads and their answers. */
+import assert from 'node:assert/strict';
+
+import {Given, Then, When} from '@cucumber/cucumber';
+import {answerTokens, promptOf} from '@dogwoodtrestle/testkit';
+
+import {type ScenarioWorld} from './world.js';
+
+const chatPattern =
+  /^"(\w+)" (asks|starts to ask) (r\d+) for (\d+) words( as a stream)?(?: with the key "(.+)")?( until served| until refused)?$/;
+
+When(
+  chatPattern,
+  async function (
+    this: ScenarioWorld,
+    customer: string,
+    verb: string,
+    router: string,
+    words: string,
+    stream: string | null,
+    idempotencyKey: string | null,
+    until: string | null,
+  ) {
+    const chat = {
+      customer,
+      router,
+      words: Number(words),
+      stream: stream !== null,
+      idempotencyKey: idempotencyKey ?? undefined,
+    };
+    if (verb === 'starts to ask') {
+      this.started.push(this.scenario.chatUnnoted(chat));
+    } else if (until === ' until served') {
+      await this.scenario.untilServed(() => this.scenario.chatUnnoted(chat));
+    } else if (until === ' until refused') {
+      await this.scenario.chatUntilRefused([router], chat);
+    } else {
+      await this.scenario.chat(chat);
+    }
+  },
+);
+
+When(
+  '{string} asks all routers for {int} words until refused',
+  async function (this: ScenarioWorld, customer: string, words: number) {
+    await this.scenario.chatUntilRefused(this.daemonNames, {customer, words});
+  },
+);
+
+When(
+  '{string} asks the woken instance for {int} words',
+  async function (this: ScenarioWorld, customer: string, words: number) {
+    const router = this.frozen;
+    await this.scenario.chat({customer, router, words});
+  },
+);
+
+Given(
+  /^"(\w+)" has asked (r\d+) for (\d+) words (\d+) times$/,
+  async function (
+    this: ScenarioWorld,
+    customer: string,
+    router: string,
+    words: string,
+    times: string,
+  ) {
+    for (let count = 0; count < Number(times); count++) {
+      await this.scenario.chat({customer, router, words: Number(words)});
+    }
+    assertAllWhole(this);
+  },
+);
+
+When(
+  /^"(\w+)" (books|starts to book) the lot "(\d+)" through (r\d+) with the key "([^"]+)"( until served)?$/,
+  async function (
+    this: ScenarioWorld,
+    customer: string,
+    verb: string,
+    lot: string,
+    router: string,
+    key: string,
+    until: string | null,
+  ) {
+    const book = () => this.scenario.book(router, customer, lot, key);
+    if (verb === 'starts to book') this.started.push(book());
+    else if (until === null) this.scenario.answers.push(await book());
+    else await this.scenario.untilServed(book);
+  },
+);
+
+Given(
+  /^a load of (\d+) requests a second on all (ready )?routers by "(\w+)"$/,
+  function (
+    this: ScenarioWorld,
+    perSecond: string,
+    ready: string | null,
+    customer: string,
+  ) {
+    this.load = this.scenario.startLoad(Number(perSecond), customer, {
+      onlyReady: ready !== null,
+    });
+  },
+);
+
+When('the load stops', async function (this: ScenarioWorld) {
+  this.scenario.answers.push(...((await this.load?.stop()) ?? []));
+  this.load = undefined;
+});
+
+Then('the answer is whole', function (this: ScenarioWorld) {
+  assertWhole(this, this.scenario.answers.length - 1);
+});
+
+Then('every answer is whole', function (this: ScenarioWorld) {
+  assertAllWhole(this);
+});
+
+Then(
+  'the answer has the status {int}',
+  function (this: ScenarioWorld, status: number) {
+    assert.equal(this.answer.status, status, this.answer.body);
+  },
+);
+
+Then(
+  'the last answer is refused as {string} and did not run',
+  function (this: ScenarioWorld, code: string) {
+    const {error} = this.answer;
+    assert.equal(error?.code, code);
+    assert.equal(error?.didNotRun, true);
+  },
+);
+
+Then(
+  /^at least (\d+) answers? of r\d+ (?:was|were) whole during the partition$/,
+  function (this: ScenarioWorld, count: string) {
+    const {sinceCut} = this.scenario;
+    const whole = this.scenario.answers.slice(sinceCut).filter(isServed);
+    assert.ok(
+      whole.length >= Number(count),
+      `${whole.length} whole; last: ${this.answer.body}`,
+    );
+  },
+);
+
+Then(
+  /^(r\d+) refuses "(\w+)"$/,
+  async function (this: ScenarioWorld, router: string, customer: string) {
+    const answer = await this.scenario.chatUnnoted({
+      router,
+      customer,
+      words: 5,
+    });
+    assert.ok(answer.status >= 400, `served: ${answer.status}`);
+    assert.equal(answer.error?.didNotRun, true, answer.body);
+  },
+);
+
+Then(
+  'each answer can be explained by {word}',
+  async function (this: ScenarioWorld, router: string) {
+    for (const {requestId} of this.scenario.answers) {
+      const operator = this.scenario.operator([router]);
+      const {found} = await operator.explain(requestId);
+      assert.ok(found, `${requestId} is not known`);
+    }
+  },
+);
+
+Then(
+  'the lot {string} was sold exactly once',
+  function (this: ScenarioWorld, lot: string) {
+    assert.equal(this.scenario.executions(lot).length, 1, this.answer.body);
+  },
+);
+
+Then(
+  'an answer that says it did not run is true of the lot {string}',
+  function (this: ScenarioWorld, lot: string) {
+    const ran = this.scenario.executions(lot).length;
+    assert.ok(ran <= 1);
+    const {error, status} = this.answer;
+    if (error?.didNotRun === true) assert.equal(ran, 0);
+    if (status === 201) assert.equal(ran, 1);
+    assert.ok(error !== undefined || status === 201, this.answer.body);
+  },
+);
+
+function isServed(answer: ScenarioWorld['answer']): boolean {
+  return answer.status === 200 && answer.error === undefined;
+}
+
+function assertAllWhole(world: ScenarioWorld): void {
+  assert.ok(world.scenario.answers.length > 0, 'no call was made');
+  for (const index of world.scenario.answers.keys()) assertWhole(world, index);
+}
+
+/** Checks that an answer has its end and every word that was asked for. */
+function assertWhole(world: ScenarioWorld, index: number): void {
+  const answer = world.scenario.answers[index];
+  assert.ok(answer !== undefined, 'no call was made');
+  const {status, body, error, finished, text} = answer;
+  const shown = error === undefined ? body.slice(0, 300) : error;
+  assert.equal(status, 200, JSON.stringify(shown));
+  assert.ok(finished, `no end: ${JSON.stringify(shown)}`);
+  assert.equal(error, undefined);
+  const words = text.split(' ').length;
+  assert.equal(text, answerTokens(promptOf(words), words).join(''));
+}
--- /dev/null
+++ b/features/steps/operatorSteps.ts
@@ -0,0 +1,275 @@
+/** @fileoverview Steps of operators and auditors. */
+import assert from 'node:assert/strict';
+import {randomUUID} from 'node:crypto';
+
+import {type DataTable, Given, Then, When} from '@cucumber/cucumber';
+import {eventually} from '@dogwoodtrestle/testkit';
+
+import {type ScenarioWorld, type SentTopUp} from './world.js';
+
+const settleMilliseconds = 15_000;
+const mergeMilliseconds = 25_000;
+
+Given(
+  'the customer {string} with a budget of {int}',
+  async function (this: ScenarioWorld, customer: string, prepaid: number) {
+    await this.scenario.applyContract(customer, prepaid);
+  },
+);
+
+Given(
+  'the customer {string} with a budget of {int} and these partition terms:',
+  async function (
+    this: ScenarioWorld,
+    customer: string,
+    prepaid: number,
+    table: DataTable,
+  ) {
+    const [terms = {}] = table.hashes();
+    const partition = Object.fromEntries(
+      Object.entries(terms).map(([name, value]) => [name, Number(value)]),
+    );
+    await this.scenario.applyContract(customer, prepaid, {partition});
+  },
+);
+
+Given(
+  'the contract of {string} is retired',
+  async function (this: ScenarioWorld, customer: string) {
+    await this.scenario.retire(customer, this.daemonNames);
+    await eventually(settleMilliseconds, async () => {
+      const view = await this.scenario.operator().findContract(customer);
+      return view?.retired === true || 'not retired yet';
+    });
+  },
+);
+
+Given(
+  '{int} changes of the customer {string}',
+  async function (this: ScenarioWorld, count: number, customer: string) {
+    for (let number = 1; number <= count; number++) {
+      await this.scenario.change(customer, 1000 + number);
+    }
+  },
+);
+
+When(
+  /^an operator tops up "(\w+)" by (\d+) through (r\d+|the running instances)( and loses the answer)?$/,
+  async function (
+    this: ScenarioWorld,
+    customer: string,
+    amount: string,
+    through: string,
+  ) {
+    const running = this.daemonNames.filter(name => name !== this.frozen);
+    const routers = through.startsWith('r') ? [through] : running;
+    this.topUp = {customer, amount: Number(amount), changeId: randomUUID()};
+    await sendTopUp(this, routers, this.topUp);
+  },
+);
+
+When(
+  /^the operator sends the same change through (r\d+)$/,
+  async function (this: ScenarioWorld, router: string) {
+    assert.ok(this.topUp !== undefined);
+    await sendTopUp(this, [router], this.topUp);
+  },
+);
+
+When(
+  /^the operator sends other contents under the same change id through (r\d+)$/,
+  async function (this: ScenarioWorld, router: string) {
+    assert.ok(this.topUp !== undefined);
+    const other = {...this.topUp, amount: this.topUp.amount + 1};
+    await sendTopUp(this, [router], other);
+  },
+);
+
+When(
+  /^an operator retires the contract of "(\w+)" through (r\d+)$/,
+  async function (this: ScenarioWorld, customer: string, router: string) {
+    this.changes.push(await this.scenario.retire(customer, [router]));
+  },
+);
+
+When(
+  /^two operators set the budget of "(\w+)" to (\d+) through (r\d+) and to (\d+) through (r\d+) at once$/,
+  async function (
+    this: ScenarioWorld,
+    customer: string,
+    firstAmount: string,
+    firstRouter: string,
+    secondAmount: string,
+    secondRouter: string,
+  ) {
+    this.changes = await this.scenario.race(customer, [
+      {prepaid: Number(firstAmount), router: firstRouter},
+      {prepaid: Number(secondAmount), router: secondRouter},
+    ]);
+  },
+);
+
+Then(
+  'exactly one of them is accepted, and the other is told who won',
+  function (this: ScenarioWorld) {
+    const accepted = this.changes.filter(each => each.state === 'accepted');
+    const rejected = this.changes.filter(each => each.state === 'rejected');
+    assert.equal(accepted.length, 1, JSON.stringify(this.changes));
+    assert.equal(rejected.length, 1, JSON.stringify(this.changes));
+    assert.equal(rejected[0]?.winner?.changeId, accepted[0]?.changeId);
+    assert.deepEqual(rejected[0]?.winner?.differs, ['/budget/prepaid']);
+  },
+);
+
+Then(
+  'every router has the accepted budget of {string}',
+  async function (this: ScenarioWorld, customer: string) {
+    const accepted = this.changes.find(each => each.state === 'accepted');
+    for (const name of this.daemonNames) {
+      const view = await this.scenario.operator([name]).findContract(customer);
+      assert.equal(view?.version, accepted?.version, name);
+    }
+    await eventually(settleMilliseconds, async () => {
+      const instances = await this.scenario.operator().instances();
+      return (
+        instances.every(each => each.revision >= (accepted?.revision ?? 0)) ||
+        `revisions: ${instances.map(each => each.revision).join(', ')}`
+      );
+    });
+  },
+);
+
+Then(
+  /^the (?:top-up|change) is (accepted|pending)$/,
+  function (this: ScenarioWorld, state: string) {
+    assert.equal(this.changeError, undefined);
+    assert.equal(this.change.state, state, JSON.stringify(this.change));
+  },
+);
+
+Then('the top-up is not confirmed', function (this: ScenarioWorld) {
+  assert.ok(this.changeError !== undefined, JSON.stringify(this.changes));
+});
+
+Then('the change is refused', function (this: ScenarioWorld) {
+  if (this.changeError !== undefined) return;
+  assert.equal(this.change.state, 'rejected', JSON.stringify(this.change));
+});
+
+Then(
+  'within {int} s the change is accepted',
+  async function (this: ScenarioWorld, seconds: number) {
+    const {changeId} = this.change;
+    await eventually(seconds * 1000, async () => {
+      const change = await this.scenario.operator(['r1']).findChange(changeId);
+      return change?.state === 'accepted' || JSON.stringify(change);
+    });
+  },
+);
+
+Then(
+  'the newest version of {string} is {int}',
+  async function (this: ScenarioWorld, customer: string, version: number) {
+    const view = await this.scenario.operator().findContract(customer);
+    assert.equal(view?.version, version);
+  },
+);
+
+Then(
+  'the budget of {string} was topped up by {int}',
+  async function (this: ScenarioWorld, customer: string, amount: number) {
+    const budget = await this.scenario.operator().budget(customer);
+    assert.equal(budget.toppedUp, amount);
+  },
+);
+
+Then(
+  'the budget of {string} holds',
+  async function (this: ScenarioWorld, customer: string) {
+    await assertBudget(this, customer, settleMilliseconds);
+  },
+);
+
+Then(
+  'the budget of {string} holds after all grants are merged',
+  async function (this: ScenarioWorld, customer: string) {
+    await eventually(mergeMilliseconds, async () => {
+      const {grants} = await this.scenario.operator().budget(customer);
+      return (
+        grants.every(each => !each.expired) ||
+        `grants ${JSON.stringify(grants)}`
+      );
+    });
+    await assertBudget(this, customer, mergeMilliseconds);
+  },
+);
+
+Then(
+  /^"(\w+)" has (\d+) bills?, one for each request$/,
+  async function (this: ScenarioWorld, customer: string, count: string) {
+    await assertBills(this, customer, Number(count));
+  },
+);
+
+Then(
+  /^"(\w+)" has one bill for each (?:request|whole answer)$/,
+  async function (this: ScenarioWorld, customer: string) {
+    const served = this.scenario.answers.filter(
+      each => each.status === 200 && each.error === undefined,
+    );
+    await assertBills(this, customer, served.length);
+  },
+);
+
+Then(
+  /^"(\w+)" has at most one bill for the key "([^"]+)"$/,
+  async function (this: ScenarioWorld, customer: string, key: string) {
+    const bills = await this.scenario.bills(customer);
+    const found = bills.filter(each => each.requestKey.endsWith(`/${key}`));
+    assert.ok(found.length <= 1, JSON.stringify(found));
+  },
+);
+
+async function sendTopUp(
+  world: ScenarioWorld,
+  routers: string[],
+  {customer, amount, changeId}: SentTopUp,
+): Promise<void> {
+  world.changeError = undefined;
+  try {
+    const result = await world.scenario
+      .operator(routers)
+      .topUp(customer, {changeId, operator: 'scenario', amount});
+    world.changes.push(result);
+  } catch (error) {
+    world.changeError = error;
+  }
+}
+
+/** Checks that the bills add up to the budget, which covers them. */
+async function assertBudget(
+  world: ScenarioWorld,
+  customer: string,
+  timeoutMilliseconds: number,
+): Promise<void> {
+  const {scenario} = world;
+  const budget = await scenario.untilAccounted(customer, timeoutMilliseconds);
+  assert.ok(budget.billed <= budget.prepaid, JSON.stringify(budget));
+  const bills = await scenario.bills(customer);
+  const sum = bills.reduce((total, each) => total + each.cost, 0);
+  assert.equal(sum, budget.billed, 'sum of the bills');
+}
+
+async function assertBills(
+  world: ScenarioWorld,
+  customer: string,
+  count: number,
+): Promise<void> {
+  const bills = await eventually(settleMilliseconds, async () => {
+    const found = await world.scenario.bills(customer);
+    return found.length >= count ? found : `${found.length} bills of ${count}`;
+  });
+  const keys = new Set(bills.map(each => each.requestKey));
+  assert.equal(bills.length, count, 'number of bills');
+  assert.equal(keys.size, count, 'number of billed requests');
+}
--- a/packages/testkit/src/index.ts
+++ b/packages/testkit/src/index.ts
@@ -25,6 +25,9 @@
   type ProcessOptions,
 } from './launcher/managedProcess.js';
 export {healthyLink, type LinkState, Relay} from './relay.js';
+export {Load} from './scenario/load.js';
+export {promptOf, Scenario, type ScenarioChat} from './scenario/scenario.js';
+export {testContract, testKeyOf, testPrices} from './scenario/testContract.js';
 export {answerTokens, promptTokens} from './standIn/answerText.js';
 export {ModelServer} from './standIn/modelServer.js';
 export {
--- /dev/null
+++ b/packages/testkit/src/scenario/load.ts
@@ -0,0 +1,40 @@
+/** @fileoverview Steady load that runs while a scenario does other things. */
+import {setTimeout as sleep} from 'node:timers/promises';
+
+import {type CallerAnswer} from '../callers.js';
+
+/** A load of calls at a fixed rate, each made whether others are done or not. */
+export class Load {
+  private readonly pending: Array<Promise<CallerAnswer>> = [];
+  private stopped = false;
+  private readonly loop: Promise<void>;
+
+  /**
+   * Starts the load.
+   *
+   * @param makeCall Makes the call of a number, from 0.
+   */
+  constructor(
+    perSecond: number,
+    makeCall: (number: number) => Promise<CallerAnswer>,
+  ) {
+    this.loop = this.run(1000 / perSecond, makeCall);
+  }
+
+  /** Stops the load and returns the answers of all its calls. */
+  async stop(): Promise<CallerAnswer[]> {
+    this.stopped = true;
+    await this.loop;
+    return Promise.all(this.pending);
+  }
+
+  private async run(
+    pauseMilliseconds: number,
+    makeCall: (number: number) => Promise<CallerAnswer>,
+  ): Promise<void> {
+    for (let number = 0; !this.stopped; number++) {
+      this.pending.push(makeCall(number));
+      await sleep(pauseMilliseconds);
+    }
+  }
+}
--- /dev/null
+++ b/packages/testkit/src/scenario/testContract.ts
@@ -0,0 +1,40 @@
+/** @fileoverview Contracts of the scenarios. */
+import {keyHashOf} from '@dogwoodtrestle/operator-cli';
+import {type Contract, validate} from '@dogwoodtrestle/schema';
+
+/** Prices of the scenarios' contracts, in micros. */
+export const testPrices = {inputToken: 1, outputToken: 10, call: 1000} as const;
+
+/** Bearer key of a customer's only workspace. */
+export function testKeyOf(customer: string): string {
+  return `key-of-${customer}`;
+}
+
+/**
+ * Builds a contract.
+ *
+ * @param prepaid Prepaid amount in micros.
+ * @param overrides Further sections, such as `partition`.
+ */
+export function testContract(
+  customer: string,
+  prepaid: number,
+  overrides: object = {},
+): Contract {
+  const result = validate('Contract', {
+    customer,
+    budget: {prepaid},
+    models: [
+      {
+        name: 'test-model',
+        inputPrice: testPrices.inputToken,
+        outputPrice: testPrices.outputToken,
+      },
+    ],
+    services: [{name: 'bookings', callPrice: testPrices.call}],
+    workspaces: [{name: 'main', keyHash: keyHashOf(testKeyOf(customer))}],
+    ...overrides,
+  });
+  if ('value' in result) return result.value;
+  throw new Error(JSON.stringify(result.findings));
+}
