--- a/packages/operator-cli/src/commands/index.ts
+++ b/packages/operator-cli/src/commands/index.ts
@@ -16,6 +16,7 @@
 import {instances} from './instances.js';
 import {keyNew} from './keyNew.js';
 import {replicas} from './replicas.js';
+import {report} from './report.js';
 
 /** Commands with subcommands. */
 export const groups: Record<
@@ -48,5 +49,6 @@
   replicas,
   explain,
   doctor,
+  report,
   completion,
 ];
--- a/packages/operator-cli/src/util/readContract.ts
+++ b/packages/operator-cli/src/util/readContract.ts
@@ -1,6 +1,8 @@
 /** @fileoverview Reads contract files; `-` stands for the standard input. */
+import {checkContract} from '@dogwoodtrestle/ledger';
 import {
   type Contract,
+  locateFindings,
   type Finding,
   readDocument,
 } from '@dogwoodtrestle/schema';
@@ -22,7 +24,8 @@
   const text = readText(file === '-' ? standardInput : file);
   const name = file === '-' ? '(standard input)' : file;
   const result = readDocument('Contract', text, name);
-  return 'value' in result
-    ? {name, text, contract: result.value, findings: []}
-    : {name, text, findings: result.findings};
+  if ('findings' in result) return {name, text, findings: result.findings};
+  const findings = locateFindings(checkContract(result.value), text, name);
+  if (findings.length > 0) return {name, text, findings};
+  return {name, text, contract: result.value, findings};
 }
