--- a/features/serving.feature
+++ b/features/serving.feature
@@ -37,7 +37,16 @@
       | failure             |
       | dropAfterFirstChunk |
       | noTerminator        |
-      | crossedId           |
+
+  @promise-whole-answer
+  Scenario: A model server always answers with the id of another attempt
+    Given a cluster of 3 routers with 3 ledger replicas
+    And the customer "desk" with a budget of 100000
+    And the server "model-1" always fails as "crossedId"
+    And "desk" has asked r1 for 10 words 10 times
+    Then every answer is whole
+    And the server "model-1" was called
+    And "desk" has one bill for each request
 
   @promise-leaving
   Scenario: A leaving backend server gets no new work and finishes its running requests
--- a/features/steps/callerSteps.ts
+++ b/features/steps/callerSteps.ts
@@ -72,7 +72,7 @@
 );
 
 When(
-  /^"(\w+)" (books|starts to book) the lot "(\d+)" through (r\d+) with the key "([^"]+)"( until served)?$/,
+  /^"(\w+)" (books|starts to book) the lot "(\w+)" through (r\d+) with the key "([^"]+)"( until served)?$/,
   async function (
     this: ScenarioWorld,
     customer: string,
--- a/features/steps/clusterSteps.ts
+++ b/features/steps/clusterSteps.ts
@@ -39,6 +39,22 @@
   },
 );
 
+Given(
+  'the server {string} always fails as {string}',
+  async function (this: ScenarioWorld, name: string, kind: string) {
+    const failure = {kind} as FailureMode;
+    await this.scenario.control(name, {failure});
+  },
+);
+
+Then(
+  'the server {string} was called',
+  async function (this: ScenarioWorld, name: string) {
+    const calls = await this.scenario.calls(name);
+    if (calls.length === 0) throw new Error(`${name} was not called`);
+  },
+);
+
 Given(
   'the next call of the service is answered after {int} ms',
   async function (this: ScenarioWorld, milliseconds: number) {
--- a/packages/operator-cli/src/client/httpTransport.ts
+++ b/packages/operator-cli/src/client/httpTransport.ts
@@ -98,7 +98,7 @@
 
 function readAnswer(status: number, text: string): Attempt {
   const value = parseJson(text);
-  if (status < 300) return {kind: 'answered', value};
+  if (status < 300 || isChange(value)) return {kind: 'answered', value};
   const error = (value as {error?: ApiError} | undefined)?.error ?? {};
   if (status < 500) return {kind: 'refused', status, error};
   return {
@@ -108,6 +108,11 @@
   };
 }
 
+/** Whether a body is the outcome of a change, which a rejected one is too. */
+function isChange(value: unknown): boolean {
+  return (value as {kind?: string} | undefined)?.kind === 'change';
+}
+
 function failureOf(error: unknown): Attempt {
   const {code, message} = error as {code?: string; message?: string};
   return {
--- a/packages/operator-cli/tests/main.test.ts
+++ b/packages/operator-cli/tests/main.test.ts
@@ -42,6 +42,9 @@
   return name;
 }
 
+/** Status of a daemon's answer by the state of the change. */
+const statusOf: Record<string, number> = {pending: 202, rejected: 409};
+
 function change(state: string, more: object = {}): FakeAnswer {
   const body = {
     kind: 'change',
@@ -52,7 +55,7 @@
     revision: 7,
     ...more,
   };
-  return {status: 200, body};
+  return {status: statusOf[state] ?? 200, body};
 }
 
 const contractPath = '/operator/v1/contracts/desk';
--- a/packages/testkit/src/scenario/scenario.ts
+++ b/packages/testkit/src/scenario/scenario.ts
@@ -284,22 +284,31 @@
     kind: 'model' | 'service',
     message: ControlMessage,
   ): Promise<void> {
-    for (const {url, options} of this.cluster.standIns.values()) {
-      if (options.kind !== kind) continue;
-      await readJson(`${url}/control`, message);
+    for (const {name, options} of this.cluster.standIns.values()) {
+      if (options.kind === kind) await this.control(name, message);
     }
   }
 
+  /** Sends a message to one stand-in. */
+  async control(name: string, message: ControlMessage): Promise<void> {
+    await readJson(`${this.standIn(name).url}/control`, message);
+  }
+
+  /** Calls that a stand-in received. */
+  async calls(name: string): Promise<ReceivedCall[]> {
+    const calls = await readJson(`${this.standIn(name).url}/control/calls`);
+    return calls as ReceivedCall[];
+  }
+
   /** Has a server leave, and keeps what it received until its end. */
   async leave(name: string): Promise<void> {
-    const {url, process} = this.standIn(name);
+    const {process} = this.standIn(name);
     const leftAt = Date.now();
     const server: LeftServer = {leftAt, calls: []};
     this.left.set(name, server);
     process.signal('SIGTERM');
     while (process.alive) {
-      const calls = await readJson(`${url}/control/calls`).catch(() => null);
-      if (calls !== null) server.calls = calls as ReceivedCall[];
+      server.calls = await this.calls(name).catch(() => server.calls);
       await sleep(retryPauseMilliseconds);
     }
   }
