feat(daemon): explanations and kept answers from other instances

Conclusion: operators' and callers' questions go to the instance that knows; readiness waits for a first peer, 2 s at most. Prefix hints, slow start and ejection follow the directory now.

--- a/packages/daemon/src/control.ts
+++ b/packages/daemon/src/control.ts
@@ -1,12 +1,13 @@
 /**
  * @fileoverview Builds the control side of a daemon from its settings.
  */
-import {type Directory} from '@dogwoodtrestle/routing';
+import {type Directory, peerAddressOf} from '@dogwoodtrestle/routing';
 import {
   type ExplanationView,
   type PeerIdentity,
   type ReplicaView,
   type Settings,
+  type StoredAnswer,
 } from '@dogwoodtrestle/schema';
 import {type FastifyPluginAsync} from 'fastify';
 
@@ -16,6 +17,7 @@
 import {LedgerHost} from './ledgerHost/ledgerHost.js';
 import {createAnnouncementRoutes} from './membership/announcementRoutes.js';
 import {Membership, ownPeerAddress} from './membership/membership.js';
+import {Explainer} from './operators/explainer.js';
 import {createOperatorRoutes} from './operators/operatorRoutes.js';
 import {InstanceCalls, maybeReceived} from './peer/instanceCalls.js';
 import {createPeerApi, type PeerHandlers} from './peer/peerApi.js';
@@ -39,6 +41,8 @@
   secrets: ControlSecrets;
   /** Explains a request to an operator. */
   explain?: (requestId: string) => Promise<ExplanationView>;
+  /** The answer of a finished request, if this instance keeps it. */
+  keptAnswer?(requestKey: string): StoredAnswer | undefined;
   /** Requests that this instance has running at a backend server. */
   inFlight?: (backend: string) => number;
   /** Whether this instance sends no requests to a backend server for now. */
@@ -52,6 +56,7 @@
 
 const defaultOptions = {
   explain: async (requestId: string) => ({requestId, found: false}),
+  keptAnswer: () => undefined,
   inFlight: () => 0,
   isEjected: () => false,
   onReplicaFailure: () => {},
@@ -66,6 +71,11 @@
   configuration: Configuration;
   membership: Membership;
   directory: Directory;
+  /** Fetches the kept answer of a request from the instance that ran it. */
+  fetchAnswer(
+    instance: string,
+    requestKey: string,
+  ): Promise<StoredAnswer | undefined>;
   /** Serves `/operator/v1`. */
   operatorRoutes: FastifyPluginAsync;
   /** Serves `/v1/announcements`. */
@@ -143,8 +153,16 @@
     identity: async () => identity(),
     gossip: request => membership.answer(request),
     receiveFarewell: request => membership.receiveFarewell(request),
+    explain: ({requestId}) => options.explain(requestId),
+    keptAnswer: ({requestKey}) => ({answer: options.keptAnswer(requestKey)}),
     replica: host,
   };
+  const explainer = new Explainer({
+    here: options.explain,
+    peers: () => membership.livePeers().map(peerAddressOf),
+    ask: (address, requestId) => calls.explain(address, {requestId}),
+    ledgerClient,
+  });
   const server = new PeerServer({
     api: createPeerApi(handlers),
     credentials,
@@ -160,13 +178,23 @@
     configuration,
     membership,
     directory: membership.directory,
+    fetchAnswer: async (instance, requestKey) => {
+      const record = membership.instance(instance);
+      if (record === undefined) return undefined;
+      const address = peerAddressOf(record);
+      const kept = calls.keptAnswer(address, {requestKey});
+      return kept.then(
+        ({answer}) => answer,
+        () => undefined,
+      );
+    },
     operatorRoutes: createOperatorRoutes({
       operatorKey: secrets.operatorKey,
       ledgerClient,
       instances: () => membership.instances(),
       backends: () => membership.backends(),
       replicas: () => viewReplicas(calls, addresses()),
-      explain: options.explain,
+      explain: requestId => explainer.explain(requestId),
       logger,
     }),
     announcementRoutes: createAnnouncementRoutes({
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -44,6 +44,7 @@
     metrics,
     explain: requestId =>
       Promise.resolve(requests.explanations.view(requestId)),
+    keptAnswer: requestKey => requests.keptAnswer(requestKey),
     inFlight: backend => requests.inFlightAt(backend),
     isEjected: backend => requests.isEjected(backend),
     onReplicaFailure: error => {
@@ -71,11 +72,15 @@
   );
   await server.register(control.operatorRoutes);
   await server.register(control.announcementRoutes);
-  await requests.addRoutes(server);
+  if (settings.instance.roles.includes('router')) {
+    await requests.addRoutes(server);
+  }
   await control.start();
+  requests.start();
   const {address} = settings.instance;
   const {callerPort} = settings.listeners;
   await server.listen({host: address, port: callerPort});
+  await waitForPeers(control);
   isReady = true;
 
   return {
@@ -100,6 +105,25 @@
   };
 }
 
+/** Bound of the wait for a first peer, in milliseconds. */
+const joinMilliseconds = 2000;
+
+/** Pause between two looks at the membership, in milliseconds. */
+const joinPollMilliseconds = 50;
+
+/**
+ * Waits until a peer has told what it knows, so that a daemon that has just
+ * started doesn't refuse requests for want of backend servers.
+ */
+async function waitForPeers({membership}: Control): Promise<void> {
+  const deadline = performance.now() + joinMilliseconds;
+  while (!membership.hasHeard && performance.now() < deadline) {
+    await new Promise(resolve => {
+      setTimeout(resolve, joinPollMilliseconds);
+    });
+  }
+}
+
 /** Identity under which this process holds requests and grants. */
 function ownHolder(settings: Settings, {membership}: Control): string {
   const {name} = settings.instance;
@@ -110,7 +134,7 @@
   return `${name}#${incarnation}`;
 }
 
-function instanceSource({membership}: Control): InstanceSource {
+function instanceSource({membership, fetchAnswer}: Control): InstanceSource {
   return {
     isAlive: holder => {
       const [name = ''] = holder.split('#');
@@ -122,7 +146,10 @@
       );
     },
     liveRouters: () => membership.routers,
-    fetchAnswer: () => Promise.resolve(undefined),
+    fetchAnswer: (holder, requestKey) => {
+      const [name = ''] = holder.split('#');
+      return fetchAnswer(name, requestKey);
+    },
   };
 }
 
--- a/packages/daemon/src/membership/membership.ts
+++ b/packages/daemon/src/membership/membership.ts
@@ -85,6 +85,7 @@
   private readonly rounds: PeriodicTask;
   private readonly reported = new Set<string>();
   private leaving = false;
+  private heard = false;
 
   constructor(options: MembershipOptions) {
     this.options = {...defaultOptions, ...options};
@@ -189,6 +190,11 @@
     ];
   }
 
+  /** Whether a peer has told this instance what it knows. */
+  get hasHeard(): boolean {
+    return this.heard;
+  }
+
   /** Number of instances that serve callers. */
   get routers(): number {
     return this.entries().filter(
@@ -273,6 +279,7 @@
     });
     this.table.merge(reply.instances, askedAt);
     this.directory.merge(reply.backends, askedAt);
+    this.heard = true;
     metrics.increment('membership.records', reply.backends.length);
   }
 
--- a/packages/daemon/src/peer/instanceCalls.ts
+++ b/packages/daemon/src/peer/instanceCalls.ts
@@ -2,15 +2,19 @@
  * @fileoverview The calls that the control parts make to other instances.
  */
 import {
+  type AnswerRequest,
   type ChangesReply,
   type ChangesRequest,
   type ConsensusMessage,
   type ConsensusReply,
+  type ExplainRequest,
+  type ExplanationView,
   type FarewellRequest,
   type FoundRequest,
   type GossipReply,
   type GossipRequest,
   type IdentityRequest,
+  type KeptAnswer,
   type PeerIdentity,
   type QueryReply,
   type QueryRequest,
@@ -33,6 +37,7 @@
   changes: 1000,
   identity: 1000,
   view: 1000,
+  request: 1000,
 };
 
 /** What the calls need. */
@@ -130,6 +135,20 @@
     );
   }
 
+  explain(address: string, request: ExplainRequest): Promise<ExplanationView> {
+    const {client} = this.options;
+    return client.call(address, timeouts.request, (calls, options) =>
+      calls.explain.mutate(request, options),
+    );
+  }
+
+  keptAnswer(address: string, request: AnswerRequest): Promise<KeptAnswer> {
+    const {client} = this.options;
+    return client.call(address, timeouts.request, (calls, options) =>
+      calls.keptAnswer.mutate(request, options),
+    );
+  }
+
   view(address: string): Promise<ReplicaView> {
     const timeout = timeouts.view;
     return this.local(
--- a/packages/daemon/src/peer/peerApi.ts
+++ b/packages/daemon/src/peer/peerApi.ts
@@ -5,15 +5,19 @@
  * whole contents are covered by the signature.
  */
 import {
+  type AnswerRequest,
   type ChangesReply,
   type ChangesRequest,
   type ConsensusMessage,
   type ConsensusReply,
+  type ExplainRequest,
+  type ExplanationView,
   type FarewellRequest,
   type FoundRequest,
   type GossipReply,
   type GossipRequest,
   type IdentityRequest,
+  type KeptAnswer,
   parserOf,
   type PeerIdentity,
   type QueryReply,
@@ -46,6 +50,10 @@
   identity(request: IdentityRequest): Promise<PeerIdentity>;
   gossip(request: GossipRequest): GossipReply;
   receiveFarewell(request: FarewellRequest): void;
+  /** What this instance decided for a request. */
+  explain(request: ExplainRequest): Promise<ExplanationView>;
+  /** The answer of a finished request, if it is kept here. */
+  keptAnswer(request: AnswerRequest): KeptAnswer;
   /** Absent on an instance without a ledger replica. */
   replica?: ReplicaCalls;
 }
@@ -85,6 +93,12 @@
     farewell: trpc.procedure
       .input(parserOf('FarewellRequest'))
       .mutation(({input}) => handlers.receiveFarewell(input)),
+    explain: trpc.procedure
+      .input(parserOf('ExplainRequest'))
+      .mutation(({input}) => handlers.explain(input)),
+    keptAnswer: trpc.procedure
+      .input(parserOf('AnswerRequest'))
+      .mutation(({input}) => handlers.keptAnswer(input)),
   });
 }
 
--- a/packages/daemon/src/requests/backendSelector.ts
+++ b/packages/daemon/src/requests/backendSelector.ts
@@ -13,8 +13,6 @@
   SlowStart,
   type Target,
 } from '@dogwoodtrestle/routing';
-import {type Announcement} from '@dogwoodtrestle/schema';
-
 import {type RequestDependencies} from './dependencies.js';
 
 /** Chooses the backend server of each attempt. */
@@ -24,19 +22,29 @@
   private readonly outliers = new OutlierDetector();
   private readonly prefixes = new PrefixIndex();
   private readonly slowStart: SlowStart;
+  /** Names of the servers that the parts above know of. */
+  private readonly seen = new Set<string>();
 
   constructor(private readonly dependencies: RequestDependencies) {
     this.slowStart = new SlowStart(dependencies.now());
   }
 
-  /** Takes in what a backend server says of itself. */
-  observe(announcement: Announcement): void {
-    this.slowStart.observe(announcement, this.dependencies.now());
-    this.prefixes.observe(announcement);
+  /** Takes in what the directory has learnt since the last call. */
+  refresh(): void {
+    const {directory, now} = this.dependencies;
+    const gone = new Set(this.seen);
+    for (const {entry} of directory.entries(now())) {
+      const {announcement} = entry;
+      gone.delete(announcement.name);
+      this.seen.add(announcement.name);
+      this.slowStart.observe(announcement, now());
+      this.prefixes.observe(announcement);
+    }
+    for (const name of gone) this.forget(name);
   }
 
-  /** Drops what is known of a backend server that is gone. */
-  forget(name: string): void {
+  private forget(name: string): void {
+    this.seen.delete(name);
     this.load.forget(name);
     this.outliers.forget(name);
     this.prefixes.forget(name);
--- a/packages/daemon/src/requests/index.ts
+++ b/packages/daemon/src/requests/index.ts
@@ -2,7 +2,7 @@
  * @fileoverview Face of the request path: builds everything that serves
  * callers.
  */
-import {type Announcement, type StoredAnswer} from '@dogwoodtrestle/schema';
+import {type StoredAnswer} from '@dogwoodtrestle/schema';
 import {type FastifyInstance} from 'fastify';
 import {Agent} from 'undici';
 
@@ -28,6 +28,9 @@
 /** Time to connect to a backend server, in milliseconds. */
 const connectTimeoutMilliseconds = 2000;
 
+/** Interval at which the directory is read, below that of announcements. */
+const refreshMilliseconds = 250;
+
 /** Pause between two looks at what is still running, in milliseconds. */
 const drainPollMilliseconds = 20;
 
@@ -44,6 +47,7 @@
   private readonly chat: ChatHandler;
   private readonly services: ServiceHandler;
   private serving = true;
+  private refresh: NodeJS.Timeout | undefined;
 
   constructor(private readonly dependencies: RequestDependencies) {
     const {answerMemoryBytes, idleStreamMilliseconds} =
@@ -88,11 +92,6 @@
     return this.selector.isEjected(backend);
   }
 
-  /** Takes in what a backend server says of itself. */
-  observe(announcement: Announcement): void {
-    this.selector.observe(announcement);
-  }
-
   /** The kept answer of a finished request, for another instance. */
   keptAnswer(requestKey: string): StoredAnswer | undefined {
     const answer = this.answers.find(requestKey);
@@ -113,6 +112,14 @@
     });
   }
 
+  /** Starts to follow what the directory learns. */
+  start(): void {
+    this.refresh = setInterval(
+      () => this.selector.refresh(),
+      refreshMilliseconds,
+    );
+  }
+
   /** Takes no new requests from now on. */
   refuseNew(): void {
     this.serving = false;
@@ -140,6 +147,7 @@
 
   /** Closes the connections to backend servers. */
   async close(): Promise<void> {
+    clearInterval(this.refresh);
     await this.dispatcher.destroy();
   }
 }
--- a/packages/daemon/tests/peer.test.ts
+++ b/packages/daemon/tests/peer.test.ts
@@ -32,6 +32,8 @@
     }),
     gossip: () => ({instances: [], backends: []}),
     receiveFarewell: () => {},
+    explain: async ({requestId}) => ({requestId, found: false}),
+    keptAnswer: () => ({}),
     ...handlers,
   });
   const server = new PeerServer({
--- a/packages/daemon/tests/requests/answerBuffer.test.ts
+++ b/packages/daemon/tests/requests/answerBuffer.test.ts
@@ -48,8 +48,9 @@
     answer.onAbandoned(() => (isAbandoned = true));
     const closed = new AbortController();
     const reading = (async () => {
-      for await (const piece of answer.read(closed.signal))
-        {expect(piece).toBe('');}
+      for await (const piece of answer.read(closed.signal)) {
+        expect(piece).toBe('');
+      }
     })();
     closed.abort();
     await reading;
--- a/packages/daemon/tests/requests/fixture.ts
+++ b/packages/daemon/tests/requests/fixture.ts
@@ -124,7 +124,6 @@
         request.body as Announcement,
         performance.now(),
       );
-      path.observe(request.body as Announcement);
       return {};
     });
     await server.listen({host: '127.0.0.1', port: 0});
