fix(daemon): a refused body can't end the process; failed servers get another try

Cause: destroying an answer's body raises an error event, which nobody handled, so an engine that echoed a wrong attempt id ended the router. And a request failed as soon as each server had failed once, though the failure had passed.

--- a/packages/daemon/src/requests/chatRun.ts
+++ b/packages/daemon/src/requests/chatRun.ts
@@ -197,11 +197,13 @@
   private nextAttempt(): Attempt {
     const {selector} = this.parts;
     const {job} = this;
-    const choice = selector.choose(
-      {kind: 'model', name: job.body.model},
-      this.tried,
-      this.blocks,
-    );
+    const target = {kind: 'model' as const, name: job.body.model};
+    let choice = selector.choose(target, this.tried, this.blocks);
+    if (choice.backend === undefined && this.tried.size > 0) {
+      // All have failed once; a failure that has passed is worth another try.
+      this.tried.clear();
+      choice = selector.choose(target, this.tried, this.blocks);
+    }
     job.explanation.add('choice', {
       chosen: choice.backend?.announcement.name,
       considered: choice.considered,
--- a/packages/daemon/src/requests/modelClient.ts
+++ b/packages/daemon/src/requests/modelClient.ts
@@ -11,6 +11,7 @@
 import {type Dispatcher} from 'undici';
 
 import {attemptError, connectionError} from './attemptError.js';
+import {discard} from './discard.js';
 
 /** A chunk of a chat answer, as the engine sent it. */
 export interface ChatChunk extends Record<string, unknown> {
@@ -176,7 +177,7 @@
   ): void {
     if (response.headers['x-attempt-id'] === attemptId) return;
     this.options.onCrossed();
-    response.body.destroy();
+    discard(response.body);
     throw attemptError('crossed', {sent: true});
   }
 
--- a/packages/daemon/src/requests/serviceClient.ts
+++ b/packages/daemon/src/requests/serviceClient.ts
@@ -6,6 +6,7 @@
 import {type Dispatcher} from 'undici';
 
 import {attemptError, connectionError} from './attemptError.js';
+import {discard} from './discard.js';
 
 /** A call to a service. */
 export interface ServiceCall {
@@ -74,7 +75,7 @@
     }
     if (response.headers['x-attempt-id'] !== call.attemptId) {
       this.options.onCrossed();
-      response.body.destroy();
+      discard(response.body);
       throw attemptError('crossed', {sent: true});
     }
     return {
--- /dev/null
+++ b/packages/daemon/tests/requests/failures.test.ts
@@ -0,0 +1,151 @@
+import {
+  defaultStandInOptions,
+  type FailureMode,
+  ModelServer,
+} from '@dogwoodtrestle/testkit';
+import {afterEach, describe, expect, it} from 'vitest';
+
+import {type FixtureOptions, RequestFixture} from './fixture.js';
+
+let fixture: RequestFixture;
+const extra: ModelServer[] = [];
+
+afterEach(async () => {
+  for (const server of extra.splice(0)) await server.stop();
+  await fixture.stop();
+});
+
+async function start(
+  failure: FailureMode,
+  {times = 1, ...options}: FixtureOptions & {times?: number} = {},
+): Promise<void> {
+  fixture = await RequestFixture.start({
+    ...options,
+    requests: {idleStreamMilliseconds: 500, ...options.requests},
+  });
+  for (const name of ['model-1', 'model-2']) {
+    const server = new ModelServer({
+      ...defaultStandInOptions,
+      name,
+      routers: [fixture.base],
+      announceEveryMilliseconds: 100,
+      tokenDelayMilliseconds: 2,
+    });
+    server.control({failure, times});
+    extra.push(server);
+    await server.start();
+  }
+  while (fixture.directory.entries(performance.now()).length < 2) {
+    await new Promise(resolve => setTimeout(resolve, 20));
+  }
+}
+
+/** Texts of a stream, and whether it ended with its terminator. */
+async function readStream(response: Response) {
+  const text = await response.text();
+  const events = text.split('\n\n').filter(event => event !== '');
+  const isWhole = events.at(-1) === 'data: [DONE]';
+  const chunks = events
+    .filter(event => event !== 'data: [DONE]')
+    .map(event => JSON.parse(event.slice('data: '.length)));
+  const content = chunks
+    .map(chunk => chunk.choices?.[0]?.delta?.content ?? '')
+    .join('');
+  return {
+    content,
+    isWhole,
+    ids: new Set(chunks.map(chunk => chunk.id)),
+    error: chunks.at(-1)?.error,
+  };
+}
+
+const body = {
+  stream: true,
+  max_tokens: 20,
+  messages: [
+    {role: 'user', content: 'a lab sheet of lot 31 with protein and moisture'},
+  ],
+};
+
+const recoverable: {name: string; failure: FailureMode}[] = [
+  {
+    name: 'a connection dropped after the first chunk',
+    failure: {kind: 'dropAfterFirstChunk'},
+  },
+  {name: 'a stream without its terminator', failure: {kind: 'noTerminator'}},
+  {
+    name: 'a connection dropped before the run',
+    failure: {kind: 'dropBeforeRun'},
+  },
+  {name: "another attempt's id", failure: {kind: 'crossedId'}},
+  {name: 'a server that hangs', failure: {kind: 'hang'}},
+];
+
+describe('a stream', () => {
+  it.each(recoverable)('is whole in spite of $name', async ({failure}) => {
+    await start(failure);
+    const [first] = extra;
+    const answer = await readStream(await fixture.chat(body));
+    first?.control({failure: {kind: 'none'}});
+    const plain = await readStream(await fixture.chat(body));
+    expect(answer).toMatchObject({isWhole: true, content: plain.content});
+    expect(answer.ids.size).toBe(1);
+    const bills = fixture.ledger.takeBills();
+    expect(bills.map(({cost}) => cost)).toEqual([
+      bills[0]?.cost,
+      bills[0]?.cost,
+    ]);
+    expect(bills[0]?.cost).toBeGreaterThan(0);
+  });
+
+  it('ends with a plain error where no server completes it', async () => {
+    await start({kind: 'dropAfterFirstChunk'}, {times: 100});
+    const answer = await readStream(await fixture.chat(body));
+    expect(answer.isWhole).toBe(false);
+    expect(answer.error).toMatchObject({
+      code: 'backendFailed',
+      didNotRun: false,
+    });
+    expect(await fixture.settledBudget()).toMatchObject({billed: 0});
+  });
+
+  it('is billed the reservation where the engine reports more', async () => {
+    await start({kind: 'overReport', factor: 1000}, {times: 2});
+    const answer = await readStream(await fixture.chat(body));
+    expect(answer.isWhole).toBe(true);
+    const [bill] = fixture.ledger.takeBills();
+    const open = fixture.commands.find(({kind}) => kind === 'openRequest');
+    expect(bill).toMatchObject({outcome: 'overReported'});
+    expect(open).toMatchObject({maximumCost: bill?.cost});
+  });
+});
+
+describe('a refused request', () => {
+  it('did not run where no server could be reached', async () => {
+    await start({kind: 'none'});
+    for (const server of extra.splice(0)) await server.stop();
+    const answer = await fixture.chat();
+    expect(await answer.json()).toMatchObject({
+      error: {code: 'noBackend', didNotRun: true},
+    });
+    expect(await fixture.settledBudget()).toMatchObject({
+      billed: 0,
+      reserved: 0,
+    });
+  });
+
+  it('gets its final answer at its deadline, with when to come back', async () => {
+    await start(
+      {kind: 'hang'},
+      {
+        times: 100,
+        requests: {deadlineMilliseconds: 300, idleStreamMilliseconds: 5000},
+      },
+    );
+    const startedAt = Date.now();
+    const answer = await fixture.chat();
+    expect(Date.now() - startedAt).toBeLessThan(2000);
+    expect(answer.status).toBe(504);
+    expect(answer.headers.get('retry-after')).toBe('1');
+  });
+});
