test(consensus): random faults against a model of the log's promises

Replicas in one process with controlled time, a lossy network and storage that loses unsynced writes; repair runs meanwhile. Checked at each step: one value per index, nothing acknowledged lost, nothing refused committed, one vote and one leader a term, reads never stale, ledger time monotone; at the end the group recovers.

--- /dev/null
+++ b/packages/consensus/tests/faults.test.ts
@@ -0,0 +1,96 @@
+import fc from 'fast-check';
+import {expect, it} from 'vitest';
+
+import {FakeGroup, type FakeNode} from './support/fakeGroup.js';
+
+type Action = (group: FakeGroup, node: FakeNode, step: number) => unknown;
+
+const actions: Record<string, Action> = {
+  propose: (group, node, step) => group.propose(node, `${node.name}-${step}`),
+  proposeToLeaders: (group, _node, step) =>
+    group.leaders.forEach(leader =>
+      [1, 2, 3].forEach(n =>
+        group.propose(leader, `${leader.name}-${step}-${n}`),
+      ),
+    ),
+  crash: (_group, node) => node.crash(),
+  bounce: async (_group, node) => {
+    node.crash();
+    await node.restart();
+  },
+  bounceFollowers: async group => {
+    const followers = group.nodes.filter(node => !group.leaders.includes(node));
+    for (const node of followers) await actions['bounce']!(group, node, 0);
+  },
+  crashAll: group => group.nodes.forEach(node => node.crash()),
+  restart: (_group, node) => node.restart(),
+  restartAll: group => Promise.all(group.nodes.map(node => node.restart())),
+  cutOff: (_group, node) => (node.isCutOff = true),
+  cutOffLeaders: group => group.leaders.forEach(node => (node.isCutOff = true)),
+  heal: group => group.nodes.forEach(node => (node.isCutOff = false)),
+  freeze: (_group, node) => (node.isFrozen = node.replica !== undefined),
+  freezeLeaders: group => group.leaders.forEach(node => (node.isFrozen = true)),
+  thaw: (_group, node) => node.thaw(),
+  thawAll: group => Promise.all(group.nodes.map(node => node.thaw())),
+  loseDisk: (group, node) => group.loseDisk(node),
+  transfer: (_group, node) =>
+    void node.replica?.transferLeadership().catch(() => undefined),
+};
+
+/** Names of actions, the usual ones more often. */
+const schedule = fc.array(
+  fc.record({
+    action: fc.oneof(
+      {weight: 6, arbitrary: fc.constant('proposeToLeaders')},
+      {weight: 12, arbitrary: fc.constantFrom(...Object.keys(actions))},
+    ),
+    node: fc.nat(3),
+    wait: fc.oneof(fc.nat(20), fc.nat(150), fc.nat(1_500)),
+  }),
+  {minLength: 20, maxLength: 60},
+);
+
+async function runSchedule(
+  seed: number,
+  steps: {action: string; node: number; wait: number}[],
+): Promise<FakeGroup> {
+  const group = new FakeGroup(seed, 4);
+  await group.found(3);
+  for (const [step, {action, node, wait}] of steps.entries()) {
+    await actions[action]!(group, group.nodes[node]!, step);
+    await group.time.run(wait);
+    if (group.failures.length > 0) throw group.failures[0];
+  }
+  return group;
+}
+
+/** Ends all faults; the group must recover and lack nothing. */
+async function expectRecovery(group: FakeGroup): Promise<void> {
+  group.lossRate = 0;
+  await actions['heal']!(group, group.nodes[0]!, 0);
+  await actions['thawAll']!(group, group.nodes[0]!, 0);
+  await actions['restartAll']!(group, group.nodes[0]!, 0);
+  await group.time.run(12_000);
+  for (const leader of group.leaders) group.propose(leader, 'last');
+  await group.time.run(1_000);
+  expect(group.failures).toEqual([]);
+  const {acknowledged, committed} = group.model;
+  expect([...acknowledged]).toContain('last');
+  expect(new Set(committed).size).toBe(committed.length);
+  const [leader] = group.leaders;
+  expect(leader?.state).toEqual(committed);
+  for (const command of acknowledged) expect(committed).toContain(command);
+}
+
+it('keeps its promises under random faults', {timeout: 60_000}, async () => {
+  await fc.assert(
+    fc.asyncProperty(fc.nat(), schedule, async (seed, steps) => {
+      await expectRecovery(await runSchedule(seed, steps));
+    }),
+    {
+      seed: Number(process.env['CONSENSUS_SEED'] ?? 1),
+      numRuns: Number(process.env['CONSENSUS_RUNS'] ?? 40),
+      endOnFailure: true,
+    },
+  );
+});
--- /dev/null
+++ b/packages/consensus/tests/support/crashableStorage.ts
@@ -0,0 +1,102 @@
+import {
+  type Entry,
+  type HardState,
+  type Storage,
+  type StoredSnapshot,
+  type StoredState,
+} from '../../src/index.js';
+
+/**
+ * Storage in memory. Each write takes time, and a crash meanwhile leaves it
+ * done or not done, by chance.
+ */
+export class CrashableStorage implements Storage {
+  private hardState: HardState = {term: 0};
+  private snapshot?: StoredSnapshot;
+  private entries = new Map<number, Entry>();
+  private liveAfter = 0;
+  private pending?: () => void;
+
+  constructor(
+    readonly identity: string,
+    private readonly random: () => number,
+    public schedule: (delay: number, callback: () => void) => void,
+  ) {}
+
+  crash(): void {
+    if (this.random() < 0.5) this.pending?.();
+    this.pending = undefined;
+  }
+
+  async load(): Promise<StoredState> {
+    const entries = [];
+    for (let index = this.liveAfter + 1; this.entries.has(index); index++) {
+      entries.push(this.entries.get(index)!);
+    }
+    return {hardState: this.hardState, snapshot: this.snapshot, entries};
+  }
+
+  saveHardState(hardState: HardState): Promise<void> {
+    return this.write(() => (this.hardState = hardState));
+  }
+
+  append(entries: readonly Entry[]): Promise<void> {
+    return this.write(() => {
+      this.dropAfter(entries[0]!.index - 1);
+      for (const entry of entries) this.entries.set(entry.index, entry);
+    });
+  }
+
+  saveSnapshot(snapshot: StoredSnapshot, keepAfter: number): Promise<void> {
+    return this.write(() => {
+      this.snapshot = snapshot;
+      this.liveAfter = Math.max(this.liveAfter, keepAfter);
+    });
+  }
+
+  installSnapshot(snapshot: StoredSnapshot, committed: number): Promise<void> {
+    return this.write(() => {
+      this.snapshot = snapshot;
+      this.liveAfter = snapshot.header.index;
+      this.dropAfter(committed);
+    });
+  }
+
+  addHistory(entries: readonly Entry[]): Promise<void> {
+    return this.write(() => {
+      for (const entry of entries) this.entries.set(entry.index, entry);
+    });
+  }
+
+  async readSnapshot(): Promise<StoredSnapshot | undefined> {
+    return this.snapshot;
+  }
+
+  async history(after: number, limit: number, last: number): Promise<Entry[]> {
+    return [...this.entries.values()]
+      .filter(({index}) => index > after && index <= after + limit)
+      .filter(({index}) => index <= last)
+      .sort((a, b) => a.index - b.index);
+  }
+
+  async close(): Promise<void> {}
+
+  private dropAfter(index: number): void {
+    for (const key of this.entries.keys()) {
+      if (key > index) this.entries.delete(key);
+    }
+  }
+
+  private write(effect: () => void): Promise<void> {
+    return new Promise(resolve => {
+      this.pending = effect;
+      const delay = this.random() * (this.random() < 0.2 ? 200 : 8);
+      this.schedule(delay, () => {
+        if (this.pending !== effect) return;
+        this.pending = undefined;
+        effect();
+        resolve();
+      });
+    });
+  }
+}
