fix(consensus): an empty frame in a torn tail, and gaps in the history

Cause: a tail torn inside a frame's header could read as a valid empty frame (length 0, checksum 0), and opening then failed; the checksum now covers the length. A missing vote.json was reported as ENOENT; it is now CorruptFile.

--- a/packages/consensus/src/fileStorage/fileStorage.ts
+++ b/packages/consensus/src/fileStorage/fileStorage.ts
@@ -5,7 +5,7 @@
  * segments and `history/` with sealed segments.
  */
 import {randomUUID} from 'node:crypto';
-import {mkdir, readFile, rm} from 'node:fs/promises';
+import {mkdir, rm} from 'node:fs/promises';
 import path from 'node:path';
 
 import {type Entry} from '@dogwoodtrestle/schema';
@@ -13,11 +13,12 @@
 import {CorruptFile} from '../errors.js';
 import {
   type HardState,
+  type HistoryGap,
   type Storage,
   type StoredSnapshot,
   type StoredState,
 } from '../storage.js';
-import {replaceFile, syncFolder} from '../util/durableFile.js';
+import {readIfExists, replaceFile, syncFolder} from '../util/durableFile.js';
 import {SegmentedLog} from './segmentedLog.js';
 import {readSnapshotFile, writeSnapshotFile} from './snapshotFile.js';
 
@@ -52,8 +53,13 @@
     await syncFolder(path.dirname(path.resolve(folder)));
     const {segmentBytes} = {...defaultFileStorageOptions, ...options};
     const log = await SegmentedLog.open(folder, segmentBytes);
-    const identity = await openIdentity(folder, log.isEmpty);
-    return new FileStorage(identity, folder, log);
+    try {
+      const identity = await openIdentity(folder, log.isEmpty);
+      return new FileStorage(identity, folder, log);
+    } catch (error) {
+      await log.close();
+      throw error;
+    }
   }
 
   async load(): Promise<StoredState> {
@@ -87,6 +93,10 @@
     await this.log.sealAll(committedIndex);
   }
 
+  async historyGap(lastIndex: number): Promise<HistoryGap | undefined> {
+    return this.log.firstGap(lastIndex);
+  }
+
   addHistory(entries: readonly Entry[]): Promise<void> {
     return this.log.addHistory(entries);
   }
@@ -116,10 +126,9 @@
   }
 
   private async readHardState(): Promise<HardState> {
-    return parseFile<HardState>(
-      this.voteFile,
-      await readFile(this.voteFile, 'utf8'),
-    );
+    const text = await readIfExists(this.voteFile);
+    if (text === undefined) throw missingFile(this.voteFile);
+    return parseFile<HardState>(this.voteFile, text);
   }
 }
 
@@ -129,16 +138,9 @@
  */
 async function openIdentity(folder: string, isEmpty: boolean): Promise<string> {
   const file = path.join(folder, 'identity.json');
-  const text = await readFile(file, 'utf8').catch((error: unknown) => {
-    if ((error as NodeJS.ErrnoException).code === 'ENOENT') return undefined;
-    throw error;
-  });
+  const text = await readIfExists(file);
   if (text !== undefined) return parseFile<{id: string}>(file, text).id;
-  if (!isEmpty) {
-    throw new CorruptFile(`${file} is missing beside a log`, {
-      props: {file, offset: 0},
-    });
-  }
+  if (!isEmpty) throw missingFile(file);
   await rm(path.join(folder, 'snapshot.json'), {force: true});
   await replaceFile(
     path.join(folder, 'vote.json'),
@@ -149,6 +151,12 @@
   return id;
 }
 
+function missingFile(file: string): Error {
+  return new CorruptFile(`${file} is missing beside other files`, {
+    props: {file, offset: 0},
+  });
+}
+
 function parseFile<T>(file: string, text: string): T {
   try {
     return JSON.parse(text) as T;
--- a/packages/consensus/src/fileStorage/frame.ts
+++ b/packages/consensus/src/fileStorage/frame.ts
@@ -1,8 +1,8 @@
 /**
  * @fileoverview Checksummed frames, the unit that is written and synced at once.
  *
- * A frame is a marker, the payload's length, the payload's CRC-32 and a JSON
- * array of entries. Only the newest frame can be torn, because each one is
+ * A frame is a marker, the payload's length, a CRC-32 of length and payload,
+ * and a JSON array of entries. Only the newest frame can be torn, because each one is
  * synced before the next is written.
  */
 import {crc32} from 'node:zlib';
@@ -12,6 +12,8 @@
 import {encodeEntry, forgetText} from '../util/encodedEntry.js';
 
 const marker = 0x6c6f_6731;
+const lengthOffset = 4;
+const checksumOffset = 8;
 const headerBytes = 12;
 
 /** What a segment file holds. */
@@ -29,8 +31,8 @@
   entries.forEach(forgetText);
   const header = Buffer.alloc(headerBytes);
   header.writeUInt32BE(marker, 0);
-  header.writeUInt32BE(payload.length, 4);
-  header.writeUInt32BE(crc32(payload), 8);
+  header.writeUInt32BE(payload.length, lengthOffset);
+  header.writeUInt32BE(checksumOf(header, payload), checksumOffset);
   return Buffer.concat([header, payload]);
 }
 
@@ -57,11 +59,18 @@
 function payloadAt(data: Buffer, offset: number): Buffer | undefined {
   if (offset + headerBytes > data.length) return undefined;
   if (data.readUInt32BE(offset) !== marker) return undefined;
+  const header = data.subarray(offset, offset + headerBytes);
   const start = offset + headerBytes;
-  const end = start + data.readUInt32BE(offset + 4);
+  const end = start + header.readUInt32BE(lengthOffset);
   if (end > data.length) return undefined;
   const payload = data.subarray(start, end);
-  return crc32(payload) === data.readUInt32BE(offset + 8) ? payload : undefined;
+  const checksum = header.readUInt32BE(checksumOffset);
+  return checksumOf(header, payload) === checksum ? payload : undefined;
+}
+
+function checksumOf(header: Buffer, payload: Buffer): number {
+  const length = header.subarray(lengthOffset, checksumOffset);
+  return crc32(payload, crc32(length));
 }
 
 function hasFrameAfter(data: Buffer, damagedOffset: number): boolean {
--- a/packages/consensus/src/fileStorage/segmentedLog.ts
+++ b/packages/consensus/src/fileStorage/segmentedLog.ts
@@ -15,6 +15,7 @@
 
 import {type Entry, type SnapshotHeader} from '@dogwoodtrestle/schema';
 
+import {type HistoryGap} from '../storage.js';
 import {syncFolder} from '../util/durableFile.js';
 import {encodeFrame, scanFrames} from './frame.js';
 import {
@@ -104,6 +105,21 @@
     await this.syncFolders();
   }
 
+  /** Returns the first range of indexes up to a last one that no file holds. */
+  firstGap(lastIndex: number): HistoryGap | undefined {
+    const segments = [...this.sealed, ...this.live].sort(
+      (a, b) => a.firstIndex - b.firstIndex,
+    );
+    let afterIndex = 0;
+    for (const segment of segments) {
+      if (segment.firstIndex > afterIndex + 1) {
+        return {afterIndex, lastIndex: segment.firstIndex - 1};
+      }
+      afterIndex = Math.max(afterIndex, segment.lastIndex);
+    }
+    return afterIndex < lastIndex ? {afterIndex, lastIndex} : undefined;
+  }
+
   /** Adds a sealed segment with older entries. */
   async addHistory(entries: readonly Entry[]): Promise<void> {
     const segment: Segment = {
--- a/packages/consensus/src/fileStorage/snapshotFile.ts
+++ b/packages/consensus/src/fileStorage/snapshotFile.ts
@@ -2,14 +2,13 @@
  * @fileoverview The snapshot file: a line with header and checksum, then the
  * state as JSON text.
  */
-import {readFile} from 'node:fs/promises';
 import {crc32} from 'node:zlib';
 
 import {type SnapshotHeader} from '@dogwoodtrestle/schema';
 
 import {CorruptFile} from '../errors.js';
 import {type StoredSnapshot} from '../storage.js';
-import {replaceFile} from '../util/durableFile.js';
+import {readIfExists, replaceFile} from '../util/durableFile.js';
 
 interface HeaderLine {
   header: SnapshotHeader;
@@ -29,10 +28,7 @@
 export async function readSnapshotFile(
   file: string,
 ): Promise<StoredSnapshot | undefined> {
-  const contents = await readFile(file, 'utf8').catch((error: unknown) => {
-    if ((error as NodeJS.ErrnoException).code === 'ENOENT') return undefined;
-    throw error;
-  });
+  const contents = await readIfExists(file);
   if (contents === undefined) return undefined;
   const end = contents.indexOf('\n');
   const line = parseHeaderLine(contents.slice(0, Math.max(0, end)));
--- a/packages/consensus/src/follower.ts
+++ b/packages/consensus/src/follower.ts
@@ -15,6 +15,7 @@
 import {type Applier} from './applier.js';
 import {type Election} from './election.js';
 import {ProtocolBreach} from './errors.js';
+import {type HistoryBackfill} from './historyBackfill.js';
 import {type ReplicaState} from './replicaState.js';
 import {SnapshotAssembly} from './snapshotAssembly.js';
 
@@ -26,6 +27,7 @@
     private readonly state: ReplicaState,
     private readonly election: Election,
     private readonly applier: Applier,
+    private readonly backfill: HistoryBackfill,
   ) {}
 
   /** Appends entries; they are durable before the answer says so. */
@@ -47,6 +49,7 @@
     const written = state.writer.append(fresh);
     this.applier.advance(Math.min(request.commitIndex, matchIndex));
     await this.untilDurable(written, matchIndex);
+    this.backfill.start();
     if (state.term !== request.term) return this.refusal(log.lastIndex + 1);
     return {
       kind: 'append',
@@ -100,6 +103,7 @@
     state.lastApplied = header.index;
     state.snapshotIndex = header.index;
     await state.writer.install({header, text}, committedIndex);
+    this.backfill.onInstalled();
   }
 
   /** Follows the sender, unless its term is over. */
--- /dev/null
+++ b/packages/consensus/src/historyBackfill.ts
@@ -0,0 +1,120 @@
+/**
+ * @fileoverview Fetches the old entries that an installed snapshot skipped, so
+ * that the whole history can be read from every replica.
+ */
+import {
+  type ConsensusReply,
+  type Entry,
+  type HistoryReply,
+  type HistoryRequest,
+  type Member,
+} from '@dogwoodtrestle/schema';
+
+import {type ReplicaState} from './replicaState.js';
+import {type HistoryGap} from './storage.js';
+import {encodedLength} from './util/encodedEntry.js';
+import {withTimeout} from './util/withTimeout.js';
+
+/** Keeps the history of one replica without gaps. */
+export class HistoryBackfill {
+  private isComplete = false;
+  private isRunning = false;
+  /** Counts failed requests, so that the next goes to another member. */
+  private failures = 0;
+
+  constructor(private readonly state: ReplicaState) {}
+
+  /** To be called when a snapshot was installed. */
+  onInstalled(): void {
+    this.isComplete = false;
+  }
+
+  /** Fetches what is missing, unless that is under way. */
+  start(): void {
+    if (this.isComplete || this.isRunning || this.state.isStopped) return;
+    this.isRunning = true;
+    this.run()
+      .catch(() => {
+        this.failures++; // the next heartbeat tries again
+      })
+      .finally(() => {
+        this.isRunning = false;
+      });
+  }
+
+  /** Answers another replica that lacks old entries. */
+  async receive({after, limit}: HistoryRequest): Promise<HistoryReply> {
+    const {writer, lastApplied, options} = this.state;
+    const count = Math.min(limit, options.maxMessageEntries);
+    const entries = await writer.enqueue(storage =>
+      storage.history(after, count, lastApplied),
+    );
+    return {
+      kind: 'history',
+      entries: limitBytes(entries, options.maxMessageBytes),
+    };
+  }
+
+  private async run(): Promise<void> {
+    while (!this.state.isStopped) {
+      const gap = await this.state.writer.enqueue(storage =>
+        storage.historyGap(this.state.snapshotIndex),
+      );
+      this.isComplete = gap === undefined;
+      if (gap === undefined) return;
+      const entries = await this.fetch(gap);
+      await this.state.writer.enqueue(storage => storage.addHistory(entries));
+    }
+  }
+
+  private async fetch(gap: HistoryGap): Promise<Entry[]> {
+    const {id, options} = this.state;
+    const member = this.nextMember();
+    if (member === undefined) throw new Error('there is nobody to ask');
+    const request: HistoryRequest = {
+      kind: 'history',
+      from: id,
+      to: member.id,
+      after: gap.afterIndex,
+      limit: Math.min(
+        gap.lastIndex - gap.afterIndex,
+        options.maxMessageEntries,
+      ),
+    };
+    const {clock, messageTimeoutMilliseconds} = options;
+    const reply = await withTimeout(
+      options.transport.send(member, request),
+      messageTimeoutMilliseconds,
+      clock,
+    );
+    return consecutiveEntries(reply, gap);
+  }
+
+  private nextMember(): Member | undefined {
+    const {log, id} = this.state;
+    const others = log.members.filter(member => member.id !== id);
+    return others[this.failures % others.length];
+  }
+}
+
+/** Takes a reply that starts right after the gap's start; throws otherwise. */
+function consecutiveEntries(reply: ConsensusReply, gap: HistoryGap): Entry[] {
+  const entries = reply.kind === 'history' ? reply.entries : [];
+  const isConsecutive = entries.every(
+    ({index}, position) => index === gap.afterIndex + 1 + position,
+  );
+  if (entries.length === 0 || !isConsecutive) {
+    throw new Error('the member lacks these entries');
+  }
+  return entries;
+}
+
+/** At least one entry, then as many as fit. */
+function limitBytes(entries: Entry[], maxBytes: number): Entry[] {
+  let bytes = 0;
+  const end = entries.findIndex((entry, position) => {
+    bytes += encodedLength(entry);
+    return bytes > maxBytes && position > 0;
+  });
+  return end < 0 ? entries : entries.slice(0, end);
+}
--- a/packages/consensus/src/index.ts
+++ b/packages/consensus/src/index.ts
@@ -47,6 +47,7 @@
 export {type StateMachine} from './stateMachine.js';
 export {
   type HardState,
+  type HistoryGap,
   type Storage,
   type StoredSnapshot,
   type StoredState,
--- a/packages/consensus/src/replica.ts
+++ b/packages/consensus/src/replica.ts
@@ -12,6 +12,7 @@
 import {Election} from './election.js';
 import {IdentityMismatch, MembershipRefused, NotLeader} from './errors.js';
 import {Follower} from './follower.js';
+import {HistoryBackfill} from './historyBackfill.js';
 import {Leadership} from './leadership.js';
 import {transferLeadership} from './leadershipTransfer.js';
 import {addLearner, promote, removeMember} from './membershipChanges.js';
@@ -53,9 +54,6 @@
   ) => ConsensusReply | Promise<ConsensusReply>;
 };
 
-/** Most entries that one history message carries. */
-const maxHistoryEntries = 1_000;
-
 /** A replica of a log that drives a state machine. */
 export class Replica {
   private readonly applier: Applier;
@@ -65,16 +63,14 @@
   private constructor(private readonly state: ReplicaState) {
     this.applier = new Applier(state);
     this.election = new Election(state, () => this.lead());
-    const follower = new Follower(state, this.election, this.applier);
+    const backfill = new HistoryBackfill(state);
+    const follower = new Follower(state, this.election, this.applier, backfill);
     this.handlers = {
       vote: request => this.election.receive(request),
       append: request => follower.receiveAppend(request),
       snapshot: chunk => follower.receiveSnapshot(chunk),
       elect: order => follower.receiveOrder(order),
-      history: async ({after, limit}) => ({
-        kind: 'history',
-        entries: await this.history(after, Math.min(limit, maxHistoryEntries)),
-      }),
+      history: request => backfill.receive(request),
     };
   }
 
--- a/packages/consensus/src/storage.ts
+++ b/packages/consensus/src/storage.ts
@@ -24,6 +24,12 @@
   entries: Entry[];
 }
 
+/** Entries that the history lacks: after one index, up to another. */
+export interface HistoryGap {
+  afterIndex: number;
+  lastIndex: number;
+}
+
 /**
  * Durable state of one replica. Each write is durable once it resolves. The
  * replica runs one operation at a time.
@@ -48,6 +54,8 @@
     snapshot: StoredSnapshot,
     committedIndex: number,
   ): Promise<void>;
+  /** Returns the first gap in the history up to an index. */
+  historyGap(lastIndex: number): Promise<HistoryGap | undefined>;
   /** Adds older entries to the history; they were committed elsewhere. */
   addHistory(entries: readonly Entry[]): Promise<void>;
   readSnapshot(): Promise<StoredSnapshot | undefined>;
--- a/packages/consensus/src/util/durableFile.ts
+++ b/packages/consensus/src/util/durableFile.ts
@@ -1,7 +1,7 @@
 /**
  * @fileoverview File operations that survive a loss of power.
  */
-import {open, rename} from 'node:fs/promises';
+import {open, readFile, rename} from 'node:fs/promises';
 import path from 'node:path';
 
 /** Makes created, renamed and removed names of a folder durable. */
@@ -27,3 +27,13 @@
   await rename(temporary, file);
   await syncFolder(path.dirname(file));
 }
+
+/** Reads a text file, or returns undefined where there is none. */
+export async function readIfExists(file: string): Promise<string | undefined> {
+  try {
+    return await readFile(file, 'utf8');
+  } catch (error) {
+    if ((error as NodeJS.ErrnoException).code === 'ENOENT') return undefined;
+    throw error;
+  }
+}
--- a/packages/consensus/tests/faults.test.ts
+++ b/packages/consensus/tests/faults.test.ts
@@ -80,6 +80,13 @@
   const [leader] = group.leaders;
   expect(leader?.state).toEqual(committed);
   for (const command of acknowledged) expect(committed).toContain(command);
+  for (const {replica, storage} of group.nodes) {
+    const {lastApplied} = replica!.status();
+    const history = await storage.history(0, Infinity, lastApplied);
+    const commands = history.flatMap(entry => entry.commands ?? []);
+    expect(commands).toEqual(committed.slice(0, commands.length));
+    expect(history.length).toBe(lastApplied);
+  }
 }
 
 it('keeps its promises under random faults', {timeout: 60_000}, async () => {
--- /dev/null
+++ b/packages/consensus/tests/fileStorage.test.ts
@@ -0,0 +1,200 @@
+import {
+  appendFile,
+  cp,
+  mkdtemp,
+  readdir,
+  readFile,
+  rm,
+  truncate,
+  writeFile,
+} from 'node:fs/promises';
+import os from 'node:os';
+import path from 'node:path';
+
+import {afterEach, beforeEach, describe, expect, it} from 'vitest';
+
+import {
+  CorruptFile,
+  type Entry,
+  FileStorage,
+  type StoredSnapshot,
+} from '../src/index.js';
+
+let folder: string;
+const opened: FileStorage[] = [];
+
+beforeEach(async () => {
+  folder = await mkdtemp(path.join(os.tmpdir(), 'file-storage-'));
+});
+
+afterEach(async () => {
+  for (const storage of opened.splice(0)) await storage.close();
+  await rm(folder, {recursive: true});
+});
+
+function entry(index: number, term = 1, text = 'x'.repeat(20)): Entry {
+  return {index, term, timestamp: index, kind: 'commands', commands: [text]};
+}
+
+function entries(first: number, last: number, term = 1): Entry[] {
+  return Array.from({length: last - first + 1}, (_, n) =>
+    entry(first + n, term),
+  );
+}
+
+function snapshot(index: number, term = 1): StoredSnapshot {
+  const header = {index, term, timestamp: index, members: []};
+  return {header, text: JSON.stringify({state: index})};
+}
+
+async function reopen(options = {}): Promise<FileStorage> {
+  const storage = await FileStorage.open(folder, options);
+  opened.push(storage);
+  return storage;
+}
+
+const segment = () => path.join(folder, '0000000001.log');
+
+describe('FileStorage', () => {
+  it('reads everything back under the same identity', async () => {
+    const first = await reopen();
+    await first.saveHardState({term: 7, votedFor: 'b'});
+    await first.append(entries(1, 3));
+    await first.append([entry(3, 2), entry(4, 2)]);
+    await first.close();
+    const second = await reopen();
+    expect(second.identity).toBe(first.identity);
+    expect(await second.load()).toEqual({
+      hardState: {term: 7, votedFor: 'b'},
+      snapshot: undefined,
+      entries: [...entries(1, 2), ...entries(3, 4, 2)],
+    });
+  });
+
+  it('cuts a tail that is torn at any byte, and appends after it', async () => {
+    const storage = await reopen();
+    await storage.append(entries(1, 2));
+    await storage.append([entry(3)]);
+    const synced = (await readFile(segment())).length;
+    await storage.append(entries(4, 5));
+    await storage.close();
+    const whole = await readFile(segment());
+    for (let bytes = synced; bytes < whole.length; bytes += 3) {
+      await writeFile(segment(), whole.subarray(0, bytes));
+      await appendFile(segment(), Buffer.alloc(bytes % 2 === 0 ? 0 : 9));
+      const torn = await reopen();
+      expect((await torn.load()).entries).toEqual(entries(1, 3));
+      await torn.append([entry(4, 2)]);
+      await torn.close();
+      const next = await reopen();
+      expect((await next.load()).entries).toEqual([
+        ...entries(1, 3),
+        entry(4, 2),
+      ]);
+      await next.close();
+    }
+  });
+
+  it('refuses a log that is damaged before its tail, at any byte', async () => {
+    const storage = await reopen();
+    await storage.append(entries(1, 2));
+    const firstFrame = (await readFile(segment())).length;
+    await storage.append([entry(3)]);
+    await storage.append([entry(4)]);
+    await storage.close();
+    const whole = await readFile(segment());
+    const lastFrame = (whole.length - firstFrame) / 2 + firstFrame;
+    for (let offset = 0; offset < lastFrame; offset += 5) {
+      const damaged = Buffer.from(whole);
+      damaged[offset]! ^= 0x10;
+      await writeFile(segment(), damaged);
+      const error = await reopen().catch((e: unknown) => e);
+      expect(error).toBeInstanceOf(CorruptFile);
+      expect(error).toMatchObject({
+        message: `log file ${segment()} is damaged at byte ${offset < firstFrame ? 0 : firstFrame}`,
+        file: segment(),
+        offset: offset < firstFrame ? 0 : firstFrame,
+      });
+    }
+  });
+
+  it('refuses a sealed segment that is cut', async () => {
+    const storage = await reopen({segmentBytes: 1});
+    await storage.append(entries(1, 2));
+    await storage.append(entries(3, 4));
+    await storage.close();
+    await truncate(segment(), 30);
+    await expect(reopen()).rejects.toThrow(/0000000001.log is damaged/);
+  });
+
+  const damages: [string, (file: string) => Promise<void>, RegExp][] = [
+    ['snapshot.json', file => writeFile(file, 'x'), /snapshot.json is damaged/],
+    [
+      'snapshot.json',
+      file => appendFile(file, ' '),
+      /snapshot.json is damaged/,
+    ],
+    ['vote.json', file => writeFile(file, '{'), /vote.json is damaged/],
+    ['vote.json', file => rm(file), /vote.json is missing/],
+    ['identity.json', file => rm(file), /identity.json is missing/],
+  ];
+  it.each(damages)('refuses a damaged %s', async (name, damage, message) => {
+    const storage = await reopen();
+    await storage.append(entries(1, 4));
+    await storage.saveSnapshot(snapshot(4), 0);
+    await storage.close();
+    await damage(path.join(folder, name));
+    const opening = reopen().then(next => next.load());
+    await expect(opening).rejects.toThrow(message);
+  });
+
+  it('keeps sealed segments as history', async () => {
+    const storage = await reopen({segmentBytes: 1});
+    await storage.append(entries(1, 3));
+    await storage.append([...entries(3, 5, 2)]);
+    await storage.append(entries(6, 8, 2));
+    await storage.saveSnapshot(snapshot(6, 2), 5);
+    expect(await readdir(path.join(folder, 'history'))).toHaveLength(2);
+    await storage.close();
+    const next = await reopen();
+    expect((await next.load()).entries).toEqual(entries(6, 8, 2));
+    const all = [...entries(1, 2), ...entries(3, 8, 2)];
+    expect(await next.history(0, 100, 8)).toEqual(all);
+    expect(await next.history(1, 3, 8)).toEqual(all.slice(1, 4));
+    expect(await next.history(5, 100, 7)).toEqual(all.slice(5, 7));
+  });
+
+  it('drops the uncommitted log for an installed snapshot', async () => {
+    const storage = await reopen();
+    await storage.append(entries(1, 9));
+    await storage.installSnapshot(snapshot(20, 3), 4);
+    const gap = {afterIndex: 4, lastIndex: 20};
+    expect(await storage.historyGap(20)).toEqual(gap);
+    await storage.append([entry(21, 3)]);
+    expect(await storage.historyGap(20)).toEqual(gap);
+    await storage.addHistory(entries(5, 20, 3));
+    await storage.close();
+    const next = await reopen();
+    expect(await next.historyGap(20)).toBe(undefined);
+    expect((await next.load()).entries).toEqual([entry(21, 3)]);
+    expect(await next.history(0, 100, 21)).toEqual([
+      ...entries(1, 4),
+      ...entries(5, 21, 3),
+    ]);
+  });
+
+  it('ends an installation that was cut short after the snapshot', async () => {
+    const storage = await reopen();
+    await storage.append(entries(1, 9));
+    const before = `${folder}-copy`;
+    await cp(folder, before, {recursive: true});
+    await storage.installSnapshot(snapshot(5, 3), 4);
+    await storage.close();
+    await cp(path.join(folder, 'snapshot.json'), `${before}/snapshot.json`);
+    await rm(folder, {recursive: true});
+    await cp(before, folder, {recursive: true});
+    await rm(before, {recursive: true});
+    const next = await reopen();
+    expect((await next.load()).entries).toEqual([]);
+  });
+});
--- a/packages/consensus/tests/replica.test.ts
+++ b/packages/consensus/tests/replica.test.ts
@@ -173,6 +173,10 @@
   await leader.replica.addLearner(added.member);
   await vi.waitFor(() => leader.replica.promote(added.member.id));
   expect(added.applied).toEqual(leader.applied);
+  await vi.waitFor(async () => {
+    const history = await added.replica.history(0, 1_000);
+    expect(commandsOf(history)).toEqual(leader.applied);
+  });
   await leader.replica.removeMember(leader.member.id);
   await group.stop(leader.member.instance);
   const next = await group.leader();
--- a/packages/consensus/tests/support/crashableStorage.ts
+++ b/packages/consensus/tests/support/crashableStorage.ts
@@ -1,6 +1,7 @@
 import {
   type Entry,
   type HardState,
+  type HistoryGap,
   type Storage,
   type StoredSnapshot,
   type StoredState,
@@ -62,6 +63,17 @@
     });
   }
 
+  async historyGap(lastIndex: number): Promise<HistoryGap | undefined> {
+    const isMissing = (index: number) =>
+      index <= lastIndex && !this.entries.has(index);
+    let first = 1;
+    while (this.entries.has(first)) first++;
+    if (!isMissing(first)) return undefined;
+    let last = first;
+    while (isMissing(last + 1)) last++;
+    return {afterIndex: first - 1, lastIndex: last};
+  }
+
   addHistory(entries: readonly Entry[]): Promise<void> {
     return this.write(() => {
       for (const entry of entries) this.entries.set(entry.index, entry);
