--- a/packages/bench/src/money/index.ts
+++ b/packages/bench/src/money/index.ts
@@ -1,5 +1,6 @@
 /** @fileoverview Measurements of money: overspend and false refusals. */
 export {
+  compareGrantTerms,
   compareMoney,
   defaultMoneyBenchOptions,
   type MoneyBenchOptions,
--- a/packages/bench/src/money/moneyBench.ts
+++ b/packages/bench/src/money/moneyBench.ts
@@ -57,11 +57,52 @@
   );
 }
 
+/** Terms of grants to compare: seconds of serving, percentage granted. */
+const comparedTerms = [
+  {servingSeconds: 60, grantPercent: 30},
+  {servingSeconds: 300, grantPercent: 30},
+  {servingSeconds: 900, grantPercent: 30},
+  {servingSeconds: 900, grantPercent: 60},
+  {servingSeconds: 900, grantPercent: 100},
+];
+
+/**
+ * What longer and larger grants bring in a partition, against the longest
+ * time that a tightening change may then wait for them.
+ */
+export function compareGrantTerms(
+  changes: Partial<MoneyBenchOptions> = {},
+): Row[] {
+  const options = {...defaultMoneyBenchOptions, ...changes};
+  return options.settings.flatMap(setting =>
+    comparedTerms.flatMap(terms => {
+      const partition = {...setting.partition, ...terms};
+      const changed = {...setting, partition};
+      const [row] = compareOne(options, changed, true, 'bytes');
+      return {
+        user: setting.name,
+        'serving s': terms.servingSeconds,
+        'granted %': terms.grantPercent,
+        'longest wait s': terms.servingSeconds * 1.1 + 1,
+        ...pick(row!, ['overspend micros', 'false refusals %', 'by amount %']),
+      };
+    }),
+  );
+}
+
+function pick(row: Row, names: string[]): Row {
+  return Object.fromEntries(names.map(name => [name, row[name]!]));
+}
+
 /** Sums over all seeds. */
 interface Totals {
   requests: number;
   refused: number;
   falselyRefused: number;
+  /** Cost of the falsely refused requests in micros. */
+  falselyRefusedCost: number;
+  /** Cost of all requests in micros. */
+  demand: number;
   overspend: number;
   spent: number;
   paid: number;
@@ -100,6 +141,7 @@
     'overspend micros': total.overspend,
     'refused %': percent(total.refused, total.requests),
     'false refusals %': percent(total.falselyRefused, total.requests),
+    'by amount %': percent(total.falselyRefusedCost, total.demand),
     'stranded %': percent(total.paid - total.spent, total.paid),
   }));
 }
@@ -109,6 +151,8 @@
     requests: 0,
     refused: 0,
     falselyRefused: 0,
+    falselyRefusedCost: 0,
+    demand: 0,
     overspend: 0,
     spent: 0,
     paid: 0,
@@ -125,10 +169,13 @@
   total.spent += outcome.spent;
   total.paid += outcome.paid;
   total.overspend += outcome.overspend;
-  for (const {id} of requests) {
+  for (const {id, cost} of requests) {
+    total.demand += cost;
     if (outcome.served.has(id)) continue;
     total.refused++;
-    if (ideal.served.has(id)) total.falselyRefused++;
+    if (!ideal.served.has(id)) continue;
+    total.falselyRefused++;
+    total.falselyRefusedCost += cost;
   }
 }
 
--- a/packages/ledger/src/grantSizing.ts
+++ b/packages/ledger/src/grantSizing.ts
@@ -31,7 +31,7 @@
   const most = Math.floor(
     percentOf(balance, demand.grantPercent) / Math.max(1, holders),
   );
-  const wanted = Math.ceil(demandPerSecond * servingSeconds);
-  const amount = Math.min(Math.max(wanted, largest), most, available);
-  return amount < Math.max(1, largest) ? 0 : amount;
+  // Requests reserve more than they cost, so one of them fits on top.
+  const wanted = Math.ceil(demandPerSecond * servingSeconds) + largest;
+  return Math.max(0, Math.min(wanted, most, available));
 }
--- a/packages/ledger/src/ledgerSnapshot.ts
+++ b/packages/ledger/src/ledgerSnapshot.ts
@@ -24,8 +24,15 @@
 /** JSON form of an account. */
 export type AccountSnapshot = Omit<
   Account,
-  'retained' | 'grants' | 'workspaces' | 'changeIds' | 'versionChanges'
+  | 'inForce'
+  | 'retained'
+  | 'grants'
+  | 'workspaces'
+  | 'changeIds'
+  | 'versionChanges'
 > & {
+  /** Left out where the newest version is in force. */
+  inForce?: Account['newest'];
   retained: Array<Account['newest']>;
   workspaces: Array<WorkspaceSums & {name: string}>;
   versionChanges: Array<{version: number; changeId: string}>;
@@ -96,7 +103,7 @@
   return {
     customer: account.customer,
     newest: account.newest,
-    inForce: account.inForce,
+    ...(account.inForce === account.newest ? {} : {inForce: account.inForce}),
     revision: account.revision,
     ...(account.pending === undefined ? {} : {pending: account.pending}),
     toppedUp: account.toppedUp,
@@ -128,10 +135,9 @@
 }
 
 function restoreAccount(state: LedgerState, snapshot: AccountSnapshot): void {
-  const isAccepted = snapshot.inForce.version === snapshot.newest.version;
   const account: Account = {
     ...snapshot,
-    inForce: isAccepted ? snapshot.newest : snapshot.inForce,
+    inForce: snapshot.inForce ?? snapshot.newest,
     retained: new Map(snapshot.retained.map(terms => [terms.version, terms])),
     grants: new Map(),
     workspaces: new Map(
--- a/packages/ledger/tests/contracts.test.ts
+++ b/packages/ledger/tests/contracts.test.ts
@@ -70,6 +70,17 @@
     expect(fixture.apply(change)).toEqual(first);
   });
 
+  it('shows the same history after a restart', () => {
+    const fixture = new LedgerFixture();
+    fixture.apply(applyOf('early', 7));
+    fixture.apply(applyOf('first', 0));
+    const before = fixture.ledger.contractHistory('barley');
+    expect(before.map(({changeId}) => changeId)).toEqual(['first']);
+    const snapshot = JSON.stringify(fixture.ledger.snapshot());
+    fixture.ledger.restore(JSON.parse(snapshot) as never);
+    expect(fixture.ledger.contractHistory('barley')).toEqual(before);
+  });
+
   it('forgets change ids after their retention only', () => {
     const fixture = LedgerFixture.withContract(
       {},
@@ -245,6 +256,21 @@
     });
   });
 
+  it('bills a late journal at the prices of its version', () => {
+    const fixture = LedgerFixture.withContract();
+    const [model] = contractOf().models;
+    fixture.apply(grantOf());
+    const dearer = [{...model!, inputPrice: 9}];
+    fixture.apply(applyOf('dearer', 1, {models: dearer}));
+    fixture.apply({kind: 'advanceTime'}, servingBound + 1);
+    expect(fixture.ledger.change('dearer')?.state).toBe('accepted');
+    const records = [recordOf(1, 9)];
+    fixture.apply({kind: 'returnGrant', grantId: 'g1', records});
+    expect(fixture.ledger.takeBills()).toMatchObject([
+      {contractVersion: 1, inputPrice: 1},
+    ]);
+  });
+
   it('keeps a replaced key with its customer until no grant knows it', () => {
     const fixture = LedgerFixture.withContract();
     const {workspaces} = contractOf();
--- a/packages/ledger/tests/ledger.property.test.ts
+++ b/packages/ledger/tests/ledger.property.test.ts
@@ -282,6 +282,12 @@
       JSON.parse(JSON.stringify(ledger.snapshot()));
     expect(plain(copy)).toEqual(plain(this.ledger));
     expect(plain(this.twin)).toEqual(plain(this.ledger));
+    const views = (ledger: Ledger): unknown => [
+      ledger.changesSince(0),
+      ledger.budgets(),
+      customers.map(name => ledger.contractHistory(name)),
+    ];
+    expect(views(this.twin)).toEqual(views(this.ledger));
   }
 }
 
