feat(daemon): grants with journals, recall and recovery

Unused grants are recalled before an open is refused as exhausted; the recall goes from the asking instance to the holders, so that the leader never waits for it.

--- a/packages/daemon/src/control.ts
+++ b/packages/daemon/src/control.ts
@@ -11,8 +11,14 @@
 import {type FastifyPluginAsync} from 'fastify';
 
 import {Configuration} from './configuration/configuration.js';
+import {GrantRecall} from './grants/grantRecall.js';
+import {Grants} from './grants/grants.js';
+import {type JournalPlace} from './grants/journal.js';
+import {localPlace, remotePlace} from './grants/journalPlaces.js';
+import {JournalRecovery} from './grants/journalRecovery.js';
+import {JournalStore} from './grants/journalStore.js';
 import {LedgerClient} from './ledgerClient/ledgerClient.js';
-import {foundCluster} from './ledgerHost/founding.js';
+import {Founder} from './ledgerHost/founder.js';
 import {LedgerHost} from './ledgerHost/ledgerHost.js';
 import {createAnnouncementRoutes} from './membership/announcementRoutes.js';
 import {Membership, ownPeerAddress} from './membership/membership.js';
@@ -22,7 +28,7 @@
 import {derivePeerKey} from './peer/peerAuthentication.js';
 import {PeerClient} from './peer/peerClient.js';
 import {PeerServer} from './peer/peerServer.js';
-import {type Clock, sleep, systemClock} from './util/clock.js';
+import {type Clock, systemClock} from './util/clock.js';
 import {type Logger, silentLogger} from './util/logger.js';
 import {type Metrics, silentMetrics} from './util/metrics.js';
 
@@ -43,6 +49,8 @@
   inFlight?: (backend: string) => number;
   /** Whether this instance sends no requests to a backend server for now. */
   isEjected?: (backend: string) => boolean;
+  /** Whether this instance is still running a request, by its scoped key. */
+  isRunning?: (requestKey: string) => boolean;
   /** Called if the ledger replica stops because of an error. */
   onReplicaFailure?: (error: unknown) => void;
   clock?: Clock;
@@ -54,6 +62,7 @@
   explain: async (requestId: string) => ({requestId, found: false}),
   inFlight: () => 0,
   isEjected: () => false,
+  isRunning: () => true,
   onReplicaFailure: () => {},
   clock: systemClock,
   logger: silentLogger,
@@ -62,8 +71,11 @@
 
 /** The running control side. */
 export interface Control {
+  /** Identity of this process as a holder: `name#incarnation`. */
+  holder: string;
   ledgerClient: LedgerClient;
   configuration: Configuration;
+  grants: Grants;
   membership: Membership;
   directory: Directory;
   /** Serves `/operator/v1`. */
@@ -74,51 +86,144 @@
   start: () => Promise<void>;
   /** Tells the other instances that this one takes no more work. */
   leave: () => Promise<void>;
+  /** Returns grants, hands leadership over, and closes everything. */
   stop: () => Promise<void>;
 }
 
-const foundingRetryMilliseconds = 500;
+/** What the parts are built from. */
+interface Context {
+  options: Required<ControlOptions>;
+  incarnation: number;
+  ownAddress: string;
+  calls: InstanceCalls;
+  client: PeerClient;
+  credentials: PeerClientCredentials;
+  host?: LedgerHost;
+  store?: JournalStore;
+}
+
+type PeerClientCredentials = ConstructorParameters<
+  typeof PeerClient
+>[0]['credentials'];
+
+/** The parts that others are built on. */
+interface Parts {
+  membership: Membership;
+  ledgerClient: LedgerClient;
+  configuration: Configuration;
+  grants: Grants;
+}
+
+const millisecondsPerSecond = 1000;
 
 /** Opens the durable state and builds all parts; nothing runs yet. */
 export async function createControl(input: ControlOptions): Promise<Control> {
-  const options = {...defaultOptions, ...input};
+  const context = await createContext({...defaultOptions, ...input});
+  const parts = createParts(context);
+  const {membership, ledgerClient, configuration, grants} = parts;
+  const server = createServer(context, parts);
+  const founder = createFounder(context);
+  const recovery = createRecovery(context, parts);
+  const {host, store, client} = context;
+  return {
+    ...parts,
+    holder: membership.holder,
+    directory: membership.directory,
+    operatorRoutes: operatorRoutesOf(context, parts),
+    announcementRoutes: announcementRoutesOf(context, parts),
+    start: async () => {
+      await server.start();
+      host?.start();
+      founder?.start();
+      membership.start();
+      ledgerClient.start();
+      configuration.start();
+      grants.start();
+      recovery?.start();
+    },
+    leave: () => membership.leave(),
+    stop: async () => {
+      founder?.stop();
+      await recovery?.stop();
+      await grants.stop();
+      await configuration.stop();
+      await ledgerClient.stop();
+      await host?.stop();
+      await membership.stop();
+      await server.stop();
+      await client.stop();
+      await store?.close();
+    },
+  };
+}
+
+async function createContext(
+  options: Required<ControlOptions>,
+): Promise<Context> {
   const {settings, secrets, clock, logger, metrics} = options;
-  const ownAddress = ownPeerAddress(settings);
-  const incarnation = Math.round(clock.wallNow());
+  const {dataFolder} = settings.instance;
   const credentials = {
     cluster: settings.cluster.name,
     instance: settings.instance.name,
     key: derivePeerKey(secrets.clusterKey),
   };
   const client = new PeerClient({credentials, clock, metrics});
-  let host: LedgerHost | undefined = undefined;
-  const calls = new InstanceCalls({
-    client,
+  const ownAddress = ownPeerAddress(settings);
+  const context: Context = {
+    options,
+    incarnation: Math.round(clock.wallNow()),
     ownAddress,
-    replica: () => host,
-    clock,
-  });
-  host = await openHost(options, ownAddress, calls);
-  const membership = new Membership({
-    settings,
-    incarnation,
-    exchange: (address, request) => calls.gossip(address, request),
-    sayFarewell: (address, request) => calls.farewell(address, request),
-    status: () => ({
-      revision: configuration.revision,
-      renewedMillisecondsAgo: configuration.renewedMillisecondsAgo,
+    client,
+    credentials,
+    calls: new InstanceCalls({
+      client,
+      ownAddress,
+      replica: () => context.host,
+      clock,
     }),
-    inFlight: options.inFlight,
-    isEjected: options.isEjected,
+  };
+  context.host = await openHost(context);
+  if (dataFolder !== undefined) {
+    context.store = await JournalStore.open({dataFolder, logger});
+  }
+  return context;
+}
+
+async function openHost({
+  options,
+  ownAddress,
+  calls,
+}: Context): Promise<LedgerHost | undefined> {
+  const {settings, clock, logger, metrics, onReplicaFailure} = options;
+  const {roles, dataFolder, name} = settings.instance;
+  if (!roles.includes('ledger') || dataFolder === undefined) return undefined;
+  return LedgerHost.open({
+    dataFolder,
+    instance: name,
+    address: ownAddress,
+    settings: settings.ledger,
+    send: (to, message) => calls.receive(to.address, message),
+    onFailure: onReplicaFailure,
     clock,
     logger,
     metrics,
   });
+}
+
+function createParts(context: Context): Parts {
+  const {options, calls} = context;
+  const {clock, logger, metrics, settings} = options;
+  const membership: Membership = createMembership(context, () => ({
+    revision: configuration.revision,
+    renewedMillisecondsAgo: configuration.renewedMillisecondsAgo,
+  }));
   const addresses = () => membership.ledgerAddresses();
+  const recall = createRecall(context, membership, ids => grants.recall(ids));
   const ledgerClient = new LedgerClient({
     calls,
     addresses,
     maybeReceived,
+    recall: holders => recall.recall(holders),
     submitTimeoutMilliseconds: settings.ledger.submitTimeoutMilliseconds,
     clock,
     logger,
@@ -128,24 +233,95 @@
     ledgerClient,
     addresses,
     changes: (address, request) => calls.changes(address, request),
+    onChange: view => grants.contractChanged(view),
     clock,
     logger,
     metrics,
   });
-  const identity = (): PeerIdentity => ({
-    instance: settings.instance.name,
+  const grants: Grants = new Grants({
+    holder: membership.holder,
+    ledgerClient,
+    contractOf: customer => configuration.cached(customer),
+    choosePlace: () => choosePlace(context, membership),
+    isAlive: instance => membership.isAlive(instance),
+    routers: () => membership.routers,
+    clock,
+    logger,
+    metrics,
+  });
+  return {membership, ledgerClient, configuration, grants};
+}
+
+function createMembership(
+  {options, incarnation, calls}: Context,
+  status: () => {revision: number; renewedMillisecondsAgo: number},
+): Membership {
+  const {settings, inFlight, isEjected, clock, logger, metrics} = options;
+  return new Membership({
+    settings,
     incarnation,
-    address: ownAddress,
-    wallTime: Math.round(clock.wallNow()),
-    ...(host === undefined ? {} : {replica: host.identity()}),
+    exchange: (address, request) => calls.gossip(address, request),
+    sayFarewell: (address, request) => calls.farewell(address, request),
+    status,
+    inFlight,
+    isEjected,
+    clock,
+    logger,
+    metrics,
   });
+}
+
+function createRecall(
+  {calls}: Context,
+  membership: Membership,
+  recallHere: Grants['recall'],
+): GrantRecall {
+  return new GrantRecall({
+    ask: async (holder, request) => {
+      if (holder === membership.holder) return recallHere(request.grantIds);
+      const address = membership.holderAddress(holder);
+      if (address === undefined) throw new Error(`${holder} is gone`);
+      return calls.recall(address, request);
+    },
+  });
+}
+
+/** The own disk, else the nearest ledger instance that is heard of. */
+function choosePlace(
+  {options, store, calls}: Context,
+  membership: Membership,
+): JournalPlace | undefined {
+  const {name} = options.settings.instance;
+  if (store !== undefined) return localPlace(name, store);
+  const [nearest] = membership.ledgerPeers();
+  if (nearest === undefined) return undefined;
+  const address = membership.addressOf(nearest.name);
+  return address === undefined
+    ? undefined
+    : remotePlace(nearest.name, address, calls);
+}
+
+function createServer(context: Context, parts: Parts): PeerServer {
+  const {options, credentials, store, host} = context;
+  const {settings, isRunning, clock, logger, metrics} = options;
+  const {membership, grants} = parts;
   const handlers: PeerHandlers = {
-    identity: async () => identity(),
+    identity: async () => identityOf(context),
     gossip: request => membership.answer(request),
     receiveFarewell: request => membership.receiveFarewell(request),
+    recall: ({grantIds}) => grants.recall(grantIds),
+    running: ({requestKeys}) => ({
+      running: requestKeys.filter(
+        key => isRunning(key) || grants.isRunning(key),
+      ),
+    }),
     replica: host,
+    journals: store && {
+      append: ({grantId, entries}) => store.append(grantId, entries),
+      remove: ({grantId}) => store.remove(grantId),
+    },
   };
-  const server = new PeerServer({
+  return new PeerServer({
     api: createPeerApi(handlers),
     credentials,
     address: settings.instance.address,
@@ -154,111 +330,77 @@
     logger,
     metrics,
   });
-  const founder = new Founder(options, calls, ownAddress, identity, host);
+}
+
+function identityOf(context: Context): PeerIdentity {
+  const {options, incarnation, ownAddress, host} = context;
   return {
-    ledgerClient,
-    configuration,
-    membership,
-    directory: membership.directory,
-    operatorRoutes: createOperatorRoutes({
-      operatorKey: secrets.operatorKey,
-      ledgerClient,
-      instances: () => membership.instances(),
-      backends: () => membership.backends(),
-      replicas: () => viewReplicas(calls, addresses()),
-      explain: options.explain,
-      logger,
-    }),
-    announcementRoutes: createAnnouncementRoutes({
-      backendKey: secrets.backendKey,
-      membership,
-      logger,
-      metrics,
-    }),
-    start: async () => {
-      await server.start();
-      host?.start();
-      void founder.run();
-      membership.start();
-      ledgerClient.start();
-      configuration.start();
-    },
-    leave: () => membership.leave(),
-    stop: async () => {
-      founder.stop();
-      await configuration.stop();
-      await ledgerClient.stop();
-      await host?.stop();
-      await membership.stop();
-      await server.stop();
-      await client.stop();
-    },
+    instance: options.settings.instance.name,
+    incarnation,
+    address: ownAddress,
+    wallTime: Math.round(options.clock.wallNow()),
+    ...(host === undefined ? {} : {replica: host.identity()}),
   };
 }
 
-async function openHost(
-  options: Required<ControlOptions>,
-  ownAddress: string,
-  calls: InstanceCalls,
-): Promise<LedgerHost | undefined> {
-  const {settings, clock, logger, metrics, onReplicaFailure} = options;
-  const {roles, dataFolder, name} = settings.instance;
-  if (!roles.includes('ledger') || dataFolder === undefined) return undefined;
-  return LedgerHost.open({
-    dataFolder,
-    instance: name,
+function createFounder(context: Context): Founder | undefined {
+  const {options, host, calls, ownAddress} = context;
+  if (host === undefined) return undefined;
+  const {settings, clock, logger} = options;
+  const request = {instance: settings.instance.name, address: ownAddress};
+  return new Founder({
     address: ownAddress,
-    settings: settings.ledger,
-    send: (to, message) => calls.receive(to.address, message),
-    onFailure: onReplicaFailure,
+    initialReplicas: settings.cluster.initialReplicas,
+    identity: () => identityOf(context),
+    ask: address => calls.identity(address, request),
+    foundLocally: members => host.found({members}),
+    foundRemotely: (address, members) => calls.found(address, {members}),
     clock,
     logger,
-    metrics,
   });
 }
 
-/** Tries to found the cluster until that is done or somebody else's part. */
-class Founder {
-  private stopped = false;
-
-  constructor(
-    private readonly options: Required<ControlOptions>,
-    private readonly calls: InstanceCalls,
-    private readonly ownAddress: string,
-    private readonly identity: () => PeerIdentity,
-    private readonly host: LedgerHost | undefined,
-  ) {}
-
-  async run(): Promise<void> {
-    const {clock, logger} = this.options;
-    try {
-      while (!this.stopped && (await this.attempt()) === 'waiting') {
-        logger.debug({}, 'waiting for all initial replicas to found');
-        await sleep(clock, foundingRetryMilliseconds);
-      }
-    } catch (error) {
-      logger.error({err: error}, 'the cluster could not be founded');
-    }
-  }
+function createRecovery(
+  {options, store}: Context,
+  {membership, ledgerClient}: Parts,
+): JournalRecovery | undefined {
+  if (store === undefined) return undefined;
+  const {settings, clock, logger} = options;
+  return new JournalRecovery({
+    store,
+    holder: membership.holder,
+    ledgerClient,
+    isHolderAlive: holder => membership.isHolderAlive(holder),
+    goneMilliseconds:
+      settings.ledger.abandonedAfterSeconds * millisecondsPerSecond,
+    clock,
+    logger,
+  });
+}
 
-  stop(): void {
-    this.stopped = true;
-  }
+function operatorRoutesOf(
+  {options, calls}: Context,
+  {membership, ledgerClient}: Parts,
+): FastifyPluginAsync {
+  const {secrets, explain, logger} = options;
+  return createOperatorRoutes({
+    operatorKey: secrets.operatorKey,
+    ledgerClient,
+    instances: () => membership.instances(),
+    backends: () => membership.backends(),
+    replicas: () => viewReplicas(calls, membership.ledgerAddresses()),
+    explain,
+    logger,
+  });
+}
 
-  private async attempt() {
-    const {host, calls, ownAddress, identity} = this;
-    const {settings} = this.options;
-    if (host === undefined) return 'notFounder';
-    const request = {instance: settings.instance.name, address: ownAddress};
-    return foundCluster({
-      address: ownAddress,
-      initialReplicas: settings.cluster.initialReplicas,
-      identity,
-      ask: address => calls.identity(address, request),
-      foundLocally: members => host.found({members}),
-      foundRemotely: (address, members) => calls.found(address, {members}),
-    });
-  }
+function announcementRoutesOf(
+  {options}: Context,
+  {membership}: Parts,
+): FastifyPluginAsync {
+  const {secrets, logger, metrics} = options;
+  const {backendKey} = secrets;
+  return createAnnouncementRoutes({backendKey, membership, logger, metrics});
 }
 
 /** Asks all ledger instances for their replicas; absent ones are left out. */
--- /dev/null
+++ b/packages/daemon/src/grants/journalErrors.ts
@@ -0,0 +1,12 @@
+/**
+ * @fileoverview Errors of journals.
+ */
+import {BaseError, type ErrorClass} from '../util/baseError.js';
+
+/** A journal takes no more entries, or isn't there. */
+export const JournalClosedError: ErrorClass =
+  BaseError.subclass('JournalClosedError');
+
+/** A journal is damaged before its last line. */
+export const JournalCorruptError: ErrorClass<{file: string; line: number}> =
+  BaseError.subclass('JournalCorruptError', {props: {file: '', line: 0}});
--- a/packages/daemon/src/ledgerClient/ledgerClient.ts
+++ b/packages/daemon/src/ledgerClient/ledgerClient.ts
@@ -7,6 +7,7 @@
  */
 import {
   type Command,
+  type GrantHolder,
   parserOf,
   type QueryInput,
   type QueryReply,
@@ -48,6 +49,11 @@
   addresses: () => string[];
   /** Whether a failed call may have reached the other instance. */
   maybeReceived: (error: unknown) => boolean;
+  /**
+   * Asks holders to return what they don't use; resolves with whether any of
+   * them could be asked. Without it exhausted budgets are refused at once.
+   */
+  recall?: (holders: GrantHolder[]) => Promise<boolean>;
   submitTimeoutMilliseconds: number;
   clock?: Clock;
   logger?: Logger;
@@ -66,6 +72,7 @@
   clock: systemClock,
   logger: silentLogger,
   metrics: silentMetrics,
+  recall: async () => false,
   maximumBatch: 256,
   maximumQueue: 10_000,
   retryMilliseconds: 40,
@@ -131,7 +138,11 @@
    *     TypeError on an invalid command, which would spoil its whole batch.
    */
   async submit(command: Command): Promise<Result> {
-    return this.enqueue(checkCommand(command));
+    const result = await this.enqueue(checkCommand(command));
+    const holders = recallableOf(command, result);
+    if (holders.length === 0) return result;
+    const recalled = await this.options.recall(holders);
+    return recalled ? this.enqueue(command) : result;
   }
 
   /**
@@ -333,6 +344,12 @@
   }
 }
 
+/** Grants that stand in the way of a request. */
+function recallableOf(command: Command, result: Result): GrantHolder[] {
+  if (command.kind !== 'openRequest' || result.kind !== 'refused') return [];
+  return result.recallable ?? [];
+}
+
 function markUnknown(batch: PendingCommand[]): void {
   for (const pending of batch) pending.outcome = 'unknown';
 }
--- /dev/null
+++ b/packages/daemon/src/ledgerHost/founder.ts
@@ -0,0 +1,44 @@
+/**
+ * @fileoverview Tries to found the cluster until that is done.
+ */
+import {type Clock, sleep} from '../util/clock.js';
+import {type Logger} from '../util/logger.js';
+import {foundCluster, type FoundingOptions} from './founding.js';
+
+/** What the founder needs. */
+export interface FounderOptions extends FoundingOptions {
+  clock: Clock;
+  logger: Logger;
+}
+
+const retryMilliseconds = 500;
+
+/** Founds the cluster if this instance is to do so and nobody has yet. */
+export class Founder {
+  private stopped = false;
+
+  constructor(private readonly options: FounderOptions) {}
+
+  start(): void {
+    void this.run();
+  }
+
+  stop(): void {
+    this.stopped = true;
+  }
+
+  private async run(): Promise<void> {
+    const {clock, logger} = this.options;
+    try {
+      while (
+        !this.stopped &&
+        (await foundCluster(this.options)) === 'waiting'
+      ) {
+        logger.debug({}, 'waiting for all initial replicas to found');
+        await sleep(clock, retryMilliseconds);
+      }
+    } catch (error) {
+      logger.error({err: error}, 'the cluster could not be founded');
+    }
+  }
+}
--- a/packages/daemon/src/membership/membership.ts
+++ b/packages/daemon/src/membership/membership.ts
@@ -161,6 +161,32 @@
     );
   }
 
+  /** Identity of this process as a holder: `name#incarnation`. */
+  get holder(): string {
+    const {settings, incarnation} = this.options;
+    return `${settings.instance.name}#${incarnation}`;
+  }
+
+  /** Whether the very process of a holder is heard of. */
+  isHolderAlive(holder: string): boolean {
+    return this.holderAddress(holder) !== undefined;
+  }
+
+  /** Peer address of a holder's process, if it is heard of. */
+  holderAddress(holder: string): string | undefined {
+    const [name = ''] = holder.split('#');
+    const record = this.table.get(name);
+    if (record === undefined || !this.isAlive(name)) return undefined;
+    const isSame = holder === `${name}#${record.incarnation}`;
+    return isSame ? peerAddressOf(record) : undefined;
+  }
+
+  /** Newest peer address of an instance, whatever its state. */
+  addressOf(name: string): string | undefined {
+    const record = this.table.get(name);
+    return record && peerAddressOf(record);
+  }
+
   /** Instances that are heard of, without this one. */
   livePeers(): InstanceRecord[] {
     const self = this.table.own.name;
@@ -169,16 +195,20 @@
       .map(({record}) => record);
   }
 
+  /** Other ledger instances that are heard of, the nearest first. */
+  ledgerPeers(): InstanceRecord[] {
+    const {failureDomain} = this.table.own;
+    const peers = this.livePeers().filter(isLedger);
+    const near = peers.filter(peer => peer.failureDomain === failureDomain);
+    const far = peers.filter(peer => peer.failureDomain !== failureDomain);
+    return [...near, ...far];
+  }
+
   /** Peer addresses of ledger instances: this one, then the nearest first. */
   ledgerAddresses(): string[] {
     const {settings} = this.options;
-    const own = this.table.own;
-    const peers = this.livePeers().filter(isLedger);
-    const near = peers.filter(
-      ({failureDomain}) => failureDomain === own.failureDomain,
-    );
-    const far = peers.filter(peer => !near.includes(peer));
-    const known = [...(isLedger(own) ? [own] : []), ...near, ...far];
+    const {own} = this.table;
+    const known = [...(isLedger(own) ? [own] : []), ...this.ledgerPeers()];
     const {initialReplicas, seeds} = settings.cluster;
     return [
       ...new Set([
--- a/packages/daemon/src/peer/instanceCalls.ts
+++ b/packages/daemon/src/peer/instanceCalls.ts
@@ -11,10 +11,16 @@
   type GossipReply,
   type GossipRequest,
   type IdentityRequest,
+  type JournalAppendRequest,
+  type JournalRemoveRequest,
   type PeerIdentity,
   type QueryReply,
   type QueryRequest,
+  type RecallReply,
+  type RecallRequest,
   type ReplicaView,
+  type RunningReply,
+  type RunningRequest,
   type SubmitReply,
   type SubmitRequest,
 } from '@dogwoodtrestle/schema';
@@ -33,6 +39,8 @@
   changes: 1000,
   identity: 1000,
   view: 1000,
+  recall: 500,
+  journal: 1000,
 };
 
 /** What the calls need. */
@@ -143,6 +151,41 @@
     );
   }
 
+  /** Asks a holder to return what it doesn't use. */
+  recall(address: string, request: RecallRequest): Promise<RecallReply> {
+    const {client} = this.options;
+    return client.call(address, timeouts.recall, (calls, options) =>
+      calls.recall.mutate(request, options),
+    );
+  }
+
+  running(address: string, request: RunningRequest): Promise<RunningReply> {
+    const {client} = this.options;
+    return client.call(address, timeouts.view, (calls, options) =>
+      calls.running.mutate(request, options),
+    );
+  }
+
+  async appendJournal(
+    address: string,
+    request: JournalAppendRequest,
+  ): Promise<void> {
+    const {client} = this.options;
+    await client.call(address, timeouts.journal, (calls, options) =>
+      calls.appendJournal.mutate(request, options),
+    );
+  }
+
+  async removeJournal(
+    address: string,
+    request: JournalRemoveRequest,
+  ): Promise<void> {
+    const {client} = this.options;
+    await client.call(address, timeouts.journal, (calls, options) =>
+      calls.removeJournal.mutate(request, options),
+    );
+  }
+
   private local<T>(
     address: string,
     timeoutMilliseconds: number,
--- a/packages/daemon/src/peer/peerApi.ts
+++ b/packages/daemon/src/peer/peerApi.ts
@@ -15,10 +15,16 @@
   type GossipRequest,
   type IdentityRequest,
   parserOf,
+  type JournalAppendRequest,
+  type JournalRemoveRequest,
   type PeerIdentity,
   type QueryReply,
   type QueryRequest,
+  type RecallReply,
+  type RecallRequest,
   type ReplicaView,
+  type RunningReply,
+  type RunningRequest,
   type SubmitReply,
   type SubmitRequest,
 } from '@dogwoodtrestle/schema';
@@ -41,11 +47,23 @@
   view(): ReplicaView;
 }
 
+/** Calls that only an instance with a disk answers. */
+export interface JournalCalls {
+  append(request: JournalAppendRequest): Promise<void>;
+  remove(request: JournalRemoveRequest): Promise<void>;
+}
+
 /** What the procedures of an instance do. */
 export interface PeerHandlers {
   identity(request: IdentityRequest): Promise<PeerIdentity>;
   gossip(request: GossipRequest): GossipReply;
   receiveFarewell(request: FarewellRequest): void;
+  /** Returns unused grants of this instance. */
+  recall: (request: RecallRequest) => Promise<RecallReply>;
+  /** Tells which requests this instance is still running. */
+  running: (request: RunningRequest) => RunningReply;
+  /** Absent on an instance without a disk. */
+  journals?: JournalCalls;
   /** Absent on an instance without a ledger replica. */
   replica?: ReplicaCalls;
 }
@@ -85,12 +103,32 @@
     farewell: trpc.procedure
       .input(parserOf('FarewellRequest'))
       .mutation(({input}) => handlers.receiveFarewell(input)),
+    recall: trpc.procedure
+      .input(parserOf('RecallRequest'))
+      .mutation(({input}) => handlers.recall(input)),
+    running: trpc.procedure
+      .input(parserOf('RunningRequest'))
+      .mutation(({input}) => handlers.running(input)),
+    appendJournal: trpc.procedure
+      .input(parserOf('JournalAppendRequest'))
+      .mutation(({input}) => journalsOf(handlers).append(input)),
+    removeJournal: trpc.procedure
+      .input(parserOf('JournalRemoveRequest'))
+      .mutation(({input}) => journalsOf(handlers).remove(input)),
   });
 }
 
 /** Type of the API, for its clients. */
 export type PeerApi = ReturnType<typeof createPeerApi>;
 
+function journalsOf({journals}: PeerHandlers): JournalCalls {
+  if (journals !== undefined) return journals;
+  throw new TRPCError({
+    code: 'PRECONDITION_FAILED',
+    message: 'this instance has no disk for journals',
+  });
+}
+
 function replicaOf(handlers: PeerHandlers): ReplicaCalls {
   if (handlers.replica === undefined) {
     throw new TRPCError({
--- a/packages/daemon/tests/peer.test.ts
+++ b/packages/daemon/tests/peer.test.ts
@@ -31,6 +31,8 @@
       wallTime: 5,
     }),
     gossip: () => ({instances: [], backends: []}),
+    recall: async () => ({returned: 0}),
+    running: () => ({running: []}),
     receiveFarewell: () => {},
     ...handlers,
   });
