--- a/packages/daemon/src/requests/index.ts
+++ b/packages/daemon/src/requests/index.ts
@@ -66,7 +66,7 @@
       services: new ServiceClient(clientOptions),
       selector: this.selector,
       settler: this.settler,
-      opener: new Opener(dependencies),
+      opener: new Opener(dependencies, this.settler),
       answers: this.answers,
       limiter: new Limiter(
         dependencies,
@@ -82,6 +82,15 @@
     return this.answers.running + this.services.inFlight;
   }
 
+  /** Whether a request is in progress here, or being settled. */
+  isRunning(requestKey: string): boolean {
+    return (
+      this.answers.find(requestKey)?.state === 'running' ||
+      this.services.isRunning(requestKey) ||
+      this.settler.isSettling(requestKey)
+    );
+  }
+
   /** Own requests in flight at a backend server. */
   inFlightAt(backend: string): number {
     return this.selector.inFlight(backend);
