feat(routing): bound waiting in a standing queue, keep places for the urgent

Cause: with waits of up to 10 s the queue outlived the overload, as refused callers came back: at 2x the capacity for 60 s and 60% before and after, the policy had not recovered 60 s later. Background work starved behind the same bound on waiting (0 of it served with 1 s). Now a burst may wait 4 s, a queue that has stood for 5 s only 1 s, background 10 s in both; callers are told to come back within 5 s; 15% of the places are for urgent requests only.

--- a/packages/bench/src/routing/measurements.ts
+++ b/packages/bench/src/routing/measurements.ts
@@ -60,10 +60,25 @@
 
   /** Whole answers in time, per second of the time span. */
   goodput(from: number, to: number): number {
-    const good = this.records.filter(
+    return (this.completedBetween(from, to).length * 1_000) / (to - from);
+  }
+
+  /**
+   * Output tokens of whole answers in time, per second. Unlike their number
+   * it doesn't grow by preferring the short ones.
+   */
+  goodputTokens(from: number, to: number): number {
+    const tokens = this.completedBetween(from, to).reduce(
+      (sum, {request}) => sum + request.outputTokens,
+      0,
+    );
+    return (tokens * 1_000) / (to - from);
+  }
+
+  private completedBetween(from: number, to: number): RequestRecord[] {
+    return this.records.filter(
       ({completedAt = -1}) => completedAt >= from && completedAt < to,
     );
-    return (good.length * 1_000) / (to - from);
   }
 
   cacheHitShare(): number {
--- /dev/null
+++ b/packages/bench/src/routing/overloadBench.ts
@@ -0,0 +1,155 @@
+/**
+ * @fileoverview Overload at twice the capacity, with callers that try again:
+ * goodput against the peak, delay of urgent work, and recovery afterwards.
+ */
+import {type Row} from '../util/table.js';
+import {Fleet, type FleetOptions} from './fleet.js';
+import {
+  firstTokenDelays,
+  type Measurements,
+  servedShares,
+} from './measurements.js';
+import {baselinePolicy, fullPolicy, type Policy} from './policy.js';
+
+const second = 1_000;
+const overloadStart = 30 * second;
+const overloadEnd = 90 * second;
+const runEnd = 150 * second;
+/** The overload has built up by then. */
+const settled = overloadStart + 15 * second;
+const calmShareOfPeak = 0.6;
+/** Delay above that before the overload that counts as not yet recovered. */
+const recoveryToleranceMilliseconds = 500;
+
+export interface Peak {
+  rate: number;
+  /** Whole answers in time, per second. */
+  goodput: number;
+  /** Output tokens of whole answers in time, per second, at any rate. */
+  goodputTokens: number;
+}
+
+export const overloadPolicies: Record<string, Policy> = {
+  policy: fullPolicy,
+  'policy without retry budget': {...fullPolicy, retryBudget: false},
+  'policy without engine priorities': {...fullPolicy, enginePriorities: false},
+  'least in flight': baselinePolicy('leastInFlight'),
+  'least in flight, retry budget': {
+    ...baselinePolicy('leastInFlight'),
+    retryBudget: true,
+  },
+  'random of two': baselinePolicy('randomOfTwo'),
+};
+
+/** The highest goodputs over the rates, each under constant load. */
+export function findPeak(
+  policy: Policy,
+  rates: readonly number[],
+  options: Partial<FleetOptions> = {},
+): Peak {
+  const peaks = rates.map(rate => {
+    const durationMilliseconds = 80 * second;
+    const fleet = new Fleet({
+      ...options,
+      policy,
+      durationMilliseconds,
+      rate: () => rate,
+    });
+    const measurements = fleet.run();
+    const span = [20 * second, durationMilliseconds] as const;
+    const goodput = measurements.goodput(...span);
+    return {rate, goodput, goodputTokens: measurements.goodputTokens(...span)};
+  });
+  const best = peaks.reduce((a, b) => (b.goodput > a.goodput ? b : a));
+  const tokens = peaks.map(({goodputTokens}) => goodputTokens);
+  return {...best, goodputTokens: Math.max(...tokens)};
+}
+
+/** What one run with an overload shows. */
+export interface OverloadResult {
+  goodput: number;
+  goodputTokens: number;
+  urgentBefore: number;
+  urgentDuring: number;
+  smallestServedShare: number;
+  backgroundServedShare: number;
+  /** Undefined if it had not recovered by the end. */
+  recoverySeconds: number | undefined;
+  measurements: Measurements;
+}
+
+/** Runs one overload of twice the peak's goodput. */
+export function runOverload(
+  policy: Policy,
+  peak: Peak,
+  options: Partial<FleetOptions> = {},
+): OverloadResult {
+  const isOverload = (now: number) => now >= overloadStart && now < overloadEnd;
+  const fleet = new Fleet({
+    ...options,
+    policy,
+    durationMilliseconds: runEnd,
+    rate: now => peak.goodput * (isOverload(now) ? 2 : calmShareOfPeak),
+  });
+  const measurements = fleet.run();
+  const before = measurements.sentBetween(15 * second, overloadStart);
+  const during = measurements.sentBetween(settled, overloadEnd);
+  const background = during.filter(
+    ({request}) => request.kind.priority === 'background',
+  );
+  const served = background.filter(
+    ({completedAt}) => completedAt !== undefined,
+  );
+  return {
+    goodput: measurements.goodput(settled, overloadEnd),
+    goodputTokens: measurements.goodputTokens(settled, overloadEnd),
+    urgentBefore: firstTokenDelays(before, 'urgent').percentile(95),
+    urgentDuring: firstTokenDelays(during, 'urgent').percentile(95),
+    smallestServedShare: Math.min(...servedShares(during).values()),
+    backgroundServedShare: served.length / Math.max(1, background.length),
+    recoverySeconds: recoverySeconds(measurements),
+    measurements,
+  };
+}
+
+/** One row for each policy, all under the same load. */
+export function compareOverload(
+  peak: Peak,
+  options: Partial<FleetOptions> = {},
+  policies: Record<string, Policy> = overloadPolicies,
+): Row[] {
+  return Object.entries(policies).map(([name, policy]) => {
+    const result = runOverload(policy, peak, options);
+    return {
+      policy: name,
+      'answers/s at 2x': result.goodput,
+      'share of peak': result.goodput / peak.goodput,
+      'tokens/s at 2x': result.goodputTokens,
+      'share of peak ': result.goodputTokens / peak.goodputTokens,
+      'urgent p95 before ms': result.urgentBefore,
+      'urgent p95 at 2x ms': result.urgentDuring,
+      'least served customer': result.smallestServedShare,
+      'background served': result.backgroundServedShare,
+      'recovery s': result.recoverySeconds ?? 'not by the end',
+      attempts: result.measurements.attempts,
+      'refusals by cause': result.measurements.refusalText(),
+    };
+  });
+}
+
+/** Seconds after the overload in which new requests were still delayed. */
+function recoverySeconds(measurements: Measurements): number | undefined {
+  const before = measurements.sentBetween(15 * second, overloadStart);
+  const usual = firstTokenDelays(before).percentile(95);
+  const limit = 2 * usual + recoveryToleranceMilliseconds;
+  // Requests of the last seconds have no whole answer by the end.
+  const lastSecond = runEnd - 25 * second;
+  let recovered = overloadEnd;
+  for (let from = overloadEnd; from < lastSecond; from += second) {
+    const sent = measurements.sentBetween(from, from + second);
+    const isDelayed = firstTokenDelays(sent).percentile(95) > limit;
+    if (isDelayed) recovered = from + second;
+  }
+  if (recovered >= lastSecond) return undefined;
+  return (recovered - overloadEnd) / second;
+}
--- a/packages/bench/src/routing/policy.ts
+++ b/packages/bench/src/routing/policy.ts
@@ -1,5 +1,9 @@
 /** @fileoverview Which parts of the policy a modelled router uses. */
-import {type ChoiceOptions} from '@dogwoodtrestle/routing';
+import {
+  type AdmissionOptions,
+  type ChoiceOptions,
+  defaultAdmissionCapacityOptions,
+} from '@dogwoodtrestle/routing';
 
 export type ChoiceName = 'policy' | 'randomOfTwo' | 'leastInFlight';
 
@@ -8,6 +12,7 @@
   choiceOptions: Partial<ChoiceOptions>;
   /** Admission with priorities; otherwise everything is sent at once. */
   admission: boolean;
+  admissionOptions: Partial<AdmissionOptions>;
   /** Admitted requests per place of the servers. */
   admissionHeadroom: number;
   retryBudget: boolean;
@@ -21,7 +26,8 @@
   choice: 'policy',
   choiceOptions: {},
   admission: true,
-  admissionHeadroom: 1.25,
+  admissionOptions: {},
+  admissionHeadroom: defaultAdmissionCapacityOptions.headroom,
   retryBudget: true,
   outlierDetection: true,
   slowStart: true,
@@ -34,6 +40,7 @@
     choice,
     choiceOptions: {},
     admission: false,
+    admissionOptions: {},
     admissionHeadroom: 1,
     retryBudget: false,
     outlierDetection: false,
--- a/packages/routing/src/admission/admission.ts
+++ b/packages/routing/src/admission/admission.ts
@@ -4,7 +4,7 @@
  * one, with a bounded queue. A request that can't make its deadline is refused
  * when it comes rather than after it has waited in vain.
  */
-import {type Priority} from '../priority.js';
+import {priorities, type Priority, rankOf} from '../priority.js';
 import {type MinimumShares, PriorityQueues} from './priorityQueues.js';
 import {ServiceTime} from './serviceTime.js';
 
@@ -14,8 +14,14 @@
   /** Requests that run at once. */
   capacity: number;
   maximumQueued: number;
-  /** Longest expected wait with which a request is queued. */
-  maximumWaitMilliseconds: number;
+  /** Longest expected wait with which a request is queued, in a burst. */
+  maximumWaitMilliseconds: Record<Priority, number>;
+  /** The same once the queue hasn't been empty for a while. */
+  standingWaitMilliseconds: Record<Priority, number>;
+  /** A queue that hasn't been empty for this long is a standing one. */
+  standingAfterMilliseconds: number;
+  /** Share of the places that only urgent requests may take. */
+  urgentReserve: number;
   minimumShares: MinimumShares;
   /** Bounds of what a refused caller is told to wait. */
   minimumRetryAfterMilliseconds: number;
@@ -31,10 +37,13 @@
   'capacity' | 'random'
 > = {
   maximumQueued: 1_000,
-  maximumWaitMilliseconds: 10_000,
+  maximumWaitMilliseconds: {urgent: 4_000, normal: 4_000, background: 10_000},
+  standingWaitMilliseconds: {urgent: 1_000, normal: 1_000, background: 10_000},
+  standingAfterMilliseconds: 5_000,
+  urgentReserve: 0.15,
   minimumShares: {urgent: 0, normal: 0.2, background: 0.05},
   minimumRetryAfterMilliseconds: 500,
-  maximumRetryAfterMilliseconds: 30_000,
+  maximumRetryAfterMilliseconds: 5_000,
   serviceTimeSmoothing: 0.05,
 };
 
@@ -97,6 +106,8 @@
   private shed: AdmissionTicket[] = [];
   private nextId = 1;
   private nextSweepAt = -Infinity;
+  /** When the queue was last seen empty. */
+  private emptyAt = -Infinity;
 
   constructor(
     options: Partial<AdmissionOptions> &
@@ -132,7 +143,7 @@
    */
   enter(request: AdmissionRequest): AdmissionOutcome {
     const ticket = this.ticketOf(request);
-    const isIdle = this.hasRoom() && this.queues.size === 0;
+    const isIdle = this.hasRoom(ticket.priority) && !this.isBlocked(ticket);
     const wait = isIdle ? 0 : this.expectedWait(ticket);
     const latestStart = ticket.deadline - ticket.expectedMilliseconds;
     if (request.now + wait > latestStart) {
@@ -142,7 +153,10 @@
       this.start(ticket, request.now);
       return {kind: 'admitted', ticket};
     }
-    if (wait > this.options.maximumWaitMilliseconds || !this.makeRoom(ticket)) {
+    if (
+      wait > this.longestWait(ticket, request.now) ||
+      !this.makeRoom(ticket)
+    ) {
       return this.refuse('queueFull', wait);
     }
     this.queues.push(ticket);
@@ -167,8 +181,8 @@
     this.shed = [];
     const late = this.removeLate(now);
     const started: AdmissionTicket[] = [];
-    while (this.hasRoom()) {
-      const ticket = this.queues.shift();
+    for (;;) {
+      const ticket = this.queues.shift(each => this.hasRoom(each));
       if (!ticket) break;
       if (isLate(ticket, now)) {
         late.push(ticket);
@@ -202,8 +216,26 @@
     };
   }
 
-  private hasRoom(): boolean {
-    return this.running.size < this.options.capacity;
+  private hasRoom(priority: Priority): boolean {
+    const {capacity, urgentReserve} = this.options;
+    if (priority === 'urgent') return this.running.size < capacity;
+    const places = Math.max(1, Math.round(capacity * (1 - urgentReserve)));
+    return this.running.size < places;
+  }
+
+  private longestWait({priority}: AdmissionTicket, now: number): number {
+    if (this.queues.size === 0) this.emptyAt = now;
+    const {standingAfterMilliseconds, ...options} = this.options;
+    return now - this.emptyAt < standingAfterMilliseconds
+      ? options.maximumWaitMilliseconds[priority]
+      : options.standingWaitMilliseconds[priority];
+  }
+
+  /** Whether others that are as urgent or more so wait already. */
+  private isBlocked({priority}: AdmissionTicket): boolean {
+    return priorities
+      .slice(0, rankOf(priority) + 1)
+      .some(each => this.queues.sizeOf(each) > 0);
   }
 
   private start(ticket: AdmissionTicket, now: number): void {
--- a/packages/routing/src/admission/priorityQueues.ts
+++ b/packages/routing/src/admission/priorityQueues.ts
@@ -42,9 +42,11 @@
     this.queueOf(item.priority).push(item);
   }
 
-  /** Takes the item whose turn it is. */
-  shift(): T | undefined {
-    const waiting = priorities.filter(each => this.sizeOf(each) > 0);
+  /** Takes the item whose turn it is, of a priority that may start. */
+  shift(mayStart: (priority: Priority) => boolean): T | undefined {
+    const waiting = priorities.filter(
+      each => this.sizeOf(each) > 0 && mayStart(each),
+    );
     const first = waiting[0];
     if (!first) return undefined;
     const turn = this.owedPriority(waiting.slice(1)) ?? first;
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -1,5 +1,6 @@
 /** @fileoverview Face of the package; see its README. */
 export * from './admission/admission.js';
+export * from './admission/admissionCapacity.js';
 export * from './chooseBackend.js';
 export * from './concurrencyLimiter.js';
 export * from './directory.js';
