feat(routing): give a busier instance the places that others leave free

Cause: places were split equally between routers, so that a router with more callers by chance queued while servers had room.

--- a/packages/bench/src/routing/routerModel.ts
+++ b/packages/bench/src/routing/routerModel.ts
@@ -321,7 +321,15 @@
     );
     const headroom = policy.admissionHeadroom;
     this.admission.setCapacity(
-      admissionCapacity(candidates, routerCount, {headroom}),
+      admissionCapacity(
+        {
+          candidates,
+          correction: entry => this.tracker.correction(entry),
+          running: this.admission.runningCount,
+          routerCount,
+        },
+        {headroom},
+      ),
     );
   }
 }
--- a/packages/routing/tests/admission.test.ts
+++ b/packages/routing/tests/admission.test.ts
@@ -3,13 +3,14 @@
 
 import {
   Admission,
+  admissionCapacity,
   type AdmissionOptions,
   type AdmissionRequest,
   type AdmissionTicket,
   priorities,
   type Priority,
 } from '../src/index.js';
-import {seededRandom} from './fixtures.js';
+import {announcementOf, seededRandom} from './fixtures.js';
 
 const serviceMilliseconds = 100;
 
@@ -224,3 +225,29 @@
     expect(Math.min(...times)).toBeGreaterThanOrEqual(500);
   });
 });
+
+describe('admissionCapacity', () => {
+  const candidates = [0, 8].map((running, index) => ({
+    announcement: announcementOf(`s${index}`, {load: {running, capacity: 16}}),
+    observedAt: 0,
+  }));
+  const input = {candidates, correction: () => 0, running: 0, routerCount: 4};
+  it.each([
+    {name: 'an equal part', change: {}, capacity: 8},
+    {name: 'a part of what is free', change: {running: 7}, capacity: 13},
+    {
+      name: 'less where its own requests aren’t reported yet',
+      change: {running: 7, correction: () => 4},
+      capacity: 11,
+    },
+    {
+      name: 'an equal part when all is taken',
+      change: {running: 7, correction: () => 50},
+      capacity: 8,
+    },
+    {name: 'at least one', change: {candidates: []}, capacity: 1},
+  ])('gives $name', ({change, capacity}) => {
+    const given = admissionCapacity({...input, ...change}, {headroom: 1});
+    expect(given).toBe(capacity);
+  });
+});
