--- a/packages/routing/tests/admission.test.ts
+++ b/packages/routing/tests/admission.test.ts
@@ -3,18 +3,28 @@
 
 import {
   Admission,
+  admissionCapacity,
   type AdmissionOptions,
   type AdmissionRequest,
   type AdmissionTicket,
   priorities,
   type Priority,
 } from '../src/index.js';
-import {seededRandom} from './fixtures.js';
+import {announcementOf, seededRandom} from './fixtures.js';
 
 const serviceMilliseconds = 100;
 
+const anyWait = {urgent: Infinity, normal: Infinity, background: Infinity};
+
 function admissionOf(options: Partial<AdmissionOptions> = {}): Admission {
-  return new Admission({capacity: 1, random: () => 0, ...options});
+  return new Admission({
+    capacity: 1,
+    random: () => 0,
+    maximumWaitMilliseconds: anyWait,
+    standingWaitMilliseconds: anyWait,
+    urgentReserve: 0,
+    ...options,
+  });
 }
 
 function requestOf(overrides: Partial<AdmissionRequest> = {}) {
@@ -158,6 +168,28 @@
     expect(admission.enter(requestOf({deadline}))).toMatchObject({kind});
   });
 
+  it('keeps places for urgent requests', () => {
+    const admission = admissionOf({capacity: 4, urgentReserve: 0.5});
+    const kinds = (['normal', 'normal', 'normal', 'urgent'] as const).map(
+      priority => admission.enter(requestOf({priority})).kind,
+    );
+    expect(kinds).toEqual(['admitted', 'admitted', 'queued', 'admitted']);
+    expect(admission.next(0).started).toEqual([]);
+  });
+
+  it.each([
+    {name: 'a burst', now: 999, kind: 'queued'},
+    {name: 'a standing queue', now: 1_000, kind: 'refused'},
+  ])('answers a wait of 500 ms in $name as $kind', ({now, kind}) => {
+    const {admission} = busyAdmission({
+      maximumWaitMilliseconds: {...anyWait, normal: 500},
+      standingWaitMilliseconds: {...anyWait, normal: 400},
+      standingAfterMilliseconds: 1_000,
+    });
+    for (let index = 0; index < 4; index += 1) admission.enter(requestOf());
+    expect(admission.enter(requestOf({now}))).toMatchObject({kind});
+  });
+
   it('refuses a request whose deadline has passed even when idle', () => {
     const outcome = admissionOf().enter(requestOf({deadline: 5, now: 6}));
     expect(outcome).toMatchObject({reason: 'deadlineTooClose'});
@@ -193,3 +225,29 @@
     expect(Math.min(...times)).toBeGreaterThanOrEqual(500);
   });
 });
+
+describe('admissionCapacity', () => {
+  const candidates = [0, 8].map((running, index) => ({
+    announcement: announcementOf(`s${index}`, {load: {running, capacity: 16}}),
+    observedAt: 0,
+  }));
+  const input = {candidates, correction: () => 0, running: 0, routerCount: 4};
+  it.each([
+    {name: 'an equal part', change: {}, capacity: 8},
+    {name: 'a part of what is free', change: {running: 7}, capacity: 13},
+    {
+      name: 'less where its own requests aren’t reported yet',
+      change: {running: 7, correction: () => 4},
+      capacity: 11,
+    },
+    {
+      name: 'an equal part when all is taken',
+      change: {running: 7, correction: () => 50},
+      capacity: 8,
+    },
+    {name: 'at least one', change: {candidates: []}, capacity: 1},
+  ])('gives $name', ({change, capacity}) => {
+    const given = admissionCapacity({...input, ...change}, {headroom: 1});
+    expect(given).toBe(capacity);
+  });
+});
