test(consensus): stale, frozen and replaced replicas, one change at a time

A frozen process gets its calls when it wakes, as from its sockets; before, the harness called into it while it was frozen, which made it step down early.

--- a/packages/consensus/tests/support/fakeGroup.ts
+++ b/packages/consensus/tests/support/fakeGroup.ts
@@ -153,35 +153,36 @@
 
   get leaders(): FakeNode[] {
     return this.nodes.filter(
-      ({replica}) => replica?.status().role === 'leader',
+      ({replica, isFrozen}) => !isFrozen && replica?.status().role === 'leader',
     );
   }
 
   propose(node: FakeNode, command: string): void {
-    node.replica?.propose([command]).then(
-      ([position]) =>
-        this.guard(() => {
-          this.model.onAcknowledged(command, position as number);
-        }),
-      error =>
-        this.guard(() => {
-          const refused =
-            error instanceof NotLeader || error instanceof Stopped;
-          if (refused) this.model.onRefused(command);
-        }),
-    );
+    const onResult = ([position]: unknown[]) =>
+      this.model.onAcknowledged(command, position as number);
+    const onError = (error: unknown) => {
+      const isRefused = error instanceof NotLeader || error instanceof Stopped;
+      if (isRefused) this.model.onRefused(command);
+    };
+    const call = () =>
+      node.replica?.propose([command]).then(
+        results => this.guard(() => onResult(results)),
+        error => this.guard(() => onError(error)),
+      );
+    node.inProcess(() => void call(), true)();
   }
 
   /** A read must see all that was acknowledged before it came in. */
   read(node: FakeNode): void {
     const {acknowledgedLength} = this.model;
-    node.replica?.barrier().then(
-      () =>
-        this.guard(() => {
-          check(node.state.length >= acknowledgedLength, 'stale read');
-        }),
-      () => undefined,
-    );
+    const onFresh = () =>
+      check(node.state.length >= acknowledgedLength, 'stale read');
+    const call = () =>
+      node.replica?.barrier().then(
+        () => this.guard(onFresh),
+        () => undefined,
+      );
+    node.inProcess(() => void call(), true)();
   }
 
   /** Loses a disk, unless the group still lacks an earlier one. */
