fix(consensus): a learner that never answered could be promoted

Cause: with a log shorter than the allowed lag, 0 matching entries passed as caught up, in promote and in decideRepair. A learner must now have answered, and lately.

--- a/packages/consensus/src/membershipChanges.ts
+++ b/packages/consensus/src/membershipChanges.ts
@@ -33,12 +33,18 @@
     throw new MembershipRefused(`replica ${id} is not a member`);
   }
   if (member.role === 'voter') return;
-  const matchIndex = leadership.replicators.get(id)?.matchIndex ?? 0;
-  if (matchIndex < lastIndex - maxPromotionLag) {
+  const replicator = leadership.replicators.get(id);
+  const matchIndex = replicator?.matchIndex ?? 0;
+  if (matchIndex === 0 || matchIndex < lastIndex - maxPromotionLag) {
     throw new MembershipRefused(
       `replica ${id} has ${matchIndex} of ${lastIndex} entries`,
     );
   }
+  const {clock, electionTimeoutMilliseconds} = state.options;
+  const contact = replicator?.contact ?? -Infinity;
+  if (clock.now() - contact > electionTimeoutMilliseconds) {
+    throw new MembershipRefused(`replica ${id} has not answered lately`);
+  }
   const promoted = members.map((known): Member =>
     known.id === id ? {...known, role: 'voter'} : known,
   );
--- a/packages/consensus/src/repair.ts
+++ b/packages/consensus/src/repair.ts
@@ -116,7 +116,7 @@
     return {kind: 'remove', id: learner.id};
   }
   const matchIndex = survey.peers.get(learner.id)?.matchIndex ?? 0;
-  if (matchIndex < status.commitIndex - maxPromotionLag) {
+  if (matchIndex === 0 || matchIndex < status.commitIndex - maxPromotionLag) {
     return {kind: 'none', reason: 'learnerCatchesUp'};
   }
   const {voters, reachableVoters} = survey;
--- a/packages/consensus/tests/repair.test.ts
+++ b/packages/consensus/tests/repair.test.ts
@@ -85,6 +85,18 @@
     input([...three, member('6', 'learner')], {3: lost, 6: {match: 10}}),
     {kind: 'none', reason: 'learnerCatchesUp'},
   ],
+  [
+    'the learner never answered',
+    {
+      ...input([...three, member('6', 'learner')], {3: lost, 6: {match: 0}}),
+      status: {
+        ...input([...three, member('6', 'learner')], {3: lost, 6: {match: 0}})
+          .status,
+        commitIndex: 5,
+      },
+    },
+    {kind: 'none', reason: 'learnerCatchesUp'},
+  ],
   [
     'the learner has caught up',
     input([...three, member('6', 'learner')], {3: lost, 6: {match: 990}}),
