fix(daemon): calls to instances come from the instance's own address

Cause: with the system's choice of address the relay could not tell the links of a cluster apart, so that scenarios cut nothing; firewalls by address would not hold either. Conclusion: bound to instance.address.

--- a/packages/daemon/src/control.ts
+++ b/packages/daemon/src/control.ts
@@ -195,7 +195,12 @@
     instance: settings.instance.name,
     key: derivePeerKey(secrets.clusterKey),
   };
-  const client = new PeerClient({credentials, clock, metrics});
+  const client = new PeerClient({
+    credentials,
+    localAddress: settings.instance.address,
+    clock,
+    metrics,
+  });
   const ownAddress = ownPeerAddress(settings);
   const context: Context = {
     options,
--- a/packages/daemon/src/operators/explainer.ts
+++ b/packages/daemon/src/operators/explainer.ts
@@ -8,11 +8,11 @@
 /** What the explainer needs. */
 export interface ExplainerOptions {
   /** What this instance knows. */
-  here(requestId: string): Promise<ExplanationView>;
+  here: (requestId: string) => Promise<ExplanationView>;
   /** Peer addresses of the other instances. */
-  peers(): string[];
+  peers: () => string[];
   /** Asks another instance. */
-  ask(address: string, requestId: string): Promise<ExplanationView>;
+  ask: (address: string, requestId: string) => Promise<ExplanationView>;
   ledgerClient: Pick<LedgerClient, 'query'>;
 }
 
--- a/packages/daemon/src/peer/peerClient.ts
+++ b/packages/daemon/src/peer/peerClient.ts
@@ -32,6 +32,8 @@
 /** What a peer client needs. */
 export interface PeerClientOptions {
   credentials: PeerCredentials;
+  /** Address that connections come from; the system's choice by default. */
+  localAddress?: string;
   clock?: Clock;
   metrics?: Metrics;
   connectTimeoutMilliseconds?: number;
@@ -67,11 +69,12 @@
       credentials,
       clock,
       metrics,
+      localAddress,
       connectTimeoutMilliseconds,
       connectionsPerInstance,
     } = {...defaultOptions, ...options};
     this.agent = new Agent({
-      connect: {timeout: connectTimeoutMilliseconds},
+      connect: {timeout: connectTimeoutMilliseconds, localAddress},
       connections: connectionsPerInstance,
       keepAliveTimeout: keepAliveMilliseconds,
       pipelining: 1,
--- a/packages/daemon/tests/requests/failures.test.ts
+++ b/packages/daemon/tests/requests/failures.test.ts
@@ -40,6 +40,12 @@
   }
 }
 
+interface Event {
+  id?: string;
+  choices?: {delta?: {content?: string}}[];
+  error?: {code: string; didNotRun: boolean};
+}
+
 /** Texts of a stream, and whether it ended with its terminator. */
 async function readStream(response: Response) {
   const text = await response.text();
@@ -47,7 +53,7 @@
   const isWhole = events.at(-1) === 'data: [DONE]';
   const chunks = events
     .filter(event => event !== 'data: [DONE]')
-    .map(event => JSON.parse(event.slice('data: '.length)));
+    .map(event => JSON.parse(event.slice('data: '.length)) as Event);
   const content = chunks
     .map(chunk => chunk.choices?.[0]?.delta?.content ?? '')
     .join('');
