--- /dev/null
+++ b/packages/bench/src/main.ts
@@ -0,0 +1,75 @@
+/**
+ * @fileoverview Command line of the benches: `npm run bench -- NAME`.
+ */
+import {writeFile} from 'node:fs/promises';
+
+import {Command} from 'commander';
+
+import {compareGrantTerms, compareMoney} from './money/index.js';
+import {comparePolicies} from './routing/index.js';
+import {measureChanges} from './system/changesBench.js';
+import {measureControl} from './system/controlBench.js';
+import {measureOverhead} from './system/overheadBench.js';
+import {measureLedgerSlopes} from './ledgerSlopes.js';
+import {formatTable, type Row} from './util/table.js';
+
+interface Bench {
+  description: string;
+  run: () => Row[] | Promise<Row[]>;
+}
+
+/** Requests a second to the modelled fleet, up to its capacity. */
+const comparedRates = [10, 20, 30];
+
+/** Benches by name. */
+const benches: Record<string, Bench> = {
+  overhead: {
+    description: 'delay and throughput of one router against direct calls',
+    run: () => measureOverhead(),
+  },
+  control: {
+    description: 'what control costs a daemon as the cluster grows',
+    run: () => measureControl(),
+  },
+  changes: {
+    description: 'time until a change is in force everywhere',
+    run: () => measureChanges(),
+  },
+  money: {
+    description: 'overspend and false refusals against baselines',
+    run: () => compareMoney(),
+  },
+  'grant-terms': {
+    description: 'false refusals by the terms of grants',
+    run: () => compareGrantTerms(),
+  },
+  routing: {
+    description: 'the routing policy against baselines',
+    run: () => comparePolicies(comparedRates),
+  },
+  ledger: {
+    description: 'cost of the ledger as budgets grow',
+    run: () => measureLedgerSlopes(),
+  },
+};
+
+/** Runs the bench that the arguments name. */
+export async function main(argv: readonly string[]): Promise<void> {
+  const program = new Command('bench').description(
+    'Measures parts of the system; prints a Markdown table.',
+  );
+  for (const [name, {description, run}] of Object.entries(benches)) {
+    program
+      .command(name)
+      .description(description)
+      .option('--json <file>', 'also write the rows to a file')
+      .action(async ({json}: {json?: string}) => {
+        const rows = await run();
+        process.stdout.write(`${formatTable(rows)}\n`);
+        if (json !== undefined) {
+          await writeFile(json, `${JSON.stringify(rows, null, 2)}\n`);
+        }
+      });
+  }
+  await program.parseAsync(argv);
+}
--- /dev/null
+++ b/packages/bench/src/system/changesBench.ts
@@ -0,0 +1,145 @@
+/**
+ * @fileoverview How long an accepted change takes to be in force everywhere.
+ */
+import {type Cluster} from '@dogwoodtrestle/testkit';
+import {Agent} from 'undici';
+
+import {type Row} from '../util/table.js';
+import {
+  applyContract,
+  callerKey,
+  callOperator,
+  chatBody,
+  pause,
+  startBenchCluster,
+} from './benchCluster.js';
+
+/** Options of the measurement. */
+export interface ChangesOptions {
+  daemons: number;
+  changes: number;
+}
+
+/** Defaults of {@link ChangesOptions}. */
+export const defaultChangesOptions: ChangesOptions = {daemons: 8, changes: 50};
+
+type Condition = 'quiet' | 'under load' | 'one router frozen';
+
+interface InstanceRevision {
+  name: string;
+  revision: number;
+  state: string;
+}
+
+const pollMilliseconds = 20;
+const loadConcurrency = 16;
+
+/** Measures changes in quiet, under load and with a router frozen. */
+export async function measureChanges(
+  changes: Partial<ChangesOptions> = {},
+): Promise<Row[]> {
+  const options = {...defaultChangesOptions, ...changes};
+  const cluster = await startBenchCluster({routers: options.daemons});
+  try {
+    let version = 1;
+    const rows: Row[] = [];
+    const conditions: Condition[] = [
+      'quiet',
+      'under load',
+      'one router frozen',
+    ];
+    for (const condition of conditions) {
+      const undo = await prepare(cluster, condition, options.daemons);
+      const times: number[] = [];
+      const accepts: number[] = [];
+      for (let change = 0; change < options.changes; change++) {
+        const startedAt = performance.now();
+        const {revision} = await applyContract(cluster, version);
+        version++;
+        accepts.push(performance.now() - startedAt);
+        await inForce(cluster, revision);
+        times.push(performance.now() - startedAt);
+      }
+      await undo();
+      rows.push(rowOf(condition, accepts, times));
+    }
+    return rows;
+  } finally {
+    await cluster.stop();
+  }
+}
+
+/** Sets a condition up; the returned function undoes it. */
+async function prepare(
+  cluster: Cluster,
+  condition: Condition,
+  daemons: number,
+): Promise<() => Promise<void>> {
+  const last = `r${daemons}`;
+  switch (condition) {
+    case 'quiet':
+      return async () => undefined;
+    case 'under load':
+      return startLoad(cluster);
+    case 'one router frozen':
+      cluster.daemon(last).process?.signal('SIGSTOP');
+      await pause(5000); // it is silent for the others by then
+      return async () => cluster.daemon(last).process?.signal('SIGCONT');
+  }
+}
+
+function startLoad(cluster: Cluster): () => Promise<void> {
+  const agent = new Agent({connections: loadConcurrency});
+  let isRunning = true;
+  const worker = async () => {
+    while (isRunning) {
+      const answer = await agent.request({
+        origin: cluster.daemon('r2').url,
+        path: '/v1/chat/completions',
+        method: 'POST',
+        headers: {
+          'content-type': 'application/json',
+          authorization: `Bearer ${callerKey}`,
+        },
+        body: JSON.stringify(chatBody(8)),
+      });
+      await answer.body.text();
+    }
+  };
+  const workers = Array.from({length: loadConcurrency}, worker);
+  return async () => {
+    isRunning = false;
+    await Promise.allSettled(workers);
+    await agent.destroy();
+  };
+}
+
+/** Waits until every instance that isn't silent shows the revision. */
+async function inForce(cluster: Cluster, revision: number): Promise<void> {
+  for (;;) {
+    const instances = await callOperator<InstanceRevision[]>(
+      cluster,
+      'r1',
+      'GET',
+      '/instances',
+    );
+    const live = instances.filter(({state}) => state !== 'silent');
+    if (live.every(instance => instance.revision >= revision)) return;
+    await pause(pollMilliseconds);
+  }
+}
+
+function rowOf(condition: Condition, accepts: number[], times: number[]): Row {
+  return {
+    condition,
+    changes: times.length,
+    'accepted, median ms': medianOf(accepts),
+    'seen in force everywhere, median ms': medianOf(times),
+    'seen in force everywhere, worst ms': Math.max(...times),
+  };
+}
+
+function medianOf(values: readonly number[]): number {
+  const sorted = [...values].sort((a, b) => a - b);
+  return sorted[Math.floor(sorted.length / 2)] ?? 0;
+}
--- a/packages/daemon/src/observability/metrics.ts
+++ b/packages/daemon/src/observability/metrics.ts
@@ -1,53 +1,68 @@
 /**
  * @fileoverview Metrics of the daemon, sent to a StatsD collector.
  *
- * Every metric is listed in one table with its kind and unit, from which
- * docs/metrics.md is checked.
+ * Every metric stands in one table with its kind and unit, from which
+ * docs/operators/metrics.md is written.
  */
 import {type Settings} from '@dogwoodtrestle/schema';
 import {StatsD} from 'hot-shots';
 
 /** Kind, unit and meaning of each metric. */
 export const metricTable = {
-  'requests.finished': {
+  'attempts.crossed': {
     kind: 'counter',
-    unit: 'requests',
-    meaning: 'Requests that got an answer, tagged by code.',
+    unit: 'messages',
+    meaning: 'Messages dropped because they carried the id of another attempt.',
   },
-  'requests.refused': {
+  'attempts.failed': {
     kind: 'counter',
-    unit: 'requests',
-    meaning: 'Requests that were refused, tagged by code.',
+    unit: 'attempts',
+    meaning: 'Attempts at backend servers that failed, by reason.',
   },
-  'requests.first_byte': {
-    kind: 'timing',
-    unit: 'ms',
-    meaning: 'Time to the first token of a chat answer.',
+  'attempts.resumed': {
+    kind: 'counter',
+    unit: 'streams',
+    meaning: 'Streams resumed behind their first chunks.',
   },
-  'requests.duration': {
-    kind: 'timing',
+  'backend.announcements': {
+    kind: 'counter',
+    unit: 'announcements',
+    meaning: 'Announcements received from backend servers.',
+  },
+  'configuration.age': {
+    kind: 'gauge',
     unit: 'ms',
-    meaning: 'Time from arrival to the end of the answer.',
+    meaning: 'Time since the quorum last confirmed the configuration.',
   },
-  'requests.in_flight': {
+  'configuration.revision': {
     kind: 'gauge',
-    unit: 'requests',
-    meaning: 'Requests in progress.',
+    unit: 'changes',
+    meaning: 'Configuration revision in force.',
   },
-  'attempts.failed': {
+  'grants.held': {
+    kind: 'gauge',
+    unit: 'grants',
+    meaning: 'Grants held by this instance.',
+  },
+  'grants.journal_failed': {
     kind: 'counter',
-    unit: 'attempts',
-    meaning: 'Attempts at backend servers that failed, tagged by reason.',
+    unit: 'writes',
+    meaning: 'Writes to a journal that failed.',
   },
-  'attempts.crossed': {
+  'grants.opened': {
     kind: 'counter',
-    unit: 'messages',
-    meaning: 'Messages dropped because they carried the id of another attempt.',
+    unit: 'requests',
+    meaning: 'Requests opened on a grant.',
   },
-  'attempts.resumed': {
+  'grants.returned': {
     kind: 'counter',
-    unit: 'streams',
-    meaning: 'Streams resumed or run again without a visible break.',
+    unit: 'grants',
+    meaning: 'Grants given back.',
+  },
+  'ledger.call': {
+    kind: 'timing',
+    unit: 'ms',
+    meaning: "One call to the ledger's leader.",
   },
   'ledger.open': {
     kind: 'timing',
@@ -59,15 +74,90 @@
     unit: 'ms',
     meaning: 'Time until a request was billed.',
   },
-  'grants.opened': {
+  'ledger.unreachable': {
     kind: 'counter',
-    unit: 'requests',
-    meaning: 'Requests opened on a grant.',
+    unit: 'events',
+    meaning: 'Times that the quorum was out of reach.',
   },
-  'control.bytes': {
+  'membership.findings': {
+    kind: 'counter',
+    unit: 'findings',
+    meaning: 'Conflicts found in the membership, by kind.',
+  },
+  'membership.instances': {
+    kind: 'gauge',
+    unit: 'instances',
+    meaning: 'Instances heard of.',
+  },
+  'membership.records': {
+    kind: 'counter',
+    unit: 'records',
+    meaning: 'Records of backend servers received from peers.',
+  },
+  'peer.calls': {
+    kind: 'counter',
+    unit: 'calls',
+    meaning: 'Calls to other instances, by procedure.',
+  },
+  'peer.received_bytes': {
     kind: 'counter',
     unit: 'bytes',
-    meaning: 'Bytes of control traffic, tagged by call.',
+    meaning: 'Bytes received in calls between instances, by procedure.',
+  },
+  'peer.rejected': {
+    kind: 'counter',
+    unit: 'calls',
+    meaning: 'Calls from other instances that were rejected, by reason.',
+  },
+  'peer.sent_bytes': {
+    kind: 'counter',
+    unit: 'bytes',
+    meaning: 'Bytes sent in calls between instances, by procedure.',
+  },
+  'replica.applied_lag': {
+    kind: 'gauge',
+    unit: 'entries',
+    meaning: 'Committed entries that are not yet applied.',
+  },
+  'replica.commit_index': {
+    kind: 'gauge',
+    unit: 'entries',
+    meaning: 'Index of the newest committed entry.',
+  },
+  'replica.leads': {
+    kind: 'gauge',
+    unit: '0 or 1',
+    meaning: 'Whether this replica leads.',
+  },
+  'replica.term': {
+    kind: 'gauge',
+    unit: 'terms',
+    meaning: 'Term of the replica.',
+  },
+  'requests.duration': {
+    kind: 'timing',
+    unit: 'ms',
+    meaning: 'Time from arrival to the end of the answer.',
+  },
+  'requests.finished': {
+    kind: 'counter',
+    unit: 'requests',
+    meaning: 'Requests that got an answer, by code.',
+  },
+  'requests.first_byte': {
+    kind: 'timing',
+    unit: 'ms',
+    meaning: 'Time to the first token of a streamed answer.',
+  },
+  'requests.in_flight': {
+    kind: 'gauge',
+    unit: 'requests',
+    meaning: 'Requests in progress.',
+  },
+  'requests.refused': {
+    kind: 'counter',
+    unit: 'requests',
+    meaning: 'Requests that were refused, by code.',
   },
 } as const;
 
--- a/packages/daemon/src/requests/index.ts
+++ b/packages/daemon/src/requests/index.ts
@@ -123,10 +123,10 @@
 
   /** Starts to follow what the directory learns. */
   start(): void {
-    this.refresh = setInterval(
-      () => this.selector.refresh(),
-      refreshMilliseconds,
-    );
+    this.refresh = setInterval(() => {
+      this.selector.refresh();
+      this.dependencies.metrics.gauge('requests.in_flight', this.inFlight);
+    }, refreshMilliseconds);
   }
 
   /** Takes no new requests from now on. */
--- a/packages/daemon/src/util/metrics.ts
+++ b/packages/daemon/src/util/metrics.ts
@@ -1,17 +1,15 @@
 /**
- * @fileoverview The part of a StatsD client that the control parts use.
+ * @fileoverview The part of the metrics that the control parts use.
  */
+import {type Metrics as AllMetrics} from '../observability/metrics.js';
 
-/** Tags of one measurement. */
-export type MetricTags = Record<string, string>;
+export {
+  type MetricName,
+  type Tags as MetricTags,
+} from '../observability/metrics.js';
 
 /** Counts, levels and durations. */
-export interface Metrics {
-  increment(name: string, value?: number, tags?: MetricTags): void;
-  gauge(name: string, value: number, tags?: MetricTags): void;
-  /** Records a duration in milliseconds. */
-  timing(name: string, milliseconds: number, tags?: MetricTags): void;
-}
+export type Metrics = Omit<AllMetrics, 'close'>;
 
 /** Metrics that are dropped. */
 export const silentMetrics: Metrics = {
--- a/packages/testkit/src/launcher/managedProcess.ts
+++ b/packages/testkit/src/launcher/managedProcess.ts
@@ -67,6 +67,11 @@
     return new ManagedProcess(options, child);
   }
 
+  /** Id of the process. */
+  get pid(): number {
+    return this.child.pid ?? 0;
+  }
+
   /** Whether the process has not ended. */
   get alive(): boolean {
     return !this.hasExited;
