--- a/packages/consensus/src/fileStorage/frame.ts
+++ b/packages/consensus/src/fileStorage/frame.ts
@@ -21,8 +21,8 @@
   entries: Entry[];
   /** Bytes of valid frames from the start of the file. */
   validBytes: number;
-  /** Whether valid frames follow the first damaged byte. */
-  isDamagedInside: boolean;
+  /** What follows the valid frames. */
+  tail: 'unused' | 'torn' | 'damagedInside';
 }
 
 /** Encodes entries as one frame. */
@@ -52,10 +52,17 @@
   return {
     entries,
     validBytes: offset,
-    isDamagedInside: hasFrameAfter(data, offset),
+    tail: tailAt(data, offset),
   };
 }
 
+/** Space that was allocated and not used yet holds zeros. */
+function tailAt(data: Buffer, offset: number): FrameScan['tail'] {
+  const rest = data.subarray(offset);
+  if (rest.equals(Buffer.alloc(rest.length))) return 'unused';
+  return hasFrameAfter(data, offset) ? 'damagedInside' : 'torn';
+}
+
 function payloadAt(data: Buffer, offset: number): Buffer | undefined {
   if (offset + headerBytes > data.length) return undefined;
   if (data.readUInt32BE(offset) !== marker) return undefined;
--- a/packages/consensus/src/fileStorage/segment.ts
+++ b/packages/consensus/src/fileStorage/segment.ts
@@ -55,12 +55,9 @@
 
 /** Reads all entries of a segment; throws when any byte of it is damaged. */
 export async function readSegment(file: string): Promise<Entry[]> {
-  const data = await readFile(file);
-  const scan = scanFrames(data);
-  if (scan.validBytes < data.length) {
-    throw corruptSegment(file, scan.validBytes);
-  }
-  return scan.entries;
+  const {entries, validBytes, tail} = scanFrames(await readFile(file));
+  if (tail !== 'unused') throw corruptSegment(file, validBytes);
+  return entries;
 }
 
 /** Error for a segment that is damaged at an offset. */
--- a/packages/consensus/src/fileStorage/segmentedLog.ts
+++ b/packages/consensus/src/fileStorage/segmentedLog.ts
@@ -74,7 +74,7 @@
     const frame = encodeFrame(entries);
     if (this.handleBytes >= this.segmentBytes) await this.closeHandle();
     this.handle ??= await this.startSegment(entries[0]?.index ?? 0);
-    await this.handle.appendFile(frame);
+    await writeFully(this.handle, frame, this.handleBytes);
     await this.handle.datasync();
     this.handleBytes += frame.length;
     extendRange(this.live.at(-1), entries);
@@ -197,11 +197,13 @@
   ): Promise<void> {
     const file = path.join(this.folder, liveName(sequence));
     const data = await readFile(file);
-    const {entries, validBytes, isDamagedInside} = scanFrames(data);
-    if (validBytes < data.length) {
-      if (!isNewest || isDamagedInside) throw corruptSegment(file, validBytes);
-      await truncate(file, validBytes);
+    const {entries, validBytes, tail} = scanFrames(data);
+    if (tail === 'damagedInside' || (tail === 'torn' && !isNewest)) {
+      throw corruptSegment(file, validBytes);
     }
+    if (tail === 'torn') await truncate(file, validBytes);
+    const expected = (this.loaded.at(-1)?.index ?? Infinity) + 1;
+    if ((entries[0]?.index ?? 0) > expected) throw corruptSegment(file, 0);
     const segment: Segment = {file, sequence, firstIndex: 0, lastIndex: 0};
     extendRange(segment, entries);
     this.live.push(segment);
@@ -211,7 +213,7 @@
 
   /** Continues a segment, after its cut tail is durable. */
   private async reopen(segment: Segment, bytes: number): Promise<void> {
-    this.handle = await open(segment.file, 'a');
+    this.handle = await open(segment.file, 'r+');
     this.handleBytes = bytes;
     await this.handle.sync();
   }
@@ -222,7 +224,10 @@
     );
     const sequence = Math.max(0, ...sequences) + 1;
     const file = path.join(this.folder, liveName(sequence));
-    const handle = await open(file, 'ax');
+    const handle = await open(file, 'wx+');
+    // A sync of allocated space needn't make a new file size durable.
+    await writeFully(handle, Buffer.alloc(this.segmentBytes), 0);
+    await handle.sync();
     await syncFolder(this.folder);
     this.live.push({file, sequence, firstIndex, lastIndex: firstIndex});
     this.handleBytes = 0;
@@ -241,10 +246,29 @@
   }
 
   private async closeHandle(): Promise<void> {
-    const handle = this.handle;
+    const {handle, handleBytes} = this;
     this.handle = undefined;
     this.handleBytes = 0;
-    await handle?.close();
+    if (handle === undefined) return;
+    await handle.truncate(handleBytes);
+    await handle.close();
+  }
+}
+
+async function writeFully(
+  handle: FileHandle,
+  data: Buffer,
+  position: number,
+): Promise<void> {
+  let offset = 0;
+  while (offset < data.length) {
+    const {bytesWritten} = await handle.write(
+      data,
+      offset,
+      data.length - offset,
+      position + offset,
+    );
+    offset += bytesWritten;
   }
 }
 
