--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -8,10 +8,7 @@
 import {type Logger} from './observability/logger.js';
 import {createMetrics} from './observability/metrics.js';
 import {createTracing} from './observability/tracing.js';
-import {
-  type GrantSpender,
-  type InstanceSource,
-} from './requests/dependencies.js';
+import {type InstanceSource} from './requests/dependencies.js';
 import {RequestPath} from './requests/index.js';
 import {type Secrets} from './settings/loadSettings.js';
 import {type Stoppable} from './shutdown.js';
@@ -44,20 +41,22 @@
     metrics,
     explain: requestId =>
       Promise.resolve(requests.explanations.view(requestId)),
+    keptAnswer: requestKey => requests.keptAnswer(requestKey),
     inFlight: backend => requests.inFlightAt(backend),
     isEjected: backend => requests.isEjected(backend),
+    isRunning: requestKey => requests.isRunning(requestKey),
     onReplicaFailure: error => {
       logger.fatal({err: error}, 'the ledger replica has stopped');
     },
   });
   const requests = new RequestPath({
     settings,
-    holder: ownHolder(settings, control),
+    holder: control.holder,
     logger,
     metrics,
     tracing,
     ledger: control.ledgerClient,
-    grants: noGrants,
+    grants: control.grants,
     contracts: control.configuration,
     instances: instanceSource(control),
     directory: control.directory,
@@ -71,11 +70,15 @@
   );
   await server.register(control.operatorRoutes);
   await server.register(control.announcementRoutes);
-  await requests.addRoutes(server);
+  if (settings.instance.roles.includes('router')) {
+    await requests.addRoutes(server);
+  }
   await control.start();
+  requests.start();
   const {address} = settings.instance;
   const {callerPort} = settings.listeners;
   await server.listen({host: address, port: callerPort});
+  await waitForPeers(control);
   isReady = true;
 
   return {
@@ -100,35 +103,29 @@
   };
 }
 
-/** Identity under which this process holds requests and grants. */
-function ownHolder(settings: Settings, {membership}: Control): string {
-  const {name} = settings.instance;
-  return holderOf(name, membership.instance(name)?.incarnation ?? 0);
-}
+/** Bound of the wait for a first peer, in milliseconds. */
+const joinMilliseconds = 2000;
+
+/** Pause between two looks at the membership, in milliseconds. */
+const joinPollMilliseconds = 50;
 
-function holderOf(name: string, incarnation: number): string {
-  return `${name}#${incarnation}`;
+/**
+ * Waits until a peer has told what it knows, so that a daemon that has just
+ * started doesn't refuse requests for want of backend servers.
+ */
+async function waitForPeers({membership}: Control): Promise<void> {
+  const deadline = performance.now() + joinMilliseconds;
+  while (!membership.hasHeard && performance.now() < deadline) {
+    await new Promise(resolve => {
+      setTimeout(resolve, joinPollMilliseconds);
+    });
+  }
 }
 
-function instanceSource({membership}: Control): InstanceSource {
+function instanceSource({membership, fetchAnswer}: Control): InstanceSource {
   return {
-    isAlive: holder => {
-      const [name = ''] = holder.split('#');
-      const record = membership.instance(name);
-      return (
-        record !== undefined &&
-        holderOf(name, record.incarnation) === holder &&
-        membership.isAlive(name)
-      );
-    },
+    isAlive: holder => membership.isHolderAlive(holder),
     liveRouters: () => membership.routers,
-    fetchAnswer: () => Promise.resolve(undefined),
+    fetchAnswer,
   };
 }
-
-/** Grants of an instance that holds none. */
-const noGrants: GrantSpender = {
-  open: () => Promise.resolve({kind: 'refused', reason: 'no grant is held'}),
-  settle: () => Promise.reject(new Error('no grant is held')),
-  observe: () => undefined,
-};
--- a/packages/daemon/src/membership/membership.ts
+++ b/packages/daemon/src/membership/membership.ts
@@ -85,6 +85,7 @@
   private readonly rounds: PeriodicTask;
   private readonly reported = new Set<string>();
   private leaving = false;
+  private heard = false;
 
   constructor(options: MembershipOptions) {
     this.options = {...defaultOptions, ...options};
@@ -124,8 +125,10 @@
   }
 
   /** Answers a peer's question. */
-  answer({instances, backends}: GossipRequest): GossipReply {
+  answer({from, instances, backends}: GossipRequest): GossipReply {
     const now = this.options.clock.now();
+    // Nobody would ever ask a newcomer that no settings name.
+    if (this.isNews(from)) this.ask(from.address).catch(() => undefined);
     return {
       instances: this.table.newerThan(instances, now),
       backends: this.directory.newerThan(backends, now),
@@ -159,6 +162,32 @@
     );
   }
 
+  /** Identity of this process as a holder: `name#incarnation`. */
+  get holder(): string {
+    const {settings, incarnation} = this.options;
+    return `${settings.instance.name}#${incarnation}`;
+  }
+
+  /** Whether the very process of a holder is heard of. */
+  isHolderAlive(holder: string): boolean {
+    return this.holderAddress(holder) !== undefined;
+  }
+
+  /** Peer address of a holder's process, if it is heard of. */
+  holderAddress(holder: string): string | undefined {
+    const [name = ''] = holder.split('#');
+    const record = this.table.get(name);
+    if (record === undefined || !this.isAlive(name)) return undefined;
+    const isSame = holder === `${name}#${record.incarnation}`;
+    return isSame ? peerAddressOf(record) : undefined;
+  }
+
+  /** Newest peer address of an instance, whatever its state. */
+  addressOf(name: string): string | undefined {
+    const record = this.table.get(name);
+    return record && peerAddressOf(record);
+  }
+
   /** Instances that are heard of, without this one. */
   livePeers(): InstanceRecord[] {
     const self = this.table.own.name;
@@ -167,16 +196,20 @@
       .map(({record}) => record);
   }
 
+  /** Other ledger instances that are heard of, the nearest first. */
+  ledgerPeers(): InstanceRecord[] {
+    const {failureDomain} = this.table.own;
+    const peers = this.livePeers().filter(isLedger);
+    const near = peers.filter(peer => peer.failureDomain === failureDomain);
+    const far = peers.filter(peer => peer.failureDomain !== failureDomain);
+    return [...near, ...far];
+  }
+
   /** Peer addresses of ledger instances: this one, then the nearest first. */
   ledgerAddresses(): string[] {
     const {settings} = this.options;
-    const own = this.table.own;
-    const peers = this.livePeers().filter(isLedger);
-    const near = peers.filter(
-      ({failureDomain}) => failureDomain === own.failureDomain,
-    );
-    const far = peers.filter(peer => !near.includes(peer));
-    const known = [...(isLedger(own) ? [own] : []), ...near, ...far];
+    const {own} = this.table;
+    const known = [...(isLedger(own) ? [own] : []), ...this.ledgerPeers()];
     const {initialReplicas, seeds} = settings.cluster;
     return [
       ...new Set([
@@ -187,6 +220,11 @@
     ];
   }
 
+  /** Whether a peer has told this instance what it knows. */
+  get hasHeard(): boolean {
+    return this.heard;
+  }
+
   /** Number of instances that serve callers. */
   get routers(): number {
     return this.entries().filter(
@@ -250,9 +288,17 @@
     this.report();
   }
 
+  private isNews({name, incarnation}: GossipRequest['from']): boolean {
+    if (name === this.table.own.name) return false;
+    const known = this.table.get(name);
+    return known?.incarnation !== incarnation || !this.isAlive(name);
+  }
+
   private async ask(address: string): Promise<void> {
-    const {clock, exchange, metrics} = this.options;
+    const {settings, clock, exchange, metrics} = this.options;
+    const {name, incarnation} = this.table.own;
     const request: GossipRequest = {
+      from: {name, incarnation, address: ownPeerAddress(settings)},
       instances: this.table.digest(),
       backends: this.directory.digest(),
     };
@@ -263,6 +309,7 @@
     });
     this.table.merge(reply.instances, askedAt);
     this.directory.merge(reply.backends, askedAt);
+    this.heard = true;
     metrics.increment('membership.records', reply.backends.length);
   }
 
--- a/packages/daemon/src/peer/instanceCalls.ts
+++ b/packages/daemon/src/peer/instanceCalls.ts
@@ -2,19 +2,29 @@
  * @fileoverview The calls that the control parts make to other instances.
  */
 import {
+  type AnswerRequest,
   type ChangesReply,
   type ChangesRequest,
   type ConsensusMessage,
   type ConsensusReply,
+  type ExplainRequest,
+  type ExplanationView,
   type FarewellRequest,
   type FoundRequest,
   type GossipReply,
   type GossipRequest,
   type IdentityRequest,
+  type KeptAnswer,
+  type JournalAppendRequest,
+  type JournalRemoveRequest,
   type PeerIdentity,
   type QueryReply,
   type QueryRequest,
+  type RecallReply,
+  type RecallRequest,
   type ReplicaView,
+  type RunningReply,
+  type RunningRequest,
   type SubmitReply,
   type SubmitRequest,
 } from '@dogwoodtrestle/schema';
@@ -33,6 +43,9 @@
   changes: 1000,
   identity: 1000,
   view: 1000,
+  request: 1000,
+  recall: 500,
+  journal: 1000,
 };
 
 /** What the calls need. */
@@ -130,6 +143,20 @@
     );
   }
 
+  explain(address: string, request: ExplainRequest): Promise<ExplanationView> {
+    const {client} = this.options;
+    return client.call(address, timeouts.request, (calls, options) =>
+      calls.explain.mutate(request, options),
+    );
+  }
+
+  keptAnswer(address: string, request: AnswerRequest): Promise<KeptAnswer> {
+    const {client} = this.options;
+    return client.call(address, timeouts.request, (calls, options) =>
+      calls.keptAnswer.mutate(request, options),
+    );
+  }
+
   view(address: string): Promise<ReplicaView> {
     const timeout = timeouts.view;
     return this.local(
@@ -143,6 +170,41 @@
     );
   }
 
+  /** Asks a holder to return what it doesn't use. */
+  recall(address: string, request: RecallRequest): Promise<RecallReply> {
+    const {client} = this.options;
+    return client.call(address, timeouts.recall, (calls, options) =>
+      calls.recall.mutate(request, options),
+    );
+  }
+
+  running(address: string, request: RunningRequest): Promise<RunningReply> {
+    const {client} = this.options;
+    return client.call(address, timeouts.view, (calls, options) =>
+      calls.running.mutate(request, options),
+    );
+  }
+
+  async appendJournal(
+    address: string,
+    request: JournalAppendRequest,
+  ): Promise<void> {
+    const {client} = this.options;
+    await client.call(address, timeouts.journal, (calls, options) =>
+      calls.appendJournal.mutate(request, options),
+    );
+  }
+
+  async removeJournal(
+    address: string,
+    request: JournalRemoveRequest,
+  ): Promise<void> {
+    const {client} = this.options;
+    await client.call(address, timeouts.journal, (calls, options) =>
+      calls.removeJournal.mutate(request, options),
+    );
+  }
+
   private local<T>(
     address: string,
     timeoutMilliseconds: number,
--- a/packages/daemon/src/requests/index.ts
+++ b/packages/daemon/src/requests/index.ts
@@ -2,7 +2,7 @@
  * @fileoverview Face of the request path: builds everything that serves
  * callers.
  */
-import {type Announcement, type StoredAnswer} from '@dogwoodtrestle/schema';
+import {type StoredAnswer} from '@dogwoodtrestle/schema';
 import {type FastifyInstance} from 'fastify';
 import {Agent} from 'undici';
 
@@ -28,6 +28,9 @@
 /** Time to connect to a backend server, in milliseconds. */
 const connectTimeoutMilliseconds = 2000;
 
+/** Interval at which the directory is read, below that of announcements. */
+const refreshMilliseconds = 250;
+
 /** Pause between two looks at what is still running, in milliseconds. */
 const drainPollMilliseconds = 20;
 
@@ -44,6 +47,7 @@
   private readonly chat: ChatHandler;
   private readonly services: ServiceHandler;
   private serving = true;
+  private refresh: NodeJS.Timeout | undefined;
 
   constructor(private readonly dependencies: RequestDependencies) {
     const {answerMemoryBytes, idleStreamMilliseconds} =
@@ -62,7 +66,7 @@
       services: new ServiceClient(clientOptions),
       selector: this.selector,
       settler: this.settler,
-      opener: new Opener(dependencies),
+      opener: new Opener(dependencies, this.settler),
       answers: this.answers,
       limiter: new Limiter(
         dependencies,
@@ -78,6 +82,15 @@
     return this.answers.running + this.services.inFlight;
   }
 
+  /** Whether a request is in progress here, or being settled. */
+  isRunning(requestKey: string): boolean {
+    return (
+      this.answers.find(requestKey)?.state === 'running' ||
+      this.services.isRunning(requestKey) ||
+      this.settler.isSettling(requestKey)
+    );
+  }
+
   /** Own requests in flight at a backend server. */
   inFlightAt(backend: string): number {
     return this.selector.inFlight(backend);
@@ -88,11 +101,6 @@
     return this.selector.isEjected(backend);
   }
 
-  /** Takes in what a backend server says of itself. */
-  observe(announcement: Announcement): void {
-    this.selector.observe(announcement);
-  }
-
   /** The kept answer of a finished request, for another instance. */
   keptAnswer(requestKey: string): StoredAnswer | undefined {
     const answer = this.answers.find(requestKey);
@@ -113,6 +121,14 @@
     });
   }
 
+  /** Starts to follow what the directory learns. */
+  start(): void {
+    this.refresh = setInterval(
+      () => this.selector.refresh(),
+      refreshMilliseconds,
+    );
+  }
+
   /** Takes no new requests from now on. */
   refuseNew(): void {
     this.serving = false;
@@ -140,6 +156,7 @@
 
   /** Closes the connections to backend servers. */
   async close(): Promise<void> {
+    clearInterval(this.refresh);
     await this.dispatcher.destroy();
   }
 }
--- a/packages/daemon/src/requests/opener.ts
+++ b/packages/daemon/src/requests/opener.ts
@@ -13,9 +13,13 @@
   type RefusedResult,
 } from '@dogwoodtrestle/schema';
 
-import {QuorumUnreachableError} from '../ledgerClient/index.js';
+import {
+  QuorumUnreachableError,
+  type UnreachableOutcome,
+} from '../ledgerClient/index.js';
 import {type RequestDependencies} from './dependencies.js';
 import {refusal, type Refusal, type RefusalReason} from './refusal.js';
+import {type Settler} from './settler.js';
 
 /** A request that may be sent now. */
 export type OpenedRequest =
@@ -49,7 +53,10 @@
 
 /** Opens requests durably. */
 export class Opener {
-  constructor(private readonly dependencies: RequestDependencies) {}
+  constructor(
+    private readonly dependencies: RequestDependencies,
+    private readonly settler: Settler,
+  ) {}
 
   /**
    * Opens a request.
@@ -87,7 +94,7 @@
       }
     } catch (error) {
       if (!(error instanceof QuorumUnreachableError)) throw error;
-      return this.openOnGrant(request, context);
+      return this.openWithoutQuorum(request, context, error);
     }
   }
 
@@ -108,6 +115,26 @@
       : undefined;
   }
 
+  /**
+   * Opens a request on a grant, or refuses it. An opening whose outcome is
+   * unknown is released where the request isn't going to run.
+   */
+  private async openWithoutQuorum(
+    request: OpenRequest,
+    context: Context,
+    error: Error,
+  ): Promise<Opening> {
+    const {outcome} = error as Error & {outcome: UnreachableOutcome};
+    try {
+      return await this.openOnGrant(request, context);
+    } catch (refused) {
+      if (outcome === 'unknown') {
+        this.settler.release(request.requestKey, context);
+      }
+      throw refused;
+    }
+  }
+
   private async openOnGrant(
     request: OpenRequest,
     context: Context,
--- a/packages/daemon/src/requests/serviceHandler.ts
+++ b/packages/daemon/src/requests/serviceHandler.ts
@@ -57,6 +57,11 @@
     return this.running.size;
   }
 
+  /** Whether a call with this key is in progress here. */
+  isRunning(requestKey: string): boolean {
+    return this.running.has(requestKey);
+  }
+
   /**
    * Serves one call.
    *
@@ -257,8 +262,9 @@
       const opened = await opener.adopt(result);
       const backend = selectBackend(this.parts, this.template, this.excluded);
       if (opened === undefined) throw refusal('requestRunning');
-      if (backend === undefined)
+      if (backend === undefined) {
         throw refusal('noBackend', {didNotRun: 'unknown'});
+      }
       const answer = await this.run(opened, callPrice, backend);
       if (answer === undefined) throw refusal('backendFailed');
       return answer;
--- a/packages/daemon/src/requests/settler.ts
+++ b/packages/daemon/src/requests/settler.ts
@@ -17,9 +17,12 @@
 /** Pause between two tries to settle, in milliseconds. */
 const retryPauseMilliseconds = 500;
 
+type ConditionalSettlement = JournalSettlement & {onlyHolder?: boolean};
+
 /** Settles opened requests. */
 export class Settler {
-  private readonly unsettled = new Set<Promise<void>>();
+  /** Settlements that are being repeated, by request key. */
+  private readonly unsettled = new Map<string, Promise<void>>();
   private stopping = false;
 
   constructor(private readonly dependencies: RequestDependencies) {}
@@ -37,6 +40,8 @@
     answer?: StoredAnswer,
   ): Promise<boolean> {
     const full = {...settlement, settledAt: Date.now()};
+    const [customer = ''] = opened.requestKey.split('/');
+    this.dependencies.grants.observe(customer, settlement.cost);
     if (opened.by === 'grant') {
       return this.settleOnGrant(opened, full, context);
     }
@@ -44,19 +49,46 @@
       await this.submit(opened, full, context, answer);
       return true;
     } catch {
-      const retry = this.retry(opened, full, context, answer);
-      this.unsettled.add(retry);
-      void retry.finally(() => this.unsettled.delete(retry));
+      this.repeat(opened, full, context, answer);
       return false;
     }
   }
 
+  /**
+   * Releases a request that was never sent, but whose opening the ledger may
+   * have committed without an answer.
+   */
+  release(requestKey: string, context: Context): void {
+    const opened = {by: 'quorum', requestKey, attempt: 1} as const;
+    const settlement = {cost: 0, outcome: 'didNotRun', attempts: 0} as const;
+    // The key may be that of a request which another instance runs.
+    const condition = {onlyHolder: true, settledAt: Date.now()};
+    this.repeat(opened, {...settlement, ...condition}, context);
+  }
+
+  /** Whether the settlement of a request is being repeated. */
+  isSettling(requestKey: string): boolean {
+    return this.unsettled.has(requestKey);
+  }
+
+  private repeat(
+    opened: OpenedRequest,
+    settlement: ConditionalSettlement,
+    context: Context,
+    answer?: StoredAnswer,
+  ): void {
+    const {requestKey} = opened;
+    const retry = this.retry(opened, settlement, context, answer);
+    this.unsettled.set(requestKey, retry);
+    void retry.finally(() => this.unsettled.delete(requestKey));
+  }
+
   /** Resolves once nothing is left to settle, or the time is up. */
   async drain(milliseconds: number): Promise<number> {
     const timeout = new Promise<void>(resolve => {
       setTimeout(resolve, milliseconds).unref();
     });
-    await Promise.race([Promise.all(this.unsettled), timeout]);
+    await Promise.race([Promise.all(this.unsettled.values()), timeout]);
     this.stopping = true;
     return this.unsettled.size;
   }
@@ -83,7 +115,7 @@
 
   private async submit(
     opened: OpenedRequest,
-    settlement: JournalSettlement,
+    settlement: ConditionalSettlement,
     context: Context,
     answer: StoredAnswer | undefined,
   ): Promise<void> {
@@ -108,7 +140,7 @@
 
   private async retry(
     opened: OpenedRequest,
-    settlement: JournalSettlement,
+    settlement: ConditionalSettlement,
     context: Context,
     answer: StoredAnswer | undefined,
   ): Promise<void> {
--- a/packages/ledger/src/commands/requestCommands.ts
+++ b/packages/ledger/src/commands/requestCommands.ts
@@ -142,6 +142,9 @@
   if (command.attempt < record.attempt && isFree(command)) {
     return refuse('attemptSuperseded');
   }
+  if (command.onlyHolder === true && command.instance !== record.holder) {
+    return refuse('attemptSuperseded');
+  }
   const {cost, outcome} = boundedCost(command, record.maximumCost);
   const bill: Bill = {
     requestKey,
