fix(daemon): an idle ledger client notices that the quorum is lost

Without requests nothing was submitted, so 'connected' stayed true and grants were not used. The configuration poll now has the quorum asked when it hasn't been confirmed for 2 s.

--- a/packages/daemon/src/configuration/configuration.ts
+++ b/packages/daemon/src/configuration/configuration.ts
@@ -26,20 +26,26 @@
   changes: (address: string, request: ChangesRequest) => Promise<ChangesReply>;
   /** Called with each contract that has changed. */
   onChange?: (view: ContractView) => void;
+  /** Called at each poll while the quorum hasn't been heard of for a while. */
+  onStale?: () => void;
   clock?: Clock;
   logger?: Logger;
   metrics?: Metrics;
   pollMilliseconds?: number;
+  /** Age of the newest confirmation at which `onStale` is called. */
+  staleMilliseconds?: number;
   /** How long a key that nobody owns is remembered as unknown. */
   unknownKeyMilliseconds?: number;
 }
 
 const defaultOptions = {
   onChange: () => {},
+  onStale: () => {},
   clock: systemClock,
   logger: silentLogger,
   metrics: silentMetrics,
   pollMilliseconds: 500,
+  staleMilliseconds: 2000,
   unknownKeyMilliseconds: 2000,
 };
 
@@ -162,9 +168,10 @@
   }
 
   private report(): void {
-    const {metrics} = this.options;
+    const {metrics, onStale, staleMilliseconds} = this.options;
     metrics.gauge('configuration.revision', this.revision);
     const age = Math.round(this.renewedMillisecondsAgo);
+    if (age > staleMilliseconds) onStale();
     if (Number.isFinite(age)) metrics.gauge('configuration.age', age);
   }
 
--- a/packages/daemon/src/control.ts
+++ b/packages/daemon/src/control.ts
@@ -234,6 +234,8 @@
     addresses,
     changes: (address, request) => calls.changes(address, request),
     onChange: view => grants.contractChanged(view),
+    // An idle client wouldn't notice that the quorum is out of reach.
+    onStale: () => void ledgerClient.probe(),
     clock,
     logger,
     metrics,
--- a/packages/daemon/tests/control.test.ts
+++ b/packages/daemon/tests/control.test.ts
@@ -1,3 +1,4 @@
+import {type OpenRequest, type Settings} from '@dogwoodtrestle/schema';
 import {afterEach, describe, expect, it} from 'vitest';
 
 import {type Control} from '../src/control.js';
@@ -15,10 +16,15 @@
 
 const cleanUps = new CleanUps();
 
-afterEach(() => cleanUps.run());
+afterEach(() => cleanUps.run(), 30_000);
+
+interface Cluster {
+  controls: [Control, Control, Control, Control];
+  settings: Settings[];
+}
 
 /** Starts three instances with replicas and one without. */
-async function startCluster(): Promise<Control[]> {
+async function startCluster(): Promise<Cluster> {
   const names = ['one', 'two', 'three', 'four'];
   const plans = await Promise.all(
     names.map(async (name, position) => ({
@@ -28,14 +34,14 @@
     })),
   );
   const replicas = plans.slice(0, 3).map(({port}) => `127.0.0.1:${port}`);
-
+  const settings = plans.map(plan => settingsOf(plan, replicas));
   const controls = await Promise.all(
-    plans.map(plan => startControl(settingsOf(plan, replicas), cleanUps)),
+    settings.map(each => startControl(each, cleanUps)),
   );
   await eventually(() =>
     controls.every(({ledgerClient}) => ledgerClient.connected),
   );
-  return controls;
+  return {controls: controls as Cluster['controls'], settings};
 }
 
 async function applyContract(control: Control): Promise<void> {
@@ -51,8 +57,8 @@
 
 describe('the control side of four instances', () => {
   it('founds itself and serves commands, queries and the configuration', async () => {
-    const controls = await startCluster();
-    const [one, , , four] = controls as [Control, Control, Control, Control];
+    const {controls} = await startCluster();
+    const [one, , , four] = controls;
     await applyContract(four);
     expect(await four.ledgerClient.submit(openCommand())).toMatchObject({
       kind: 'opened',
@@ -85,4 +91,51 @@
     );
     expect(four.configuration.renewedMillisecondsAgo).toBeLessThan(2000);
   });
+
+  it('serves on grants while the quorum is lost, and bills once it is back', async () => {
+    const {controls, settings} = await startCluster();
+    const [one, two, three, four] = controls;
+    await applyContract(four);
+    const holders = [one, four];
+    for (const {configuration, grants} of holders) {
+      await configuration.refresh('exchange');
+      for (let i = 0; i < 10; i++) grants.observe('exchange', 50);
+    }
+    await eventually(async () => {
+      const grants = await one.ledgerClient.query('grants');
+      return grants.length === 2;
+    });
+    await Promise.all([two.stop(), three.stop()]);
+    await eventually(() =>
+      holders.every(({ledgerClient}) => !ledgerClient.connected),
+    );
+    const answers = await Promise.all(
+      holders.map(({grants, holder}) =>
+        grants.open({
+          ...(openCommand() as OpenRequest),
+          requestKey: holder,
+          maximumCost: 50,
+        }),
+      ),
+    );
+    expect(answers.map(({kind}) => kind)).toContain('opened');
+    const opened = answers.filter(answer => answer.kind === 'opened');
+    for (const [position, answer] of answers.entries()) {
+      if (answer.kind !== 'opened') continue;
+      await holders[position]?.grants.settle(answer.grantId, answer.sequence, {
+        cost: 20,
+        outcome: 'completed',
+        attempts: 1,
+        settledAt: 5,
+      });
+    }
+    await startControl(settings[1] as Settings, cleanUps);
+    await eventually(async () => {
+      if (!one.ledgerClient.connected) return false;
+      const budget = await one.ledgerClient.query('budget', {
+        customer: 'exchange',
+      });
+      return budget?.billed === 20 * opened.length;
+    });
+  });
 });
--- a/packages/daemon/tests/grants.test.ts
+++ b/packages/daemon/tests/grants.test.ts
@@ -157,7 +157,7 @@
     client.connected = true;
     await maintain(grants);
     expect(budget()).toMatchObject({billed: 120, reserved: 0});
-    const [{grantId}] = client.ledger.grants() as [{grantId: string}];
+    const grantId = client.ledger.grants()[0]?.grantId ?? '';
     await grants.settle(grantId, 1, {...completed, cost: 30});
     await maintain(grants);
     await maintain(grants);
@@ -214,11 +214,10 @@
   });
 
   it('keeps to the part of a workspace', async () => {
-    const workspaces = contractOf().workspaces.map(workspace => ({
-      ...workspace,
-      sharePercent: 50,
-    }));
-    const {grants} = await setUpHolder({workspaces});
+    const [workspace] = contractOf().workspaces;
+    const {grants} = await setUpHolder({
+      workspaces: [{...workspace, sharePercent: 50}],
+    });
     const kinds = [];
     for (const requestKey of ['g1', 'g2']) {
       kinds.push((await grants.open(openingOf({requestKey}))).kind);
