--- /dev/null
+++ b/packages/bench/src/money/index.ts
@@ -0,0 +1,8 @@
+/** @fileoverview Measurements of money: overspend and false refusals. */
+export {
+  compareGrantTerms,
+  compareMoney,
+  defaultMoneyBenchOptions,
+  type MoneyBenchOptions,
+} from './moneyBench.js';
+export {barleyDesk, type MoneySetting, tentCommons} from './moneySetting.js';
--- a/packages/daemon/src/control.ts
+++ b/packages/daemon/src/control.ts
@@ -1,12 +1,13 @@
 /**
  * @fileoverview Builds the control side of a daemon from its settings.
  */
-import {type Directory} from '@dogwoodtrestle/routing';
+import {type Directory, peerAddressOf} from '@dogwoodtrestle/routing';
 import {
   type ExplanationView,
   type PeerIdentity,
   type ReplicaView,
   type Settings,
+  type StoredAnswer,
 } from '@dogwoodtrestle/schema';
 import {type FastifyPluginAsync} from 'fastify';
 
@@ -22,6 +23,7 @@
 import {LedgerHost} from './ledgerHost/ledgerHost.js';
 import {createAnnouncementRoutes} from './membership/announcementRoutes.js';
 import {Membership, ownPeerAddress} from './membership/membership.js';
+import {Explainer} from './operators/explainer.js';
 import {createOperatorRoutes} from './operators/operatorRoutes.js';
 import {InstanceCalls, maybeReceived} from './peer/instanceCalls.js';
 import {createPeerApi, type PeerHandlers} from './peer/peerApi.js';
@@ -45,6 +47,8 @@
   secrets: ControlSecrets;
   /** Explains a request to an operator. */
   explain?: (requestId: string) => Promise<ExplanationView>;
+  /** The answer of a finished request, if this instance keeps it. */
+  keptAnswer?: (requestKey: string) => StoredAnswer | undefined;
   /** Requests that this instance has running at a backend server. */
   inFlight?: (backend: string) => number;
   /** Whether this instance sends no requests to a backend server for now. */
@@ -60,6 +64,7 @@
 
 const defaultOptions = {
   explain: async (requestId: string) => ({requestId, found: false}),
+  keptAnswer: () => undefined,
   inFlight: () => 0,
   isEjected: () => false,
   isRunning: () => true,
@@ -78,6 +83,11 @@
   grants: Grants;
   membership: Membership;
   directory: Directory;
+  /** Fetches the kept answer of a request from the instance that ran it. */
+  fetchAnswer: (
+    instance: string,
+    requestKey: string,
+  ) => Promise<StoredAnswer | undefined>;
   /** Serves `/operator/v1`. */
   operatorRoutes: FastifyPluginAsync;
   /** Serves `/v1/announcements`. */
@@ -129,6 +139,8 @@
     ...parts,
     holder: membership.holder,
     directory: membership.directory,
+    fetchAnswer: (instance, requestKey) =>
+      fetchAnswer(context, membership, instance, requestKey),
     operatorRoutes: operatorRoutesOf(context, parts),
     announcementRoutes: announcementRoutesOf(context, parts),
     start: async () => {
@@ -311,6 +323,8 @@
     identity: async () => identityOf(context),
     gossip: request => membership.answer(request),
     receiveFarewell: request => membership.receiveFarewell(request),
+    explain: ({requestId}) => options.explain(requestId),
+    keptAnswer: ({requestKey}) => ({answer: options.keptAnswer(requestKey)}),
     recall: ({grantIds}) => grants.recall(grantIds),
     running: ({requestKeys}) => ({
       running: requestKeys.filter(
@@ -384,14 +398,20 @@
   {options, calls}: Context,
   {membership, ledgerClient}: Parts,
 ): FastifyPluginAsync {
-  const {secrets, explain, logger} = options;
+  const {secrets, logger} = options;
+  const explainer = new Explainer({
+    here: options.explain,
+    peers: () => membership.livePeers().map(peerAddressOf),
+    ask: (address, requestId) => calls.explain(address, {requestId}),
+    ledgerClient,
+  });
   return createOperatorRoutes({
     operatorKey: secrets.operatorKey,
     ledgerClient,
     instances: () => membership.instances(),
     backends: () => membership.backends(),
     replicas: () => viewReplicas(calls, membership.ledgerAddresses()),
-    explain,
+    explain: requestId => explainer.explain(requestId),
     logger,
   });
 }
@@ -405,6 +425,21 @@
   return createAnnouncementRoutes({backendKey, membership, logger, metrics});
 }
 
+/** Resolves with undefined where the instance can't be reached. */
+async function fetchAnswer(
+  {calls}: Context,
+  membership: Membership,
+  instance: string,
+  requestKey: string,
+): Promise<StoredAnswer | undefined> {
+  const address = membership.addressOf(instance);
+  if (address === undefined) return undefined;
+  return calls.keptAnswer(address, {requestKey}).then(
+    ({answer}) => answer,
+    () => undefined,
+  );
+}
+
 /** Asks all ledger instances for their replicas; absent ones are left out. */
 async function viewReplicas(
   calls: InstanceCalls,
--- a/packages/daemon/src/peer/instanceCalls.ts
+++ b/packages/daemon/src/peer/instanceCalls.ts
@@ -2,10 +2,13 @@
  * @fileoverview The calls that the control parts make to other instances.
  */
 import {
+  type AnswerRequest,
   type ChangesReply,
   type ChangesRequest,
   type ConsensusMessage,
   type ConsensusReply,
+  type ExplainRequest,
+  type ExplanationView,
   type FarewellRequest,
   type FoundRequest,
   type GossipReply,
@@ -13,6 +16,7 @@
   type IdentityRequest,
   type JournalAppendRequest,
   type JournalRemoveRequest,
+  type KeptAnswer,
   type PeerIdentity,
   type QueryReply,
   type QueryRequest,
@@ -41,6 +45,7 @@
   view: 1000,
   recall: 500,
   journal: 1000,
+  request: 1000,
 };
 
 /** What the calls need. */
@@ -138,6 +143,20 @@
     );
   }
 
+  explain(address: string, request: ExplainRequest): Promise<ExplanationView> {
+    const {client} = this.options;
+    return client.call(address, timeouts.request, (calls, options) =>
+      calls.explain.mutate(request, options),
+    );
+  }
+
+  keptAnswer(address: string, request: AnswerRequest): Promise<KeptAnswer> {
+    const {client} = this.options;
+    return client.call(address, timeouts.request, (calls, options) =>
+      calls.keptAnswer.mutate(request, options),
+    );
+  }
+
   view(address: string): Promise<ReplicaView> {
     const timeout = timeouts.view;
     return this.local(
--- a/packages/daemon/src/peer/peerApi.ts
+++ b/packages/daemon/src/peer/peerApi.ts
@@ -5,15 +5,19 @@
  * whole contents are covered by the signature.
  */
 import {
+  type AnswerRequest,
   type ChangesReply,
   type ChangesRequest,
   type ConsensusMessage,
   type ConsensusReply,
+  type ExplainRequest,
+  type ExplanationView,
   type FarewellRequest,
   type FoundRequest,
   type GossipReply,
   type GossipRequest,
   type IdentityRequest,
+  type KeptAnswer,
   parserOf,
   type JournalAppendRequest,
   type JournalRemoveRequest,
@@ -64,6 +68,10 @@
   running: (request: RunningRequest) => RunningReply;
   /** Absent on an instance without a disk. */
   journals?: JournalCalls;
+  /** What this instance decided for a request. */
+  explain(request: ExplainRequest): Promise<ExplanationView>;
+  /** The answer of a finished request, if it is kept here. */
+  keptAnswer(request: AnswerRequest): KeptAnswer;
   /** Absent on an instance without a ledger replica. */
   replica?: ReplicaCalls;
 }
@@ -115,6 +123,12 @@
     removeJournal: trpc.procedure
       .input(parserOf('JournalRemoveRequest'))
       .mutation(({input}) => journalsOf(handlers).remove(input)),
+    explain: trpc.procedure
+      .input(parserOf('ExplainRequest'))
+      .mutation(({input}) => handlers.explain(input)),
+    keptAnswer: trpc.procedure
+      .input(parserOf('AnswerRequest'))
+      .mutation(({input}) => handlers.keptAnswer(input)),
   });
 }
 
--- a/packages/daemon/src/requests/serviceClient.ts
+++ b/packages/daemon/src/requests/serviceClient.ts
@@ -6,6 +6,7 @@
 import {type Dispatcher} from 'undici';
 
 import {attemptError, connectionError} from './attemptError.js';
+import {discard} from './discard.js';
 
 /** A call to a service. */
 export interface ServiceCall {
@@ -56,7 +57,7 @@
       response = await this.options.dispatcher.request({
         origin,
         path: `${base}${call.path}`,
-        method: call.method as Dispatcher.HttpMethod,
+        method: call.method,
         headers: {
           'x-attempt-id': call.attemptId,
           traceparent: call.traceparent,
@@ -74,7 +75,7 @@
     }
     if (response.headers['x-attempt-id'] !== call.attemptId) {
       this.options.onCrossed();
-      response.body.destroy();
+      discard(response.body);
       throw attemptError('crossed', {sent: true});
     }
     return {
--- a/packages/daemon/tests/peer.test.ts
+++ b/packages/daemon/tests/peer.test.ts
@@ -34,6 +34,8 @@
     recall: async () => ({returned: 0}),
     running: () => ({running: []}),
     receiveFarewell: () => {},
+    explain: async ({requestId}) => ({requestId, found: false}),
+    keptAnswer: () => ({}),
     ...handlers,
   });
   const server = new PeerServer({
--- a/packages/daemon/tests/requests/fixture.ts
+++ b/packages/daemon/tests/requests/fixture.ts
@@ -111,7 +111,9 @@
         get: (_target, name) => {
           const {directory} = fixture!;
           const value: unknown = Reflect.get(directory, name);
-          return typeof value === 'function' ? value.bind(directory) : value;
+          return typeof value === 'function'
+            ? (value as () => unknown).bind(directory)
+            : value;
         },
       }),
       now: () => performance.now(),
@@ -122,7 +124,6 @@
         request.body as Announcement,
         performance.now(),
       );
-      path.observe(request.body as Announcement);
       return {};
     });
     await server.listen({host: '127.0.0.1', port: 0});
@@ -238,8 +239,9 @@
     await standIn.start();
     this.cleanups.push(() => standIn.stop());
     for (let tries = 0; tries < 100; tries++) {
-      if (this.directory.get(standIn.options.name) !== undefined)
+      if (this.directory.get(standIn.options.name) !== undefined) {
         return standIn;
+      }
       await new Promise(resolve => setTimeout(resolve, 10));
     }
     throw new Error('the stand-in was never announced');
--- a/packages/ledger/tests/requests.test.ts
+++ b/packages/ledger/tests/requests.test.ts
@@ -1,9 +1,10 @@
 import {
-  type Command,
   type BilledResult,
+  type Command,
   type GrantResult,
   type LeaseResult,
   type MergedResult,
+  type MergeJournal,
 } from '@dogwoodtrestle/schema';
 import {describe, expect, it} from 'vitest';
 
@@ -92,6 +93,22 @@
     expect(fixture.ledger.budget('barley')?.billed).toBe(cost);
   });
 
+  it.each([
+    ['completed', true, 'duplicate'],
+    ['cutOff', true, 'opened'],
+    ['didNotRun', true, 'opened'],
+    ['cutOff', false, 'duplicate'],
+    ['didNotRun', false, 'opened'],
+  ] as const)(
+    'after %s for nothing, idempotent %s, answers an open by %s',
+    (outcome, idempotent, kind) => {
+      const fixture = LedgerFixture.withContract();
+      const open = openOf({idempotent});
+      fixture.applyAll([open, settleOf({cost: 0, outcome})]);
+      expect(fixture.apply(open).kind).toBe(kind);
+    },
+  );
+
   it('forgets keys in two steps', () => {
     const fixture = LedgerFixture.withContract();
     fixture.applyAll([openOf(), settleOf()]);
@@ -143,7 +160,7 @@
     const fixture = LedgerFixture.withContract();
     fixture.apply(grantOf());
     const records = [recordOf(2, 20), recordOf(1, 10), recordOf(3)];
-    const merge = {kind: 'mergeJournal', grantId: 'g1', records} as const;
+    const merge: MergeJournal = {kind: 'mergeJournal', grantId: 'g1', records};
     expect(fixture.apply(merge)).toMatchObject({billed: 30, returned: 0});
     expect(fixture.apply(merge)).toMatchObject({billed: 0, returned: 0});
     const final: Command = {
@@ -184,7 +201,7 @@
   it('bills a key once on both sides of a partition, the first to arrive', () => {
     const fixture = LedgerFixture.withContract();
     fixture.applyAll([grantOf(), openOf({requestKey: 'j1'})]);
-    const merge: Command = {
+    const merge: MergeJournal = {
       kind: 'mergeJournal',
       grantId: 'g1',
       records: [recordOf(1, 30)],
@@ -208,6 +225,51 @@
     expect(fixture.ledger.verifySums()).toEqual([]);
   });
 
+  it('bills a record whose key was settled for nothing elsewhere', () => {
+    const fixture = LedgerFixture.withContract();
+    fixture.applyAll([grantOf(), openOf({requestKey: 'j1'})]);
+    const requestKey = 'barley/desk/j1';
+    fixture.apply(settleOf({requestKey, outcome: 'didNotRun'}));
+    const records = [recordOf(1, 30)];
+    expect(
+      fixture.apply({kind: 'mergeJournal', grantId: 'g1', records}),
+    ).toMatchObject({billed: 30});
+    expect(fixture.ledger.request(requestKey)).toMatchObject({
+      bill: {cost: 30},
+    });
+  });
+
+  it('leaves a request open whose journalled attempt did not run', () => {
+    const fixture = LedgerFixture.withContract();
+    fixture.applyAll([grantOf(), openOf({requestKey: 'j1'})]);
+    const record = recordOf(1, 0);
+    record.settlement!.outcome = 'didNotRun';
+    fixture.apply({kind: 'mergeJournal', grantId: 'g1', records: [record]});
+    const settle = settleOf({requestKey: 'barley/desk/j1', cost: 9});
+    expect(fixture.apply(settle)).toMatchObject({
+      repeated: false,
+      bill: {cost: 9},
+    });
+  });
+
+  it('merges a record once, even when nothing is left of its key', () => {
+    const short = {
+      requestRetentionMilliseconds: second,
+      forgottenKeyRetentionMilliseconds: second,
+    };
+    const fixture = LedgerFixture.withContract({}, short);
+    const records = [recordOf(1, 30)];
+    const merge: Command = {kind: 'mergeJournal', grantId: 'g1', records};
+    fixture.applyAll([grantOf(), merge]);
+    fixture.apply({kind: 'advanceTime'}, 2 * second);
+    fixture.apply({kind: 'advanceTime'}, 4 * second);
+    expect(fixture.ledger.keyCounts()).toMatchObject({
+      settled: 0,
+      forgotten: 0,
+    });
+    expect(fixture.apply(merge)).toMatchObject({billed: 0});
+  });
+
   it('does not bill a key again that was forgotten meanwhile', () => {
     const fixture = LedgerFixture.withContract();
     fixture.applyAll([grantOf(), openOf({requestKey: 'j1'})]);
