--- a/packages/daemon/src/control.ts
+++ b/packages/daemon/src/control.ts
@@ -83,9 +83,9 @@
   grants: Grants;
   membership: Membership;
   directory: Directory;
-  /** Fetches the kept answer of a request from the instance that ran it. */
+  /** Fetches the kept answer of a request from the holder that ran it. */
   fetchAnswer: (
-    instance: string,
+    holder: string,
     requestKey: string,
   ) => Promise<StoredAnswer | undefined>;
   /** Serves `/operator/v1`. */
@@ -139,8 +139,8 @@
     ...parts,
     holder: membership.holder,
     directory: membership.directory,
-    fetchAnswer: (instance, requestKey) =>
-      fetchAnswer(context, membership, instance, requestKey),
+    fetchAnswer: (holder, requestKey) =>
+      fetchAnswer(context, membership, holder, requestKey),
     operatorRoutes: operatorRoutesOf(context, parts),
     announcementRoutes: announcementRoutesOf(context, parts),
     start: async () => {
@@ -169,6 +169,22 @@
   };
 }
 
+/** Asks a holder for a kept answer; without one if it can't be reached. */
+async function fetchAnswer(
+  {calls}: Context,
+  membership: Membership,
+  holder: string,
+  requestKey: string,
+): Promise<StoredAnswer | undefined> {
+  const address = membership.holderAddress(holder);
+  if (address === undefined) return undefined;
+  try {
+    return (await calls.keptAnswer(address, {requestKey})).answer;
+  } catch {
+    return undefined;
+  }
+}
+
 async function createContext(
   options: Required<ControlOptions>,
 ): Promise<Context> {
@@ -398,9 +414,9 @@
   {options, calls}: Context,
   {membership, ledgerClient}: Parts,
 ): FastifyPluginAsync {
-  const {secrets, logger} = options;
+  const {secrets, explain, logger} = options;
   const explainer = new Explainer({
-    here: options.explain,
+    here: explain,
     peers: () => membership.livePeers().map(peerAddressOf),
     ask: (address, requestId) => calls.explain(address, {requestId}),
     ledgerClient,
@@ -425,21 +441,6 @@
   return createAnnouncementRoutes({backendKey, membership, logger, metrics});
 }
 
-/** Resolves with undefined where the instance can't be reached. */
-async function fetchAnswer(
-  {calls}: Context,
-  membership: Membership,
-  instance: string,
-  requestKey: string,
-): Promise<StoredAnswer | undefined> {
-  const address = membership.addressOf(instance);
-  if (address === undefined) return undefined;
-  return calls.keptAnswer(address, {requestKey}).then(
-    ({answer}) => answer,
-    () => undefined,
-  );
-}
-
 /** Asks all ledger instances for their replicas; absent ones are left out. */
 async function viewReplicas(
   calls: InstanceCalls,
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -8,10 +8,7 @@
 import {type Logger} from './observability/logger.js';
 import {createMetrics} from './observability/metrics.js';
 import {createTracing} from './observability/tracing.js';
-import {
-  type GrantSpender,
-  type InstanceSource,
-} from './requests/dependencies.js';
+import {type InstanceSource} from './requests/dependencies.js';
 import {RequestPath} from './requests/index.js';
 import {type Secrets} from './settings/loadSettings.js';
 import {type Stoppable} from './shutdown.js';
@@ -47,18 +44,19 @@
     keptAnswer: requestKey => requests.keptAnswer(requestKey),
     inFlight: backend => requests.inFlightAt(backend),
     isEjected: backend => requests.isEjected(backend),
+    isRunning: requestKey => requests.isRunning(requestKey),
     onReplicaFailure: error => {
       logger.fatal({err: error}, 'the ledger replica has stopped');
     },
   });
   const requests = new RequestPath({
     settings,
-    holder: ownHolder(settings, control),
+    holder: control.holder,
     logger,
     metrics,
     tracing,
     ledger: control.ledgerClient,
-    grants: noGrants,
+    grants: control.grants,
     contracts: control.configuration,
     instances: instanceSource(control),
     directory: control.directory,
@@ -124,38 +122,10 @@
   }
 }
 
-/** Identity under which this process holds requests and grants. */
-function ownHolder(settings: Settings, {membership}: Control): string {
-  const {name} = settings.instance;
-  return holderOf(name, membership.instance(name)?.incarnation ?? 0);
-}
-
-function holderOf(name: string, incarnation: number): string {
-  return `${name}#${incarnation}`;
-}
-
 function instanceSource({membership, fetchAnswer}: Control): InstanceSource {
   return {
-    isAlive: holder => {
-      const [name = ''] = holder.split('#');
-      const record = membership.instance(name);
-      return (
-        record !== undefined &&
-        holderOf(name, record.incarnation) === holder &&
-        membership.isAlive(name)
-      );
-    },
+    isAlive: holder => membership.isHolderAlive(holder),
     liveRouters: () => membership.routers,
-    fetchAnswer: (holder, requestKey) => {
-      const [name = ''] = holder.split('#');
-      return fetchAnswer(name, requestKey);
-    },
+    fetchAnswer,
   };
 }
-
-/** Grants of an instance that holds none. */
-const noGrants: GrantSpender = {
-  open: () => Promise.resolve({kind: 'refused', reason: 'no grant is held'}),
-  settle: () => Promise.reject(new Error('no grant is held')),
-  observe: () => undefined,
-};
--- a/packages/daemon/src/peer/instanceCalls.ts
+++ b/packages/daemon/src/peer/instanceCalls.ts
@@ -14,9 +14,9 @@
   type GossipReply,
   type GossipRequest,
   type IdentityRequest,
+  type KeptAnswer,
   type JournalAppendRequest,
   type JournalRemoveRequest,
-  type KeptAnswer,
   type PeerIdentity,
   type QueryReply,
   type QueryRequest,
@@ -43,9 +43,9 @@
   changes: 1000,
   identity: 1000,
   view: 1000,
+  request: 1000,
   recall: 500,
   journal: 1000,
-  request: 1000,
 };
 
 /** What the calls need. */
--- a/packages/daemon/src/peer/peerApi.ts
+++ b/packages/daemon/src/peer/peerApi.ts
@@ -62,16 +62,16 @@
   identity(request: IdentityRequest): Promise<PeerIdentity>;
   gossip(request: GossipRequest): GossipReply;
   receiveFarewell(request: FarewellRequest): void;
+  /** What this instance decided for a request. */
+  explain(request: ExplainRequest): Promise<ExplanationView>;
+  /** The answer of a finished request, if it is kept here. */
+  keptAnswer(request: AnswerRequest): KeptAnswer;
   /** Returns unused grants of this instance. */
   recall: (request: RecallRequest) => Promise<RecallReply>;
   /** Tells which requests this instance is still running. */
   running: (request: RunningRequest) => RunningReply;
   /** Absent on an instance without a disk. */
   journals?: JournalCalls;
-  /** What this instance decided for a request. */
-  explain(request: ExplainRequest): Promise<ExplanationView>;
-  /** The answer of a finished request, if it is kept here. */
-  keptAnswer(request: AnswerRequest): KeptAnswer;
   /** Absent on an instance without a ledger replica. */
   replica?: ReplicaCalls;
 }
@@ -111,6 +111,12 @@
     farewell: trpc.procedure
       .input(parserOf('FarewellRequest'))
       .mutation(({input}) => handlers.receiveFarewell(input)),
+    explain: trpc.procedure
+      .input(parserOf('ExplainRequest'))
+      .mutation(({input}) => handlers.explain(input)),
+    keptAnswer: trpc.procedure
+      .input(parserOf('AnswerRequest'))
+      .mutation(({input}) => handlers.keptAnswer(input)),
     recall: trpc.procedure
       .input(parserOf('RecallRequest'))
       .mutation(({input}) => handlers.recall(input)),
@@ -123,12 +129,6 @@
     removeJournal: trpc.procedure
       .input(parserOf('JournalRemoveRequest'))
       .mutation(({input}) => journalsOf(handlers).remove(input)),
-    explain: trpc.procedure
-      .input(parserOf('ExplainRequest'))
-      .mutation(({input}) => handlers.explain(input)),
-    keptAnswer: trpc.procedure
-      .input(parserOf('AnswerRequest'))
-      .mutation(({input}) => handlers.keptAnswer(input)),
   });
 }
 
--- a/packages/ledger/tests/requests.test.ts
+++ b/packages/ledger/tests/requests.test.ts
@@ -54,6 +54,20 @@
     });
   });
 
+  it('releases a request for its holder only', () => {
+    const fixture = LedgerFixture.withContract();
+    fixture.apply(openOf({holder: 'r1'}));
+    const release = settleOf({
+      cost: 0,
+      outcome: 'didNotRun',
+      onlyHolder: true,
+      instance: 'r2',
+    });
+    expect(fixture.apply(release)).toMatchObject({code: 'attemptSuperseded'});
+    const own = fixture.apply({...release, instance: 'r1'});
+    expect(own).toMatchObject({kind: 'billed', bill: {cost: 0}});
+  });
+
   it('never reopens an open request that must not be repeated', () => {
     const fixture = LedgerFixture.withContract();
     const booking = openOf({
