--- a/features/steps/operatorSteps.ts
+++ b/features/steps/operatorSteps.ts
@@ -3,7 +3,7 @@
 import {randomUUID} from 'node:crypto';
 
 import {type DataTable, Given, Then, When} from '@cucumber/cucumber';
-import {eventually} from '@dogwoodtrestle/testkit';
+import {ctl, eventually} from '@dogwoodtrestle/testkit';
 
 import {type ScenarioWorld, type SentTopUp} from './world.js';
 
@@ -246,7 +246,7 @@
   }
 }
 
-/** Checks that the bills add up to the budget, which covers them. */
+/** Checks that bills, budget and committed history agree, and the budget covers them. */
 async function assertBudget(
   world: ScenarioWorld,
   customer: string,
@@ -258,6 +258,8 @@
   const bills = await scenario.bills(customer);
   const sum = bills.reduce((total, each) => total + each.cost, 0);
   assert.equal(sum, budget.billed, 'sum of the bills');
+  // Fails with what it printed where the history disagrees with the balances.
+  await ctl(scenario.cluster, ['audit']);
 }
 
 async function assertBills(
--- a/packages/operator-cli/src/client/operatorClient.ts
+++ b/packages/operator-cli/src/client/operatorClient.ts
@@ -29,6 +29,9 @@
   customer?: string;
   /** Milliseconds since the epoch. */
   since?: number;
+  /** Only bills of later log entries. */
+  after?: number;
+  /** Oldest bills first. */
   limit?: number;
 }
 
--- a/packages/operator-cli/src/commands/bills.ts
+++ b/packages/operator-cli/src/commands/bills.ts
@@ -66,7 +66,11 @@
     .description('list bills')
     .option('--since <time>', 'ISO 8601, or an age such as 15m or 7d')
     .option('--customer <name>')
-    .option('--limit <number>', 'newest bills to list', parseCount)
+    .option(
+      '--limit <number>',
+      'largest number of bills, oldest first',
+      parseCount,
+    )
     .addOption(
       new Option('--format <format>')
         .choices(Object.keys(formats))
--- a/packages/operator-cli/src/commands/index.ts
+++ b/packages/operator-cli/src/commands/index.ts
@@ -1,4 +1,5 @@
 /** @fileoverview Table of all commands, by group. */
+import {audit} from './audit.js';
 import {backends} from './backends.js';
 import {bills} from './bills.js';
 import {budgetShow} from './budgetShow.js';
@@ -49,6 +50,7 @@
   replicas,
   explain,
   doctor,
+  audit,
   report,
   completion,
 ];
--- /dev/null
+++ b/packages/operator-cli/tests/audit.test.ts
@@ -0,0 +1,77 @@
+import {afterEach, describe, expect, it} from 'vitest';
+
+import {type FakeDaemon, run, startFakeDaemon} from './fakeDaemon.js';
+
+const keyHash = `sha256:${'0'.repeat(64)}`;
+const contract = {
+  customer: 'desk',
+  budget: {prepaid: 1000, currency: 'CAD'},
+  models: [{name: 'm', inputPrice: 1, outputPrice: 1}],
+  workspaces: [{name: 'w', keyHash}],
+};
+const entry = {
+  index: 1,
+  term: 1,
+  timestamp: 5,
+  kind: 'commands',
+  commands: [
+    {
+      kind: 'applyContract',
+      changeId: 'c1',
+      operator: 'ann',
+      expectedVersion: 0,
+      contract,
+    },
+  ],
+};
+
+let daemon: FakeDaemon;
+
+afterEach(() => daemon.close());
+
+/** Runs the audit of a history with one contract against a shown balance. */
+async function auditOf(shown: {prepaid?: number; billed?: number}) {
+  const budget = {
+    customer: 'desk',
+    currency: 'CAD',
+    contractVersion: 1,
+    retired: false,
+    toppedUp: 0,
+    prepaid: 1000,
+    billed: 0,
+    reserved: 0,
+    granted: 0,
+    available: 1000,
+    openRequests: 0,
+    grants: [],
+    workspaces: [{name: 'w', sharePercent: 100, billed: 0, reserved: 0}],
+    ...shown,
+  };
+  const ok = (body: unknown) => ({status: 200, body});
+  daemon = await startFakeDaemon({
+    'GET /operator/v1/budgets': ok([budget]),
+    'GET /operator/v1/history?after=0&limit=1000': ok([entry]),
+    'GET /operator/v1/bills?after=0&limit=10000': ok([]),
+  });
+  return run(['audit', '--url', daemon.url]);
+}
+
+describe('audit', () => {
+  it('agrees with a balance that the history gives', async () => {
+    const result = await auditOf({});
+    expect(result).toMatchObject({exitCode: 0});
+    expect(result.stdout).toContain('no disagreement');
+  });
+
+  it('names customer and entry of a disagreement', async () => {
+    const result = await auditOf({billed: 5});
+    expect(result.exitCode).toBe(1);
+    expect(result.stdout).toMatch(/desk: entry 1: .*billed is shown as 5/);
+  });
+
+  it('finds a wrong prepaid amount', async () => {
+    const result = await auditOf({prepaid: 1500});
+    expect(result.exitCode).toBe(1);
+    expect(result.stdout).toMatch(/desk: entry 1: .*1500/);
+  });
+});
