--- a/packages/daemon/src/requests/serviceHandler.ts
+++ b/packages/daemon/src/requests/serviceHandler.ts
@@ -57,6 +57,11 @@
     return this.running.size;
   }
 
+  /** Whether a call with this key is in progress here. */
+  isRunning(requestKey: string): boolean {
+    return this.running.has(requestKey);
+  }
+
   /**
    * Serves one call.
    *
