--- a/packages/bench/src/main.ts
+++ b/packages/bench/src/main.ts
@@ -10,6 +10,7 @@
 import {measureChanges} from './system/changesBench.js';
 import {measureControl} from './system/controlBench.js';
 import {measureOverhead} from './system/overheadBench.js';
+import {measureStreamCost, measureStreamMemory} from './system/streamsBench.js';
 import {measureLedgerSlopes} from './ledgerSlopes.js';
 import {formatTable, type Row} from './util/table.js';
 
@@ -35,6 +36,14 @@
     description: 'time until a change is in force everywhere',
     run: () => measureChanges(),
   },
+  streams: {
+    description: 'processor time of a router by the length of answers',
+    run: () => measureStreamCost(),
+  },
+  'open-streams': {
+    description: 'memory of a router by the number of open streams',
+    run: () => measureStreamMemory(),
+  },
   money: {
     description: 'overspend and false refusals against baselines',
     run: () => compareMoney(),
--- a/packages/bench/src/system/benchCluster.ts
+++ b/packages/bench/src/system/benchCluster.ts
@@ -122,7 +122,12 @@
     model,
     stream,
     max_tokens: maximumTokens,
-    messages: [{role: 'user', content: 'Summarise the lab sheet of lot 17.'}],
+    messages: [
+      {
+        role: 'user',
+        content: `Summarise the lab sheet of lot 17 in ${maximumTokens} words.`,
+      },
+    ],
   };
 }
 
--- a/packages/daemon/src/requests/answerBuffer.ts
+++ b/packages/daemon/src/requests/answerBuffer.ts
@@ -28,8 +28,8 @@
   failure?: Refusal;
   state: AnswerState = 'running';
   private readonly pieces: string[] = [];
-  private readonly offsets: number[] = [];
   private totalBytes = 0;
+  /** Bytes that each reader has consumed. */
   private readonly readers = new Map<symbol, number>();
   private waiting: (() => void)[] = [];
   private readonly abandonListeners: (() => void)[] = [];
@@ -66,7 +66,6 @@
 
   /** Appends a piece and resolves when the run may go on. */
   async push(piece: string): Promise<void> {
-    this.offsets.push(this.totalBytes);
     this.pieces.push(piece);
     this.totalBytes += Buffer.byteLength(piece);
     this.wake();
@@ -113,15 +112,19 @@
     const stop = () => this.wake();
     signal.addEventListener('abort', stop);
     try {
-      for (let index = 0; ; index++) {
-        while (index >= this.pieces.length) {
+      let next = 0;
+      for (;;) {
+        while (next >= this.pieces.length) {
           if (this.state !== 'running' || signal.aborted) return;
           await this.changed();
         }
         if (signal.aborted) return;
-        this.readers.set(reader, this.offsets[index] ?? 0);
+        const ready = this.pieces.slice(next);
+        const readyBytes = this.totalBytes;
+        next = this.pieces.length;
+        yield ready.join('');
+        this.readers.set(reader, readyBytes);
         this.wake();
-        yield this.pieces[index] ?? '';
       }
     } finally {
       signal.removeEventListener('abort', stop);
