test(consensus): nothing is answered before it is durable

Directed tests with a held disk and scripted peers, for guards that random schedules seldom reach: votes, acknowledgements, the leader's own copy, the commit of older terms, and membership changes before a commit in the own term.

--- /dev/null
+++ b/packages/consensus/tests/durability.test.ts
@@ -0,0 +1,186 @@
+import {expect, it} from 'vitest';
+
+import {
+  type ConsensusMessage,
+  type ConsensusReply,
+  type Entry,
+  MembershipRefused,
+  Replica,
+} from '../src/index.js';
+import {CrashableStorage} from './support/crashableStorage.js';
+import {settle, VirtualTime} from './support/virtualTime.js';
+
+const members = ['a', 'b', 'c'].map(id => ({
+  id,
+  instance: id,
+  address: id,
+  role: 'voter' as const,
+}));
+
+const founding: Entry = {
+  index: 1,
+  term: 1,
+  timestamp: 0,
+  kind: 'membership',
+  members,
+};
+
+const oldEntry: Entry = {
+  index: 2,
+  term: 2,
+  timestamp: 0,
+  kind: 'commands',
+  commands: ['old'],
+};
+
+/** Replica `a`, whose disk and peers do what the test says. */
+class Fixture {
+  replica!: Replica;
+  readonly time = new VirtualTime();
+  /** Newest entry that each peer takes. */
+  readonly limits: Record<string, number> = {b: 0, c: 0};
+  private isHeld = false;
+  private writes: (() => void)[] = [];
+
+  async open(): Promise<this> {
+    const schedule = (_delay: number, callback: () => void) => {
+      if (this.isHeld) this.writes.push(callback);
+      else callback();
+    };
+    const storage = new CrashableStorage('a', () => 0, schedule);
+    await storage.append([founding, oldEntry]);
+    await storage.saveHardState({term: 3});
+    this.replica = await Replica.open({
+      member: members[0]!,
+      storage,
+      stateMachine: {
+        apply: ({commands}) => commands!,
+        snapshot: () => null,
+        restore: () => undefined,
+      },
+      transport: {send: (to, message) => this.answer(to.id, message)},
+      clock: {
+        now: () => this.time.now,
+        setTimer: (delay, callback) => this.time.schedule(delay, callback),
+      },
+      random: () => 0,
+      maxMessageEntries: 1,
+    });
+    return this;
+  }
+
+  hold(): void {
+    this.isHeld = true;
+  }
+
+  async release(): Promise<void> {
+    this.isHeld = false;
+    for (const write of this.writes.splice(0)) write();
+    await settle();
+  }
+
+  async lead(): Promise<this> {
+    this.replica.start();
+    await this.time.run(1_001);
+    expect(this.replica.status().role).toBe('leader');
+    return this;
+  }
+
+  private async answer(
+    id: string,
+    message: ConsensusMessage,
+  ): Promise<ConsensusReply> {
+    const {term} = message as {term: number};
+    if (message.kind === 'vote') {
+      return {kind: 'vote', term: message.preVote ? 3 : term, granted: true};
+    }
+    if (message.kind !== 'append') throw new Error('not expected');
+    const matchIndex = message.previousIndex + message.entries.length;
+    if (message.previousIndex > 0 && message.previousIndex > this.limits[id]!) {
+      return {
+        kind: 'append',
+        term,
+        success: false,
+        matchIndex: 0,
+        nextIndex: 1,
+      };
+    }
+    while (matchIndex > this.limits[id]!) {
+      await new Promise<void>(resolve => this.time.schedule(10, resolve));
+    }
+    const nextIndex = matchIndex + 1;
+    return {kind: 'append', term, success: true, matchIndex, nextIndex};
+  }
+}
+
+/** Resolves with whether a promise is settled by now. */
+async function isSettled(promise: Promise<unknown>): Promise<boolean> {
+  let settled = false;
+  promise.then(
+    () => (settled = true),
+    () => (settled = true),
+  );
+  await settle();
+  return settled;
+}
+
+const vote = {kind: 'vote', from: 'b', to: 'a', lastIndex: 9} as const;
+const ballot = {term: 5, lastTerm: 4, preVote: false, transfer: false} as const;
+const append = {
+  kind: 'append',
+  from: 'b',
+  to: 'a',
+  term: 5,
+  leader: members[1]!,
+  previousIndex: 2,
+  previousTerm: 2,
+  entries: [{index: 3, term: 5, timestamp: 0, kind: 'noop'}] as Entry[],
+  commitIndex: 0,
+} as const;
+
+it('answers a candidate only once the vote is durable', async () => {
+  const fixture = await new Fixture().open();
+  fixture.hold();
+  const answer = fixture.replica.receive({...vote, ...ballot});
+  expect(await isSettled(answer)).toBe(false);
+  await fixture.release();
+  expect(await answer).toEqual({kind: 'vote', term: 5, granted: true});
+  const rival = fixture.replica.receive({...vote, ...ballot, from: 'c'});
+  expect(await rival).toMatchObject({granted: false});
+});
+
+it('acknowledges entries only once they are durable', async () => {
+  const fixture = await new Fixture().open();
+  fixture.hold();
+  const first = fixture.replica.receive({...append});
+  const repeated = fixture.replica.receive({...append});
+  expect(await isSettled(first)).toBe(false);
+  expect(await isSettled(repeated)).toBe(false);
+  await fixture.release();
+  await fixture.release();
+  expect(await first).toMatchObject({success: true, matchIndex: 3});
+  expect(await repeated).toMatchObject({success: true, matchIndex: 3});
+});
+
+it('counts its own copy only once it is durable', async () => {
+  const fixture = await (await new Fixture().open()).lead();
+  fixture.hold();
+  fixture.limits['b'] = 4;
+  const results = fixture.replica.propose(['x']);
+  await fixture.time.run(300);
+  expect(await isSettled(results)).toBe(false);
+  await fixture.release();
+  expect(await results).toEqual(['x']);
+});
+
+it('commits an older entry only with one of its own term', async () => {
+  const fixture = await (await new Fixture().open()).lead();
+  fixture.limits['b'] = 2;
+  await fixture.time.run(300);
+  expect(fixture.replica.status().commitIndex).toBe(0);
+  const early = fixture.replica.addLearner({...members[0]!, id: 'd'});
+  await expect(early).rejects.toThrow(MembershipRefused);
+  fixture.limits['b'] = 3;
+  await fixture.time.run(300);
+  expect(fixture.replica.status().commitIndex).toBe(3);
+});
--- a/packages/consensus/tests/faults.test.ts
+++ b/packages/consensus/tests/faults.test.ts
@@ -18,6 +18,9 @@
     node.crash();
     await node.restart();
   },
+  bounceLeaders: async group => {
+    for (const node of group.leaders) await actions['bounce']!(group, node, 0);
+  },
   bounceFollowers: async group => {
     const followers = group.nodes.filter(node => !group.leaders.includes(node));
     for (const node of followers) await actions['bounce']!(group, node, 0);
--- /dev/null
+++ b/packages/consensus/tests/log.test.ts
@@ -0,0 +1,61 @@
+import {type Entry, type Member} from '@dogwoodtrestle/schema';
+import {expect, it} from 'vitest';
+
+import {Log} from '../src/log.js';
+
+function member(id: string): Member {
+  return {id, instance: id, address: id, role: 'voter'};
+}
+
+function noop(index: number, term = 1): Entry {
+  return {index, term, timestamp: index, kind: 'noop'};
+}
+
+function membership(index: number, ...ids: string[]): Entry {
+  const members = ids.map(member);
+  return {index, term: 1, timestamp: index, kind: 'membership', members};
+}
+
+/** Members a at 1, a and b at 3, a, b and c at 5. */
+function makeLog(): Log {
+  const log = new Log();
+  log.append([
+    membership(1, 'a'),
+    noop(2),
+    membership(3, 'a', 'b'),
+    noop(4),
+    membership(5, 'a', 'b', 'c'),
+  ]);
+  return log;
+}
+
+it('knows the members at each index', () => {
+  const log = makeLog();
+  const counts = [0, 1, 2, 3, 4, 5].map(index => log.membersAt(index).length);
+  expect(counts).toEqual([0, 1, 1, 2, 2, 3]);
+  expect(log.headerAt(4)).toMatchObject({index: 4, term: 1, timestamp: 4});
+});
+
+it('takes members back with the entries that are replaced', () => {
+  const log = makeLog();
+  log.append([noop(4, 2)]);
+  expect(log.lastIndex).toBe(4);
+  expect(log.members).toHaveLength(2);
+  expect(log.membershipIndex).toBe(3);
+});
+
+it('keeps members and terms at the base when it is compacted', () => {
+  const log = makeLog();
+  log.compact(4);
+  expect([log.baseIndex, log.lastIndex, log.termAt(4)]).toEqual([4, 5, 1]);
+  expect(log.termAt(3)).toBe(undefined);
+  expect(log.membersAt(4)).toHaveLength(2);
+  expect(log.members).toHaveLength(3);
+});
+
+it('cuts slices by entries and bytes, but never to nothing', () => {
+  const log = makeLog();
+  expect(log.slice(2, 2, 1_000).map(({index}) => index)).toEqual([2, 3]);
+  expect(log.slice(2, 9, 1).map(({index}) => index)).toEqual([2]);
+  expect(log.slice(6, 9, 1_000)).toEqual([]);
+});
