--- a/packages/consensus/src/follower.ts
+++ b/packages/consensus/src/follower.ts
@@ -49,7 +49,6 @@
     const written = state.writer.append(fresh);
     this.applier.advance(Math.min(request.commitIndex, matchIndex));
     await this.untilDurable(written, matchIndex);
-    this.backfill.start();
     if (state.term !== request.term) return this.refusal(log.lastIndex + 1);
     return {
       kind: 'append',
@@ -103,7 +102,7 @@
     state.lastApplied = header.index;
     state.snapshotIndex = header.index;
     await state.writer.install({header, text}, committedIndex);
-    this.backfill.onInstalled();
+    this.backfill.start();
   }
 
   /** Follows the sender, unless its term is over. */
--- a/packages/consensus/src/historyBackfill.ts
+++ b/packages/consensus/src/historyBackfill.ts
@@ -15,27 +15,25 @@
 import {encodedLength} from './util/encodedEntry.js';
 import {withTimeout} from './util/withTimeout.js';
 
+const retryMilliseconds = 1_000;
+
 /** Keeps the history of one replica without gaps. */
 export class HistoryBackfill {
-  private isComplete = false;
   private isRunning = false;
   /** Counts failed requests, so that the next goes to another member. */
   private failures = 0;
 
   constructor(private readonly state: ReplicaState) {}
 
-  /** To be called when a snapshot was installed. */
-  onInstalled(): void {
-    this.isComplete = false;
-  }
-
-  /** Fetches what is missing, unless that is under way. */
+  /** Fetches what is missing, unless that is under way, until it succeeds. */
   start(): void {
-    if (this.isComplete || this.isRunning || this.state.isStopped) return;
+    const {isStopped, options} = this.state;
+    if (this.isRunning || isStopped) return;
     this.isRunning = true;
     this.run()
       .catch(() => {
-        this.failures++; // the next heartbeat tries again
+        this.failures++;
+        options.clock.setTimer(retryMilliseconds, () => this.start());
       })
       .finally(() => {
         this.isRunning = false;
@@ -60,7 +58,6 @@
       const gap = await this.state.writer.enqueue(storage =>
         storage.historyGap(this.state.snapshotIndex),
       );
-      this.isComplete = gap === undefined;
       if (gap === undefined) return;
       const entries = await this.fetch(gap);
       await this.state.writer.enqueue(storage => storage.addHistory(entries));
--- a/packages/consensus/src/leadership.ts
+++ b/packages/consensus/src/leadership.ts
@@ -104,6 +104,7 @@
     this.proposals.resolve(entry, results);
     this.commitWaiters.get(entry.index)?.resolve();
     this.commitWaiters.delete(entry.index);
+    if (this.barriers.isWaiting) this.releaseBarriers();
     if (entry.kind === 'membership' && entry.term === this.term) {
       this.afterMembership(entry);
     }
--- a/packages/consensus/src/readBarriers.ts
+++ b/packages/consensus/src/readBarriers.ts
@@ -14,6 +14,10 @@
 export class ReadBarriers {
   private waiting: Barrier[] = [];
 
+  get isWaiting(): boolean {
+    return this.waiting.length > 0;
+  }
+
   /** Adds a barrier; resolves with the index that the read includes. */
   add(round: number, readIndex: number): Promise<number> {
     const outcome = deferred<number>();
--- a/packages/consensus/src/replica.ts
+++ b/packages/consensus/src/replica.ts
@@ -58,19 +58,25 @@
 export class Replica {
   private readonly applier: Applier;
   private readonly election: Election;
+  private readonly backfill: HistoryBackfill;
   private readonly handlers: MessageHandlers;
 
   private constructor(private readonly state: ReplicaState) {
     this.applier = new Applier(state);
     this.election = new Election(state, () => this.lead());
-    const backfill = new HistoryBackfill(state);
-    const follower = new Follower(state, this.election, this.applier, backfill);
+    this.backfill = new HistoryBackfill(state);
+    const follower = new Follower(
+      state,
+      this.election,
+      this.applier,
+      this.backfill,
+    );
     this.handlers = {
       vote: request => this.election.receive(request),
       append: request => follower.receiveAppend(request),
       snapshot: chunk => follower.receiveSnapshot(chunk),
       elect: order => follower.receiveOrder(order),
-      history: request => backfill.receive(request),
+      history: request => this.backfill.receive(request),
     };
   }
 
@@ -97,6 +103,7 @@
   start(): void {
     this.state.assertRunning();
     this.election.resetTimer();
+    this.backfill.start();
   }
 
   /** Ends all activity; resolves once the storage is closed. */
--- a/packages/consensus/src/replicaOptions.ts
+++ b/packages/consensus/src/replicaOptions.ts
@@ -24,10 +24,16 @@
   maxMessageBytes: number;
   /** Commands that one entry carries at most. */
   maxEntryCommands: number;
-  /** Entries between two snapshots. */
+  /** Entries between two snapshots, at most. */
   snapshotEveryEntries: number;
-  /** Entries before the snapshot that are kept for followers that lag. */
+  /** Bytes of entries between two snapshots, about, at most. */
+  snapshotEveryBytes: number;
+  /** Entries up to the snapshot that are kept for followers that lag. */
   trailingEntries: number;
+  /** Bytes of these entries, about, at most. */
+  trailingBytes: number;
+  /** Time for which entries are applied without a pause, about, at most. */
+  maxApplyMilliseconds: number;
   /** Called once when the replica stops because of an error. */
   onFailure: (error: unknown) => void;
 }
@@ -52,6 +58,9 @@
   maxMessageBytes: 512 * 1024,
   maxEntryCommands: 1_000,
   snapshotEveryEntries: 10_000,
+  snapshotEveryBytes: 32 * 1024 * 1024,
   trailingEntries: 1_000,
+  trailingBytes: 8 * 1024 * 1024,
+  maxApplyMilliseconds: 20,
   onFailure: () => undefined,
 };
--- a/packages/consensus/tests/durability.test.ts
+++ b/packages/consensus/tests/durability.test.ts
@@ -6,6 +6,7 @@
   type Entry,
   MembershipRefused,
   Replica,
+  type ReplicaTuning,
 } from '../src/index.js';
 import {CrashableStorage} from './support/crashableStorage.js';
 import {settle, VirtualTime} from './support/virtualTime.js';
@@ -36,25 +37,36 @@
 /** Replica `a`, whose disk and peers do what the test says. */
 class Fixture {
   replica!: Replica;
+  storage!: CrashableStorage;
   readonly time = new VirtualTime();
   /** Newest entry that each peer takes. */
-  readonly limits: Record<string, number> = {b: 0, c: 0};
+  readonly limits: Record<string, number> = {b: 1, c: 1};
+  applyMilliseconds = 0;
   private isHeld = false;
   private writes: (() => void)[] = [];
 
+  constructor(private readonly tuning: Partial<ReplicaTuning> = {}) {}
+
   async open(): Promise<this> {
     const schedule = (_delay: number, callback: () => void) => {
       if (this.isHeld) this.writes.push(callback);
       else callback();
     };
     const storage = new CrashableStorage('a', () => 0, schedule);
+    this.storage = storage;
     await storage.append([founding, oldEntry]);
     await storage.saveHardState({term: 3});
+    const {index, term, timestamp} = founding;
+    const header = {index, term, timestamp, members};
+    await storage.saveSnapshot({header, text: 'null'}, 0);
     this.replica = await Replica.open({
       member: members[0]!,
       storage,
       stateMachine: {
-        apply: ({commands}) => commands!,
+        apply: ({commands}) => {
+          this.time.now += this.applyMilliseconds;
+          return commands!;
+        },
         snapshot: () => null,
         restore: () => undefined,
       },
@@ -65,6 +77,7 @@
       },
       random: () => 0,
       maxMessageEntries: 1,
+      ...this.tuning,
     });
     return this;
   }
@@ -102,7 +115,7 @@
         term,
         success: false,
         matchIndex: 0,
-        nextIndex: 1,
+        nextIndex: 2,
       };
     }
     while (matchIndex > this.limits[id]!) {
@@ -177,10 +190,40 @@
   const fixture = await (await new Fixture().open()).lead();
   fixture.limits['b'] = 2;
   await fixture.time.run(300);
-  expect(fixture.replica.status().commitIndex).toBe(0);
+  expect(fixture.replica.status().commitIndex).toBe(1);
   const early = fixture.replica.addLearner({...members[0]!, id: 'd'});
   await expect(early).rejects.toThrow(MembershipRefused);
   fixture.limits['b'] = 3;
   await fixture.time.run(300);
   expect(fixture.replica.status().commitIndex).toBe(3);
 });
+
+it('applies a long backlog in turns', async () => {
+  const fixture = await new Fixture().open();
+  const entries = [3, 4, 5, 6].map(index => ({...oldEntry, index}));
+  fixture.applyMilliseconds = 15;
+  const {replica, time} = fixture;
+  await replica.receive({...append, entries, commitIndex: 6});
+  expect(replica.status()).toMatchObject({commitIndex: 6, lastApplied: 3});
+  await time.run(0);
+  await time.run(100);
+  expect(replica.status()).toMatchObject({lastApplied: 6});
+});
+
+it('takes snapshots by bytes and keeps few trailing bytes', async () => {
+  const fixture = await new Fixture({
+    snapshotEveryBytes: 1_100,
+    trailingBytes: 450,
+  }).open();
+  const commands = ['x'.repeat(200)];
+  const entries = [3, 4, 5, 6].map(index => ({...oldEntry, index, commands}));
+  await fixture.replica.receive({...append, entries, commitIndex: 5});
+  const first = await fixture.storage.readSnapshot();
+  expect(first?.header.index).toBe(1);
+  await fixture.replica.receive({...append, entries, commitIndex: 6});
+  await settle();
+  const snapshot = await fixture.storage.readSnapshot();
+  expect(snapshot?.header.index).toBe(6);
+  const {entries: kept} = await fixture.storage.load();
+  expect(kept.map(({index}) => index)).toEqual([6]);
+});
