fix(ledger): audit compares prepaid amounts, and audits a busy cluster

And the CLI's audit gave up where balances kept changing, and took bills newer than the history for wrong ones. Balances that entries touch while they are read are now skipped, counted, and compared at a later try.

--- a/packages/ledger/src/audit/auditHistory.ts
+++ b/packages/ledger/src/audit/auditHistory.ts
@@ -23,8 +23,10 @@
   type AuditFinding,
   type AuditReport,
   emptyCounts,
+  findingOf,
   type HistoryEntry,
 } from './auditReport.js';
+import {billName, compareBills} from './billArchive.js';
 import {CustomerBook} from './customerBook.js';
 
 /** Audits a whole history at once. */
@@ -45,9 +47,11 @@
   private readonly grantOwners = new Map<string, string>();
   /** Newest bill by request key. */
   private readonly bills = new Map<string, Bill>();
-  /** Bills that have not been seen in the archive, by key and entry. */
-  private readonly unarchived = new Map<string, Bill>();
+  /** All bills, by key and entry. */
+  private readonly madeBills = new Map<string, Bill>();
   private readonly changes = new Set<string>();
+  /** Customers whose balance has been compared. */
+  private readonly compared = new Set<string>();
   private readonly findings: AuditFinding[] = [];
   private readonly checked: AuditCounts = {...emptyCounts};
   private previous: HistoryEntry = {
@@ -72,12 +76,28 @@
     }
   }
 
-  /** Compares the books with the evidence. */
+  /** Index of the newest entry that was entered. */
+  get lastIndex(): number {
+    return this.previous.index;
+  }
+
+  /**
+   * Compares the books with the evidence. May be called again after further
+   * entries, with newer evidence; customers that were compared before are left
+   * out then.
+   */
   finish(evidence: AuditEvidence): AuditReport {
+    const asOf = evidence.asOf ?? Infinity;
     this.checked.customers = this.books.size;
-    this.compareBalances(evidence.budgets);
-    if (evidence.bills !== undefined) this.compareBills(evidence.bills);
-    return {checked: this.checked, findings: this.findings};
+    this.checked.balancesSkipped = 0;
+    this.compareBalances(evidence.budgets, asOf);
+    const {bills} = evidence;
+    const differences =
+      bills === undefined ? [] : compareBills(this.madeBills, bills, asOf);
+    return {
+      checked: {...this.checked, archivedBills: bills?.length ?? 0},
+      findings: [...this.findings, ...differences],
+    };
   }
 
   private checkOrder(entry: HistoryEntry): void {
@@ -169,7 +189,7 @@
       this.report(index, message, customer);
     }
     this.bills.set(requestKey, bill);
-    this.unarchived.set(billName(bill), bill);
+    this.madeBills.set(billName(bill), bill);
     const messages = this.bookOf(customer, index).enterBill(bill);
     for (const message of messages) this.report(index, message, customer);
   }
@@ -190,49 +210,38 @@
     this.report(index, message, book.customer);
   }
 
-  private compareBalances(budgets: BudgetView[]): void {
+  private compareBalances(budgets: BudgetView[], asOf: number): void {
     const shown = new Map(budgets.map(view => [view.customer, view]));
-    for (const {customer, lastIndex} of this.books.values()) {
-      if (shown.has(customer)) continue;
-      this.report(
-        lastIndex,
-        'the history has a balance, none is shown',
-        customer,
-      );
-    }
-    for (const view of budgets) {
-      this.checked.balances++;
-      const book = this.books.get(view.customer);
-      if (book === undefined) {
-        const message = 'a balance is shown, the history has none';
-        this.findings.push({customer: view.customer, message});
+    for (const customer of new Set([...this.books.keys(), ...shown.keys()])) {
+      if (this.compared.has(customer)) continue;
+      const book = this.books.get(customer);
+      if (book !== undefined && book.lastIndex > asOf) {
+        this.checked.balancesSkipped++;
         continue;
       }
-      for (const message of book.compare(view)) {
-        this.report(book.lastIndex, message, view.customer);
-      }
+      this.compared.add(customer);
+      this.compareBalance(customer, book, shown.get(customer));
     }
   }
 
-  private compareBills(archive: Bill[]): void {
-    const counted = new Map(this.unarchived);
-    for (const bill of archive) {
-      this.checked.archivedBills++;
-      const {requestKey, customer, index, cost} = bill;
-      const name = billName(bill);
-      const match = counted.get(name);
-      if (match === undefined) {
-        const message = `archived bill of ${requestKey} is not in the history`;
-        this.report(index, message, customer);
-      } else if (!this.unarchived.delete(name)) {
-        this.report(index, `${requestKey} is archived twice`, customer);
-      } else if (match.cost !== cost) {
-        const message = `archived bill of ${requestKey} is ${cost}, the history gives ${match.cost}`;
-        this.report(index, message, customer);
-      }
+  private compareBalance(
+    customer: string,
+    book: CustomerBook | undefined,
+    view: BudgetView | undefined,
+  ): void {
+    if (view !== undefined) this.checked.balances++;
+    if (book === undefined) {
+      const message = 'a balance is shown, the history has none';
+      this.findings.push({customer, message});
+      return;
     }
-    for (const {requestKey, customer, index} of this.unarchived.values()) {
-      this.report(index, `bill of ${requestKey} is not archived`, customer);
+    const isPending = this.ledger.contract(customer)?.pending !== undefined;
+    const messages =
+      view === undefined
+        ? ['the history has a balance, none is shown']
+        : book.compare(view, isPending);
+    for (const message of messages) {
+      this.report(book.lastIndex, message, customer);
     }
   }
 
@@ -247,15 +256,6 @@
   }
 
   private report(index: number, message: string, customer?: string): void {
-    this.findings.push({
-      ...(customer === undefined ? {} : {customer}),
-      index,
-      message: `entry ${index}: ${message}`,
-    });
+    this.findings.push(findingOf({index, customer}, message));
   }
 }
-
-/** A key that was billed nothing may be billed again in a later entry. */
-function billName({requestKey, index}: Bill): string {
-  return `${requestKey} ${index}`;
-}
--- a/packages/ledger/src/audit/auditReport.ts
+++ b/packages/ledger/src/audit/auditReport.ts
@@ -31,6 +31,8 @@
   /** Sum of all bills in micros. */
   billedAmount: number;
   balances: number;
+  /** Balances that changed while they were read. */
+  balancesSkipped: number;
   archivedBills: number;
 }
 
@@ -46,6 +48,12 @@
   budgets: BudgetView[];
   /** The bill archive; bills are not compared where it is left out. */
   bills?: Bill[];
+  /**
+   * Index of the newest entry that had been read before the balances and bills
+   * were asked for, where the cluster went on working. Balances that later
+   * entries touched are skipped.
+   */
+  asOf?: number;
 }
 
 /** Counts of an audit that has looked at nothing. */
@@ -60,5 +68,18 @@
   bills: 0,
   billedAmount: 0,
   balances: 0,
+  balancesSkipped: 0,
   archivedBills: 0,
 };
+
+/** Returns a finding about an entry. */
+export function findingOf(
+  {index, customer}: {index: number; customer?: string},
+  message: string,
+): AuditFinding {
+  return {
+    ...(customer === undefined ? {} : {customer}),
+    index,
+    message: `entry ${index}: ${message}`,
+  };
+}
--- a/packages/ledger/src/audit/customerBook.ts
+++ b/packages/ledger/src/audit/customerBook.ts
@@ -78,9 +78,16 @@
     return messages;
   }
 
-  /** Compares the books with a balance; returns the differences. */
-  compare(view: BudgetView): string[] {
+  /**
+   * Compares the books with a balance; returns the differences.
+   *
+   * @param isPending Whether the newest contract is not in force yet, so that
+   *   an older prepaid amount is shown.
+   */
+  compare(view: BudgetView, isPending: boolean): string[] {
+    const paid = this.prepaid + this.toppedUp;
     const pairs: Array<[string, number, number]> = [
+      ['prepaid', view.prepaid, isPending ? view.prepaid : paid],
       ['topped up', view.toppedUp, this.toppedUp],
       ['billed', view.billed, this.billed],
       ['reserved', view.reserved, this.reserved],
--- a/packages/ledger/tests/audit.test.ts
+++ b/packages/ledger/tests/audit.test.ts
@@ -2,6 +2,7 @@
   type AuditEvidence,
   type AuditReport,
   auditHistory,
+  HistoryAudit,
   type HistoryEntry,
 } from '@dogwoodtrestle/ledger';
 import {type Command} from '@dogwoodtrestle/schema';
@@ -19,7 +20,7 @@
 
 interface Books {
   entries: HistoryEntry[];
-  evidence: Required<AuditEvidence>;
+  evidence: Required<Omit<AuditEvidence, 'asOf'>>;
 }
 
 /** A history with requests, a grant and a top-up, and its true evidence. */
@@ -76,6 +77,17 @@
       ),
     },
   ],
+  [
+    'a prepaid amount',
+    ({evidence}) => (evidence.budgets[0]!.prepaid = 1500),
+    {
+      customer: 'barley',
+      index: 11,
+      message: expect.stringContaining(
+        'prepaid is shown as 1500, the history gives 1050',
+      ),
+    },
+  ],
   [
     'an archived cost',
     ({evidence}) => evidence.bills[1]!.cost++,
@@ -164,6 +176,7 @@
         bills: 4,
         billedAmount: 88,
         balances: 1,
+        balancesSkipped: 0,
         archivedBills: 4,
       },
       findings: [],
@@ -176,6 +189,35 @@
     expect(audit(altered).findings).toContainEqual(finding);
   });
 
+  it('audits a cluster that goes on working', () => {
+    const {entries, evidence} = books();
+    const early = new LedgerFixture();
+    const history = new HistoryAudit();
+    const addTo = (index: number) => {
+      for (const entry of entries.slice(history.lastIndex, index)) {
+        history.add(entry);
+      }
+    };
+    for (const {commands} of entries.slice(0, 7)) {
+      early.apply(commands![0] as Command, 1);
+    }
+    const stale = {
+      budgets: early.ledger.budgets(),
+      bills: early.ledger.takeBills(),
+    };
+    addTo(7);
+    addTo(9);
+    expect(history.finish({...stale, asOf: 7})).toMatchObject({
+      checked: {balances: 0, balancesSkipped: 1, archivedBills: 2},
+      findings: [],
+    });
+    addTo(11);
+    expect(history.finish({...evidence, asOf: 11})).toMatchObject({
+      checked: {balances: 1, balancesSkipped: 0, archivedBills: 4},
+      findings: [],
+    });
+  });
+
   it('finds any altered cost or balance', () => {
     const names = [
       'billed',
--- a/packages/operator-cli/src/commands/audit.ts
+++ b/packages/operator-cli/src/commands/audit.ts
@@ -5,7 +5,7 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 
 import {type AuditReport, HistoryAudit} from '@dogwoodtrestle/ledger';
-import {type Bill, type BudgetView} from '@dogwoodtrestle/schema';
+import {type Bill} from '@dogwoodtrestle/schema';
 
 import {type Context} from '../context.js';
 import {CliError} from '../errors.js';
@@ -42,34 +42,31 @@
   const history = new HistoryAudit({
     requestRetentionMilliseconds: options.retention * millisecondsPerSecond,
   });
-  const budgets = await readUntilQuiet(context, history);
-  const bills = await readArchive(context);
-  const report = history.finish({budgets, bills});
+  const report = await auditLive(context, history);
   if (report.findings.length > 0) context.exitCode = exitCodes.findings;
   context.print(report, () => describe(report));
 }
 
 /**
- * Reads the history to its end, and the budgets of that same moment: the sums
- * were the same before and after the last page.
+ * Audits while the cluster goes on working: what changes while it is read is
+ * read again, until every balance has been compared or the tries are used up.
  */
-async function readUntilQuiet(
+async function auditLive(
   context: Context,
   history: HistoryAudit,
-): Promise<BudgetView[]> {
+): Promise<AuditReport> {
   const {client} = context;
-  let last = 0;
-  for (let tries = 0; tries < maximumTries; tries++) {
-    const before = sumsOf(await client.budgets());
-    last = await readHistory(context, history, last);
+  await readHistory(context, history, 0);
+  for (let tries = 1; ; tries++) {
+    const asOf = history.lastIndex;
     const budgets = await client.budgets();
-    if (sumsOf(budgets) === before) return budgets;
+    const bills = await readArchive(context);
+    await readHistory(context, history, asOf);
+    const report = history.finish({budgets, bills, asOf});
+    const isDone = report.checked.balancesSkipped === 0;
+    if (isDone || tries === maximumTries) return report;
     await sleep(pauseMilliseconds);
   }
-  throw new CliError(
-    'the balances kept changing while the history was read; audit in a quieter moment',
-    {props: {exitCode: exitCodes.unreachable}},
-  );
 }
 
 /** Enters the entries after an index and returns the index of the last one. */
@@ -104,25 +101,13 @@
   }
 }
 
-function sumsOf(budgets: readonly BudgetView[]): string {
-  return JSON.stringify(
-    budgets.map(each => [
-      each.customer,
-      each.prepaid,
-      each.billed,
-      each.reserved,
-      each.granted,
-    ]),
-  );
-}
-
 function describe({checked, findings}: AuditReport): string {
   return [
     `checked ${checked.entries} entries with ${checked.commands} commands:`,
     `  ${checked.customers} customers, ${checked.contractVersions} contract versions, ${checked.topUps} top-ups`,
     `  ${checked.opens} opened requests, ${checked.grants} grants`,
     `  ${checked.bills} bills of ${formatAmount(checked.billedAmount)} in all`,
-    `  ${checked.balances} balances compared`,
+    `  ${checked.balances} balances compared, ${checked.balancesSkipped} skipped because they kept changing`,
     `  ${checked.archivedBills} archived bills compared`,
     findings.length === 0 ? 'no disagreement' : 'DISAGREEMENTS:',
     ...findings.map(
--- a/packages/operator-cli/tests/audit.test.ts
+++ b/packages/operator-cli/tests/audit.test.ts
@@ -51,6 +51,7 @@
   daemon = await startFakeDaemon({
     'GET /operator/v1/budgets': ok([budget]),
     'GET /operator/v1/history?after=0&limit=1000': ok([entry]),
+    'GET /operator/v1/history?after=1&limit=1000': ok([]),
     'GET /operator/v1/bills?after=0&limit=10000': ok([]),
   });
   return run(['audit', '--url', daemon.url]);
