feat(daemon): repair of replicas and settlement of abandoned requests

The leader replaces a replica that has been silent for replaceReplicaAfterSeconds, and settles open requests that are older than abandonedAfterSeconds and that nobody runs. The control test now loses a replica, sees it replaced, and loses the next.

--- a/packages/daemon/src/control.ts
+++ b/packages/daemon/src/control.ts
@@ -1,6 +1,7 @@
 /**
  * @fileoverview Builds the control side of a daemon from its settings.
  */
+import {type OpenRequestRecord} from '@dogwoodtrestle/ledger';
 import {type Directory, peerAddressOf} from '@dogwoodtrestle/routing';
 import {
   type ExplanationView,
@@ -19,8 +20,11 @@
 import {JournalRecovery} from './grants/journalRecovery.js';
 import {JournalStore} from './grants/journalStore.js';
 import {LedgerClient} from './ledgerClient/ledgerClient.js';
+import {AbandonedRequests} from './ledgerHost/abandonedRequests.js';
+import {BackendOutcomes} from './ledgerHost/backendOutcomes.js';
 import {Founder} from './ledgerHost/founder.js';
 import {LedgerHost} from './ledgerHost/ledgerHost.js';
+import {ReplicaRepair} from './ledgerHost/replicaRepair.js';
 import {createAnnouncementRoutes} from './membership/announcementRoutes.js';
 import {Membership, ownPeerAddress} from './membership/membership.js';
 import {Explainer} from './operators/explainer.js';
@@ -55,6 +59,8 @@
   isEjected?: (backend: string) => boolean;
   /** Whether this instance is still running a request, by its scoped key. */
   isRunning?: (requestKey: string) => boolean;
+  /** Ids that the attempts of a request can have had at backend servers. */
+  attemptIds?: (request: OpenRequestRecord) => string[];
   /** Called if the ledger replica stops because of an error. */
   onReplicaFailure?: (error: unknown) => void;
   clock?: Clock;
@@ -68,6 +74,7 @@
   inFlight: () => 0,
   isEjected: () => false,
   isRunning: () => true,
+  attemptIds: () => [],
   onReplicaFailure: () => {},
   clock: systemClock,
   logger: silentLogger,
@@ -88,6 +95,8 @@
     holder: string,
     requestKey: string,
   ) => Promise<StoredAnswer | undefined>;
+  /** All replicas that can be reached, as operators see them. */
+  replicas: () => Promise<ReplicaView[]>;
   /** Serves `/operator/v1`. */
   operatorRoutes: FastifyPluginAsync;
   /** Serves `/v1/announcements`. */
@@ -125,6 +134,7 @@
 }
 
 const millisecondsPerSecond = 1000;
+const defaultVoters = 3;
 
 /** Opens the durable state and builds all parts; nothing runs yet. */
 export async function createControl(input: ControlOptions): Promise<Control> {
@@ -134,6 +144,7 @@
   const server = createServer(context, parts);
   const founder = createFounder(context);
   const recovery = createRecovery(context, parts);
+  const duties = createLeaderDuties(context, parts);
   const {host, store, client} = context;
   return {
     ...parts,
@@ -141,6 +152,7 @@
     directory: membership.directory,
     fetchAnswer: (holder, requestKey) =>
       fetchAnswer(context, membership, holder, requestKey),
+    replicas: () => viewReplicas(context.calls, membership.ledgerAddresses()),
     operatorRoutes: operatorRoutesOf(context, parts),
     announcementRoutes: announcementRoutesOf(context, parts),
     start: async () => {
@@ -152,10 +164,12 @@
       configuration.start();
       grants.start();
       recovery?.start();
+      for (const duty of duties) duty.start();
     },
     leave: () => membership.leave(),
     stop: async () => {
       founder?.stop();
+      for (const duty of duties) await duty.stop();
       await recovery?.stop();
       await grants.stop();
       await configuration.stop();
@@ -415,6 +429,69 @@
   });
 }
 
+/** Work that only the leader does; it is looked for on all replicas. */
+interface LeaderDuty {
+  start(): void;
+  stop(): Promise<void>;
+}
+
+function createLeaderDuties(context: Context, parts: Parts): LeaderDuty[] {
+  const {host} = context;
+  if (host === undefined) return [];
+  return [
+    createRepair(context, parts, host),
+    createAbandonedRequests(context, parts, host),
+  ];
+}
+
+function createRepair(
+  {options, calls, ownAddress}: Context,
+  {membership}: Parts,
+  host: LedgerHost,
+): ReplicaRepair {
+  const {settings, clock, logger, metrics} = options;
+  const {initialReplicas} = settings.cluster;
+  const self = {instance: settings.instance.name, address: ownAddress};
+  return new ReplicaRepair({
+    replica: host.replica,
+    ledgerPeers: () => membership.ledgerPeers(),
+    instance: name => membership.instance(name),
+    ask: address => calls.identity(address, self),
+    lostAfterMilliseconds:
+      settings.ledger.replaceReplicaAfterSeconds * millisecondsPerSecond,
+    targetVoters: initialReplicas.length || defaultVoters,
+    clock,
+    logger,
+    metrics,
+  });
+}
+
+function createAbandonedRequests(
+  {options, calls}: Context,
+  {membership, ledgerClient}: Parts,
+  host: LedgerHost,
+): AbandonedRequests {
+  const {settings, clock, logger, metrics, attemptIds} = options;
+  const {directory} = membership;
+  const outcomes = new BackendOutcomes({directory, attemptIds, clock});
+  return new AbandonedRequests({
+    isLeader: () => host.isLeader,
+    openRequests: () => host.ledger.openRequests(),
+    ledgerTime: () => host.ledgerTime,
+    holderAddress: holder => membership.holderAddress(holder),
+    running: async (address, requestKeys) =>
+      (await calls.running(address, {requestKeys})).running,
+    askBackends: request => outcomes.ask(request),
+    submit: command => ledgerClient.submit(command),
+    instance: settings.instance.name,
+    abandonedAfterMilliseconds:
+      settings.ledger.abandonedAfterSeconds * millisecondsPerSecond,
+    clock,
+    logger,
+    metrics,
+  });
+}
+
 function operatorRoutesOf(
   {options, calls}: Context,
   {membership, ledgerClient}: Parts,
--- a/packages/daemon/src/grants/grants.ts
+++ b/packages/daemon/src/grants/grants.ts
@@ -173,7 +173,8 @@
   }
 
   private async maintain(): Promise<void> {
-    for (const grantId of this.unwritten.keys()) {
+    // A copy, since a failed write puts its entry back.
+    for (const grantId of [...this.unwritten.keys()]) {
       const grant = this.keeper.get(grantId);
       if (grant === undefined) this.unwritten.delete(grantId);
       else await this.write(grant, []);
--- /dev/null
+++ b/packages/daemon/src/ledgerHost/backendOutcomes.ts
@@ -0,0 +1,134 @@
+/**
+ * @fileoverview Asks backend servers what became of a request whose holder is
+ * gone.
+ *
+ * The ledger doesn't know which server ran it, so all servers that offer the
+ * target are asked, by the ids that the request's attempts can have had.
+ */
+import {type OpenRequestRecord} from '@dogwoodtrestle/ledger';
+import {type BackendEntry, type Directory} from '@dogwoodtrestle/routing';
+import {type Target} from '@dogwoodtrestle/schema';
+import {request as sendRequest} from 'undici';
+
+import {type Clock} from '../util/clock.js';
+import {type BackendOutcome} from './abandonedRequests.js';
+
+/** What asking needs. */
+export interface BackendOutcomesOptions {
+  directory: Pick<Directory, 'entries'>;
+  /** Ids that the attempts of a request can have had. */
+  attemptIds: (request: OpenRequestRecord) => string[];
+  clock: Clock;
+}
+
+/** Asks servers about abandoned requests. */
+export class BackendOutcomes {
+  constructor(private readonly options: BackendOutcomesOptions) {}
+
+  async ask(request: OpenRequestRecord): Promise<BackendOutcome> {
+    const ids = this.options.attemptIds(request);
+    const questions = this.servers(request.target).flatMap(server =>
+      ids.map(id => askers[request.target.kind](server, id, request)),
+    );
+    return combine(await Promise.all(questions));
+  }
+
+  private servers({kind, name}: Target): BackendEntry[] {
+    const {directory, clock} = this.options;
+    return directory
+      .entries(clock.now())
+      .filter(({entry: {announcement}}) =>
+        kind === 'service'
+          ? announcement.service?.name === name
+          : announcement.models.some(model => model.name === name),
+      )
+      .map(({entry}) => entry);
+  }
+}
+
+type Asker = (
+  server: BackendEntry,
+  attemptId: string,
+  request: OpenRequestRecord,
+) => Promise<BackendOutcome>;
+
+const askers: Record<Target['kind'], Asker> = {
+  model: askModelServer,
+  service: askServiceServer,
+};
+
+const timeoutMilliseconds = 2000;
+const unknown: BackendOutcome = {kind: 'unknown'};
+
+interface AttemptReport {
+  state?: 'running' | 'finished' | 'cancelled';
+  usage?: {prompt_tokens?: number; completion_tokens?: number};
+}
+
+async function askModelServer(
+  {announcement}: BackendEntry,
+  attemptId: string,
+  {inputPrice, outputPrice}: OpenRequestRecord,
+): Promise<BackendOutcome> {
+  if (!announcement.features.attemptReport) return unknown;
+  const path = `/v1/attempts/${encodeURIComponent(attemptId)}`;
+  const report = await get<AttemptReport>(announcement.url + path);
+  if (report?.state === 'running') return {kind: 'running'};
+  if (report?.usage === undefined) return unknown;
+  const inputTokens = report.usage.prompt_tokens ?? 0;
+  const outputTokens = report.usage.completion_tokens ?? 0;
+  return {
+    kind: 'ended',
+    outcome: report.state === 'finished' ? 'completed' : 'cutOff',
+    cost: inputTokens * inputPrice + outputTokens * outputPrice,
+    usage: {inputTokens, outputTokens},
+    backend: announcement.name,
+  };
+}
+
+interface ReadBackReport {
+  outcome?: 'ran' | 'didNotRun' | 'running';
+}
+
+async function askServiceServer(
+  {announcement}: BackendEntry,
+  attemptId: string,
+  {inputPrice}: OpenRequestRecord,
+): Promise<BackendOutcome> {
+  const template = announcement.service?.readBackPath;
+  if (template === undefined) return unknown;
+  const path = template.replace('{attempt}', encodeURIComponent(attemptId));
+  const report = await get<ReadBackReport>(announcement.url + path);
+  if (report?.outcome === 'running') return {kind: 'running'};
+  if (report?.outcome !== 'ran') return unknown;
+  return {
+    kind: 'ended',
+    outcome: 'completed',
+    cost: inputPrice,
+    backend: announcement.name,
+  };
+}
+
+/**
+ * Only a server that ran an attempt can tell. That one didn't run it proves
+ * nothing: another server may have, one that is no longer known.
+ */
+function combine(outcomes: BackendOutcome[]): BackendOutcome {
+  return (
+    outcomes.find(({kind}) => kind === 'running') ??
+    outcomes.find(({kind}) => kind === 'ended') ??
+    unknown
+  );
+}
+
+async function get<T>(url: string): Promise<T | undefined> {
+  try {
+    const response = await sendRequest(url, {
+      signal: AbortSignal.timeout(timeoutMilliseconds),
+    });
+    const body = await response.body.text();
+    return response.statusCode === 200 ? (JSON.parse(body) as T) : undefined;
+  } catch {
+    return undefined;
+  }
+}
--- a/packages/daemon/src/ledgerHost/ledgerHost.ts
+++ b/packages/daemon/src/ledgerHost/ledgerHost.ts
@@ -145,6 +145,11 @@
     return this.replica.status().role === 'leader';
   }
 
+  /** Ledger time by this process's clock, in milliseconds. */
+  get ledgerTime(): number {
+    return this.machine.estimatedLedgerTime;
+  }
+
   /** Peer address of the leader that this replica follows. */
   get leaderAddress(): string | undefined {
     return this.replica.status().leader?.address;
--- /dev/null
+++ b/packages/daemon/tests/abandonedRequests.test.ts
@@ -0,0 +1,161 @@
+import {type OpenRequestRecord} from '@dogwoodtrestle/ledger';
+import {Directory} from '@dogwoodtrestle/routing';
+import {type Command, parserOf} from '@dogwoodtrestle/schema';
+import {fastify} from 'fastify';
+import {afterEach, describe, expect, it} from 'vitest';
+
+import {
+  AbandonedRequests,
+  type AbandonedRequestsOptions,
+  type BackendOutcome,
+} from '../src/ledgerHost/abandonedRequests.js';
+import {BackendOutcomes} from '../src/ledgerHost/backendOutcomes.js';
+import {systemClock} from '../src/util/clock.js';
+import {CleanUps} from './fixtures.js';
+
+const cleanUps = new CleanUps();
+
+afterEach(() => cleanUps.run());
+
+function requestOf(
+  changes: Partial<OpenRequestRecord> = {},
+): OpenRequestRecord {
+  return {
+    requestKey: 'exchange/desk/r1',
+    fingerprint: 'f',
+    customer: 'exchange',
+    workspace: 'desk',
+    target: {kind: 'model', name: 'summary'},
+    maximumCost: 100,
+    unknownCost: 7,
+    contractVersion: 1,
+    inputPrice: 1,
+    outputPrice: 2,
+    holder: 'one#1',
+    idempotent: true,
+    traceId: 't',
+    attempt: 2,
+    openedAt: 1000,
+    ...changes,
+  };
+}
+
+async function settledBy(changes: Partial<AbandonedRequestsOptions>) {
+  const settled: Command[] = [];
+  const abandoned = new AbandonedRequests({
+    isLeader: () => true,
+    openRequests: () => [requestOf()],
+    ledgerTime: () => 11_001,
+    holderAddress: () => undefined,
+    running: async () => [],
+    askBackends: async () => ({kind: 'unknown'}),
+    submit: async command => settled.push(command),
+    instance: 'leader',
+    abandonedAfterMilliseconds: 10_000,
+    ...changes,
+  });
+  await abandoned.round();
+  return settled;
+}
+
+describe('AbandonedRequests', () => {
+  it('bills the unknown cost where nobody can tell', async () => {
+    expect(await settledBy({})).toMatchObject([
+      {requestKey: 'exchange/desk/r1', attempt: 2, cost: 7, outcome: 'unknown'},
+    ]);
+  });
+
+  it('bills what a backend server reports', async () => {
+    const askBackends = async (): Promise<BackendOutcome> => ({
+      kind: 'ended',
+      outcome: 'completed',
+      cost: 31,
+      backend: 'server-1',
+    });
+    expect(await settledBy({askBackends})).toMatchObject([
+      {cost: 31, outcome: 'completed', backend: 'server-1'},
+    ]);
+  });
+
+  const holderAddress = () => 'host:1';
+  const keys = ['exchange/desk/r1'];
+
+  it.each<[string, Partial<AbandonedRequestsOptions>, number]>([
+    ['younger than the bound', {ledgerTime: () => 10_999}, 0],
+    ['seen by a follower', {isLeader: () => false}, 0],
+    ['run by its holder', {holderAddress, running: async () => keys}, 0],
+    [
+      'of a holder that is alive and silent',
+      {holderAddress, running: () => Promise.reject(new Error('lost'))},
+      0,
+    ],
+    ['not run by its holder', {holderAddress}, 1],
+    [
+      'still running at a backend server',
+      {askBackends: async () => ({kind: 'running'})},
+      0,
+    ],
+  ])('treats a request %s', async (_name, changes, count) => {
+    expect(await settledBy(changes)).toHaveLength(count);
+  });
+});
+
+describe('BackendOutcomes', () => {
+  /** Two servers, of which only the second one knows the attempt. */
+  async function ask(
+    kind: 'model' | 'service',
+    reply: object,
+  ): Promise<BackendOutcome> {
+    const directory = new Directory();
+    for (const name of ['first', 'second']) {
+      const server = fastify();
+      server.get('/*', async (request, response) =>
+        name === 'second' && request.url.endsWith('/r1.2')
+          ? reply
+          : response.code(404).send({}),
+      );
+      const url = await server.listen({host: '127.0.0.1', port: 0});
+      cleanUps.add(() => server.close());
+      const offer =
+        kind === 'model'
+          ? {models: [{name: 'summary'}], features: {attemptReport: true}}
+          : {service: {name: 'booking', readBackPath: '/read/{attempt}'}};
+      const announcement = parserOf('Announcement')({
+        name,
+        incarnation: 1,
+        sequence: 1,
+        state: 'serving',
+        url,
+        failureDomain: 'd',
+        kind,
+        ...offer,
+      });
+      directory.observe(announcement, systemClock.now());
+    }
+    const outcomes = new BackendOutcomes({
+      directory,
+      attemptIds: () => ['r1.1', 'r1.2'],
+      clock: systemClock,
+    });
+    const name = kind === 'model' ? 'summary' : 'booking';
+    return outcomes.ask(requestOf({target: {kind, name}, inputPrice: 5}));
+  }
+
+  const usage = {prompt_tokens: 10, completion_tokens: 3};
+  const cost = 10 * 5 + 3 * 2;
+
+  it.each<[string, 'model' | 'service', object, object]>([
+    ['a finished attempt', 'model', {state: 'finished', usage}, {cost}],
+    ['a running attempt', 'model', {state: 'running'}, {kind: 'running'}],
+    ['a call that ran', 'service', {outcome: 'ran'}, {cost: 5}],
+    ['a running call', 'service', {outcome: 'running'}, {kind: 'running'}],
+    [
+      'a call that did not run there',
+      'service',
+      {outcome: 'didNotRun'},
+      {kind: 'unknown'},
+    ],
+  ])('learns of %s', async (_name, kind, reply, expected) => {
+    expect(await ask(kind, reply)).toMatchObject(expected);
+  });
+});
--- a/packages/daemon/tests/control.test.ts
+++ b/packages/daemon/tests/control.test.ts
@@ -23,14 +23,15 @@
   settings: Settings[];
 }
 
-/** Starts three instances with replicas and one without. */
-async function startCluster(): Promise<Cluster> {
+/** Starts three instances with replicas and one that is no replica yet. */
+async function startCluster(disks = 3): Promise<Cluster> {
   const names = ['one', 'two', 'three', 'four'];
   const plans = await Promise.all(
     names.map(async (name, position) => ({
       name,
       port: await freePort(),
-      dataFolder: position < 3 ? await temporaryFolder(cleanUps) : undefined,
+      dataFolder:
+        position < disks ? await temporaryFolder(cleanUps) : undefined,
     })),
   );
   const replicas = plans.slice(0, 3).map(({port}) => `127.0.0.1:${port}`);
@@ -138,4 +139,25 @@
       return budget?.billed === 20 * opened.length;
     });
   });
+
+  it('replaces a lost replica and survives the next loss', async () => {
+    const {controls} = await startCluster(4);
+    const [one, two, three, four] = controls;
+    await applyContract(one);
+    await three.stop();
+    await eventually(async () => {
+      const replicas = await one.ledgerClient
+        .query('budgets')
+        .then(() => four.replicas());
+      const names = replicas[0]?.members.map(({instance}) => instance) ?? [];
+      return names.includes('four') && !names.includes('three');
+    });
+    await two.stop();
+    await eventually(async () => {
+      const result = await four.ledgerClient
+        .submit(openCommand())
+        .catch(() => undefined);
+      return result?.kind === 'opened' || result?.kind === 'duplicate';
+    });
+  });
 });
--- a/packages/daemon/tests/fixtures.ts
+++ b/packages/daemon/tests/fixtures.ts
@@ -65,7 +65,11 @@
       ...(plan.dataFolder === undefined ? {} : {dataFolder: plan.dataFolder}),
     },
     listeners: {peerPort: plan.port},
-    ledger: {electionTimeoutMilliseconds: 300, heartbeatMilliseconds: 50},
+    ledger: {
+      electionTimeoutMilliseconds: 300,
+      heartbeatMilliseconds: 50,
+      replaceReplicaAfterSeconds: 1,
+    },
   });
 }
 
--- a/packages/daemon/tests/grants.test.ts
+++ b/packages/daemon/tests/grants.test.ts
@@ -205,6 +205,7 @@
       throw new Error('answer lost');
     };
     expect((await grants.open(openingOf())).kind).toBe('refused');
+    await maintain(grants); // tries once more, and only once
     place.append = append;
     client.connected = true;
     const [header] = store.headers();
