fix(daemon): peer connections are bound to the instance's address

undici takes localAddress as an option of the client; within connect it is overridden, so relays saw every link come from 127.0.0.1 and cut none. Seen failing: 'A budget is topped up during a partition' confirmed a top-up through the cut-off side; with the option in its place it is 503 and the scenario passes.

--- a/features/steps/operatorSteps.ts
+++ b/features/steps/operatorSteps.ts
@@ -1,14 +1,21 @@
 /** @fileoverview Steps of operators and auditors. */
 import assert from 'node:assert/strict';
 import {randomUUID} from 'node:crypto';
+import {setTimeout as sleep} from 'node:timers/promises';
 
 import {type DataTable, Given, Then, When} from '@cucumber/cucumber';
+import {
+  OutcomeUnknownError,
+  UnreachableError,
+} from '@dogwoodtrestle/operator-cli';
 import {ctl, eventually} from '@dogwoodtrestle/testkit';
 
 import {type ScenarioWorld, type SentTopUp} from './world.js';
 
 const settleMilliseconds = 15_000;
 const mergeMilliseconds = 25_000;
+const changeTries = 4;
+const retryMilliseconds = 500;
 
 Given(
   'the customer {string} with a budget of {int}',
@@ -88,7 +95,11 @@
 When(
   /^an operator retires the contract of "(\w+)" through (r\d+)$/,
   async function (this: ScenarioWorld, customer: string, router: string) {
-    this.changes.push(await this.scenario.retire(customer, [router]));
+    this.changes.push(
+      await retried(changeTries, () =>
+        this.scenario.retire(customer, [router], 'retire'),
+      ),
+    );
   },
 );
 
@@ -235,17 +246,31 @@
   routers: string[],
   {customer, amount, changeId}: SentTopUp,
 ): Promise<void> {
-  world.changeError = undefined;
+  const operator = world.scenario.operator(routers);
+  const order = {changeId, operator: 'scenario', amount};
   try {
-    const result = await world.scenario
-      .operator(routers)
-      .topUp(customer, {changeId, operator: 'scenario', amount});
-    world.changes.push(result);
+    world.changes.push(
+      await retried(changeTries, () => operator.topUp(customer, order)),
+    );
+    world.changeError = undefined;
   } catch (error) {
     world.changeError = error;
   }
 }
 
+/** Sends a change again, as an operator does while a leader is elected. */
+async function retried<T>(tries: number, send: () => Promise<T>): Promise<T> {
+  try {
+    return await send();
+  } catch (error) {
+    const isUnanswered =
+      error instanceof UnreachableError || error instanceof OutcomeUnknownError;
+    if (!isUnanswered || tries <= 1) throw error;
+    await sleep(retryMilliseconds);
+    return retried(tries - 1, send);
+  }
+}
+
 /** Checks that bills, budget and committed history agree, and the budget covers them. */
 async function assertBudget(
   world: ScenarioWorld,
--- a/packages/daemon/src/peer/peerClient.ts
+++ b/packages/daemon/src/peer/peerClient.ts
@@ -74,7 +74,8 @@
       connectionsPerInstance,
     } = {...defaultOptions, ...options};
     this.agent = new Agent({
-      connect: {timeout: connectTimeoutMilliseconds, localAddress},
+      connect: {timeout: connectTimeoutMilliseconds},
+      localAddress,
       connections: connectionsPerInstance,
       keepAliveTimeout: keepAliveMilliseconds,
       pipelining: 1,
--- a/packages/testkit/src/scenario/scenario.ts
+++ b/packages/testkit/src/scenario/scenario.ts
@@ -156,11 +156,12 @@
   async retire(
     customer: string,
     routers: readonly string[],
+    changeId: string = randomUUID(),
   ): Promise<ChangeResult> {
     const operator = this.operator(routers);
     const known = await operator.findContract(customer);
     return operator.retireContract(customer, {
-      changeId: randomUUID(),
+      changeId,
       operator: 'scenario',
       expectedVersion: known?.version ?? 0,
     });
