fix(routing): of two failing servers one may be ejected

Cause: the bound of a third left two servers without any ejection, so that a server that always answers with a wrong attempt id kept getting requests until the retry budget was empty (scenario 'A model server always answers with the id of another attempt': 4 of 10 requests 502). Ruled out: a larger share for all sizes. The daemon allows 10 retries in 10 s at low traffic, 3 before.

--- a/packages/daemon/src/requests/backendSelector.ts
+++ b/packages/daemon/src/requests/backendSelector.ts
@@ -15,10 +15,13 @@
 } from '@dogwoodtrestle/routing';
 import {type RequestDependencies} from './dependencies.js';
 
+/** Retries in ten seconds however few requests there are. */
+const minimumRetries = 10;
+
 /** Chooses the backend server of each attempt. */
 export class BackendSelector {
   private readonly load = new LoadTracker();
-  private readonly retries = new RetryBudget();
+  private readonly retries = new RetryBudget({minimumRetries});
   private readonly outliers = new OutlierDetector();
   private readonly prefixes = new PrefixIndex();
   private readonly slowStart: SlowStart;
--- a/packages/routing/src/outlierDetector.ts
+++ b/packages/routing/src/outlierDetector.ts
@@ -114,7 +114,9 @@
     for (const {ejectedUntil} of this.records.values()) {
       if (ejectedUntil > now) ejected += 1;
     }
-    return ejected + 1 <= serverCount * this.options.maximumEjectedShare;
+    // Of a few servers one may go, so that two don't have to share a failure.
+    const share = serverCount * this.options.maximumEjectedShare;
+    return ejected + 1 <= Math.max(share, Math.min(1, serverCount - 1));
   }
 
   private recordOf(name: string, now: number): ServerRecord {
