--- /dev/null
+++ b/packages/daemon/src/control/operatorSide.ts
@@ -0,0 +1,76 @@
+/**
+ * @fileoverview HTTP routes for operators and backend servers.
+ */
+import {peerAddressOf} from '@dogwoodtrestle/routing';
+import {type ReplicaView, type StoredAnswer} from '@dogwoodtrestle/schema';
+import {type FastifyPluginAsync} from 'fastify';
+
+import {createAnnouncementRoutes} from '../membership/announcementRoutes.js';
+import {Explainer} from '../operators/explainer.js';
+import {createOperatorRoutes} from '../operators/operatorRoutes.js';
+import {type Context} from './context.js';
+import {type Parts} from './parts.js';
+
+/** Builds the routes of the operator API. */
+export function operatorRoutesOf(
+  context: Context,
+  parts: Parts,
+): FastifyPluginAsync {
+  const {options, calls} = context;
+  const {membership, ledgerClient} = parts;
+  const {secrets, explain, logger} = options;
+  const explainer = new Explainer({
+    here: explain,
+    peers: () => membership.livePeers().map(peerAddressOf),
+    ask: (address, requestId) => calls.explain(address, {requestId}),
+    ledgerClient,
+  });
+  return createOperatorRoutes({
+    operatorKey: secrets.operatorKey,
+    ledgerClient,
+    instances: () => membership.instances(),
+    backends: () => membership.backends(),
+    replicas: () => viewReplicas(context, parts),
+    explain: requestId => explainer.explain(requestId),
+    logger,
+  });
+}
+
+/** Builds the route of announcements. */
+export function announcementRoutesOf(
+  {options}: Context,
+  {membership}: Parts,
+): FastifyPluginAsync {
+  const {secrets, logger, metrics} = options;
+  const {backendKey} = secrets;
+  return createAnnouncementRoutes({backendKey, membership, logger, metrics});
+}
+
+/** Asks all ledger instances for their replicas; absent ones are left out. */
+export async function viewReplicas(
+  {calls}: Context,
+  {membership}: Parts,
+): Promise<ReplicaView[]> {
+  const answers = await Promise.allSettled(
+    membership.ledgerAddresses().map(address => calls.view(address)),
+  );
+  return answers.flatMap(answer =>
+    answer.status === 'fulfilled' ? [answer.value] : [],
+  );
+}
+
+/** Asks a holder for a kept answer; without one if it can't be reached. */
+export async function fetchAnswer(
+  {calls}: Context,
+  {membership}: Parts,
+  holder: string,
+  requestKey: string,
+): Promise<StoredAnswer | undefined> {
+  const address = membership.holderAddress(holder);
+  if (address === undefined) return undefined;
+  try {
+    return (await calls.keptAnswer(address, {requestKey})).answer;
+  } catch {
+    return undefined;
+  }
+}
--- a/packages/daemon/src/observability/metrics.ts
+++ b/packages/daemon/src/observability/metrics.ts
@@ -39,6 +39,16 @@
     unit: 'changes',
     meaning: 'Configuration revision in force.',
   },
+  'requests.abandoned': {
+    kind: 'counter',
+    unit: 'requests',
+    meaning: 'Open requests without a holder that were settled, by outcome.',
+  },
+  'replica.repairs': {
+    kind: 'counter',
+    unit: 'steps',
+    meaning: 'Steps that replaced a lost replica, by step.',
+  },
   'grants.held': {
     kind: 'gauge',
     unit: 'grants',
