feat(ledger): rate and concurrency limits hold over all instances

Cause: each router held callers to the contract's limits by its own count, so that N routers allowed N times the limit. Ruled out: dividing limits by the number of routers, which refuses falsely where callers are spread unevenly. The ledger counts open requests and keeps the rate (generic cell rate algorithm, integers only) at each open; the router's own limiter stays as a first filter and for grants.

--- a/packages/daemon/src/observability/metrics.ts
+++ b/packages/daemon/src/observability/metrics.ts
@@ -144,16 +144,6 @@
     unit: 'terms',
     meaning: 'Term of the replica.',
   },
-  'replica.repairs': {
-    kind: 'counter',
-    unit: 'steps',
-    meaning: 'Steps of repair that were taken, by kind.',
-  },
-  'requests.abandoned': {
-    kind: 'counter',
-    unit: 'requests',
-    meaning: 'Requests settled for a holder that is gone.',
-  },
   'requests.duration': {
     kind: 'timing',
     unit: 'ms',
--- a/packages/daemon/src/requests/opener.ts
+++ b/packages/daemon/src/requests/opener.ts
@@ -49,6 +49,8 @@
   contractRetired: 'contractRetired',
   keyReused: 'keyReused',
   keyTooOld: 'keyTooOld',
+  rateLimited: 'rateLimited',
+  concurrencyLimited: 'concurrencyLimited',
 };
 
 /** Opens requests durably. */
@@ -188,7 +190,8 @@
 
 function refusalFor(result: RefusedResult): Refusal {
   const reason = reasonTable[result.code] ?? 'internalError';
-  const {available, reserved, recallable, code} = result;
+  const {available, reserved, recallable, code, retryAfterMilliseconds} =
+    result;
   const mayBeReleased =
     reason === 'budgetExhausted' &&
     ((reserved ?? 0) > 0 || (recallable ?? []).length > 0);
@@ -196,5 +199,8 @@
     didNotRun: reason === 'keyTooOld' ? false : true,
     inputs: {code, available, reserved, recallable},
     ...(mayBeReleased ? {retryAfterSeconds: 1} : {}),
+    ...(retryAfterMilliseconds === undefined
+      ? {}
+      : {retryAfterSeconds: Math.ceil(retryAfterMilliseconds / 1000)}),
   });
 }
--- a/packages/ledger/src/account.ts
+++ b/packages/ledger/src/account.ts
@@ -6,6 +6,7 @@
  */
 import {type Contract, type Workspace} from '@dogwoodtrestle/schema';
 
+import {type LimitCounts} from './contractLimits.js';
 import {InvariantBreach} from './errors.js';
 import {type Grant, remainingOf} from './grant.js';
 import {percentOf} from './util/percentOf.js';
@@ -17,8 +18,8 @@
   retired: boolean;
 }
 
-/** Sums of one workspace, in micros. */
-export interface WorkspaceSums {
+/** Sums of one workspace in micros, and its counts. */
+export interface WorkspaceSums extends LimitCounts {
   billed: number;
   reserved: number;
   granted: number;
@@ -32,7 +33,7 @@
 }
 
 /** Money and contract of one customer; amounts in micros. */
-export interface Account {
+export interface Account extends LimitCounts {
   customer: string;
   /** Newest version, whether pending or accepted. Opens are checked by it. */
   newest: Terms;
@@ -46,7 +47,6 @@
   billed: number;
   reserved: number;
   granted: number;
-  openRequests: number;
   grants: Map<string, Grant>;
   workspaces: Map<string, WorkspaceSums>;
   /** Ids of the remembered changes, oldest first. */
@@ -68,6 +68,7 @@
     reserved: 0,
     granted: 0,
     openRequests: 0,
+    rateUsedUntil: 0,
     grants: new Map(),
     workspaces: new Map(),
     changeIds: [],
@@ -98,7 +99,13 @@
 export function sumsOf(account: Account, workspace: string): WorkspaceSums {
   let sums = account.workspaces.get(workspace);
   if (sums === undefined) {
-    sums = {billed: 0, reserved: 0, granted: 0};
+    sums = {
+      billed: 0,
+      reserved: 0,
+      granted: 0,
+      openRequests: 0,
+      rateUsedUntil: 0,
+    };
     account.workspaces.set(workspace, sums);
   }
   return sums;
@@ -120,7 +127,9 @@
 ): void {
   account.reserved += amount;
   account.openRequests++;
-  sumsOf(account, workspace).reserved += amount;
+  const sums = sumsOf(account, workspace);
+  sums.reserved += amount;
+  sums.openRequests++;
 }
 
 /** Releases the reservation of a request that closes. */
@@ -131,7 +140,9 @@
 ): void {
   account.reserved -= amount;
   account.openRequests--;
-  sumsOf(account, workspace).reserved -= amount;
+  const sums = sumsOf(account, workspace);
+  sums.reserved -= amount;
+  sums.openRequests--;
 }
 
 /** Adds the cost of a request to what is billed. */
--- a/packages/ledger/src/commands/requestCommands.ts
+++ b/packages/ledger/src/commands/requestCommands.ts
@@ -25,6 +25,7 @@
   shareRoomOf,
 } from '../account.js';
 import {remainingOf} from '../grant.js';
+import {limitRefusalOf, useRate} from '../contractLimits.js';
 import {type LedgerState} from '../ledgerState.js';
 import {
   type OpenRequestRecord,
@@ -71,8 +72,11 @@
   if (prices === undefined) {
     return refuse(missingTargetCodes[command.target.kind]);
   }
-  const exhausted = exhaustionOf(account, workspace, command.maximumCost);
-  if (exhausted !== undefined) return exhausted;
+  const refusal =
+    limitRefusalOf(account, workspace, state.now) ??
+    exhaustionOf(account, workspace, command.maximumCost);
+  if (refusal !== undefined) return refusal;
+  useRate(account, workspace, state.now);
   reserve(account, command.workspace, command.maximumCost);
   const attempt = known === undefined ? 1 : known.bill.attempt + 1;
   state.requests.settled.delete(requestKey);
--- a/packages/ledger/src/ledgerSnapshot.ts
+++ b/packages/ledger/src/ledgerSnapshot.ts
@@ -111,6 +111,7 @@
     reserved: account.reserved,
     granted: account.granted,
     openRequests: account.openRequests,
+    rateUsedUntil: account.rateUsedUntil,
     retained: [...account.retained.values()],
     workspaces: [...account.workspaces].map(([name, sums]) => ({
       name,
--- /dev/null
+++ b/packages/ledger/tests/contractLimits.test.ts
@@ -0,0 +1,38 @@
+import {describe, expect, it} from 'vitest';
+
+import {LedgerFixture, openOf, settleOf} from './fixtures.js';
+
+/** Opens requests under keys of their own and returns the kinds of answers. */
+function openMany(fixture: LedgerFixture, prefix: string, count: number) {
+  return Array.from({length: count}, (_, number) => {
+    const result = fixture.apply(openOf({requestKey: `${prefix}${number}`}));
+    return result.kind === 'refused' ? result.code : result.kind;
+  });
+}
+
+const opened = (count: number) => Array<string>(count).fill('opened');
+
+describe('contract limits', () => {
+  it('bound the requests of a customer that are open at once', () => {
+    const fixture = LedgerFixture.withContract({
+      limits: {concurrentRequests: 2},
+    });
+    expect(openMany(fixture, 'a', 3)).toEqual([
+      ...opened(2),
+      'concurrencyLimited',
+    ]);
+    fixture.apply(settleOf({requestKey: 'barley/desk/a0'}));
+    expect(openMany(fixture, 'b', 2)).toEqual(['opened', 'concurrencyLimited']);
+  });
+
+  it('bound the rate over all instances, with when to come back', () => {
+    const fixture = LedgerFixture.withContract({
+      limits: {requestsPerSecond: 4},
+    });
+    expect(openMany(fixture, 'a', 5)).toEqual([...opened(4), 'rateLimited']);
+    const refused = fixture.apply(openOf({requestKey: 'late'}));
+    expect(refused).toMatchObject({retryAfterMilliseconds: 250});
+    fixture.apply({kind: 'advanceTime'}, 500);
+    expect(openMany(fixture, 'b', 3)).toEqual([...opened(2), 'rateLimited']);
+  });
+});
