feat(daemon): wait for reservations that may be released, as the contract says

Cause: exhaustionWaitMilliseconds was a setting without effect; near the end of a budget a request was refused while an earlier one still held more than it would cost. Seen failing first: with 5000 ms the second answer was 402 too. Conclusion: 200 and 200 with the wait, 200 and 402 without it.

--- a/packages/daemon/src/requests/chatHandler.ts
+++ b/packages/daemon/src/requests/chatHandler.ts
@@ -124,7 +124,11 @@
         maximumCost: command.maximumCost,
         contractVersion: command.contractVersion,
       });
-      const opening = await opener.open(command, scope.context);
+      const opening = await opener.open(
+        command,
+        scope.context,
+        current.view.contract.partition.exhaustionWaitMilliseconds,
+      );
       if (opening.kind !== 'staleContract') return {opening, bounded};
       current = await refreshCaller(this.parts.dependencies, current);
     }
--- a/packages/daemon/src/requests/opener.ts
+++ b/packages/daemon/src/requests/opener.ts
@@ -18,7 +18,12 @@
   type UnreachableOutcome,
 } from '../ledgerClient/index.js';
 import {type RequestDependencies} from './dependencies.js';
-import {refusal, type Refusal, type RefusalReason} from './refusal.js';
+import {
+  refusal,
+  type Refusal,
+  RefusalError,
+  type RefusalReason,
+} from './refusal.js';
 import {type Settler} from './settler.js';
 
 /** A request that may be sent now. */
@@ -53,6 +58,9 @@
   concurrencyLimited: 'concurrencyLimited',
 };
 
+/** Pause between two looks for released amounts, in milliseconds. */
+const releasePollMilliseconds = 100;
+
 /** Opens requests durably. */
 export class Opener {
   constructor(
@@ -61,11 +69,34 @@
   ) {}
 
   /**
-   * Opens a request.
+   * Opens a request. Where the budget is exhausted only by amounts that may
+   * yet be released, it waits for them for a time.
    *
+   * @param waitMilliseconds Longest such wait, from the contract.
    * @throws RefusalError where it may not run.
    */
-  async open(request: OpenRequest, context: Context): Promise<Opening> {
+  async open(
+    request: OpenRequest,
+    context: Context,
+    waitMilliseconds: number,
+  ): Promise<Opening> {
+    const {now} = this.dependencies;
+    const deadline = now() + waitMilliseconds;
+    for (;;) {
+      try {
+        return await this.openOnce(request, context);
+      } catch (error) {
+        const remaining = deadline - now();
+        if (remaining <= 0 || !mayBeCovered(error, request)) throw error;
+        await pause(Math.min(remaining, releasePollMilliseconds));
+      }
+    }
+  }
+
+  private async openOnce(
+    request: OpenRequest,
+    context: Context,
+  ): Promise<Opening> {
     const {tracing, metrics, now, ledger} = this.dependencies;
     const startedAt = now();
     try {
@@ -188,6 +219,24 @@
   }
 }
 
+/** Whether releases of other requests could cover a refused one. */
+function mayBeCovered(error: unknown, {maximumCost}: OpenRequest): boolean {
+  if (!(error instanceof RefusalError)) return false;
+  const {reason, detail} = error as Refusal;
+  if (reason !== 'budgetExhausted') return false;
+  const {available = 0, reserved = 0} = (detail.inputs ?? {}) as {
+    available?: number;
+    reserved?: number;
+  };
+  return reserved > 0 && available + reserved >= maximumCost;
+}
+
+function pause(milliseconds: number): Promise<void> {
+  return new Promise(resolve => {
+    setTimeout(resolve, milliseconds);
+  });
+}
+
 function refusalFor(result: RefusedResult): Refusal {
   const reason = reasonTable[result.code] ?? 'internalError';
   const {available, reserved, recallable, code, retryAfterMilliseconds} =
--- a/packages/daemon/src/requests/serviceHandler.ts
+++ b/packages/daemon/src/requests/serviceHandler.ts
@@ -218,6 +218,7 @@
         traceId: this.scope.traceId,
       },
       this.template.context,
+      caller.view.contract.partition.exhaustionWaitMilliseconds,
     );
   }
 
--- a/packages/daemon/tests/requests/failures.test.ts
+++ b/packages/daemon/tests/requests/failures.test.ts
@@ -155,3 +155,34 @@
     expect(answer.headers.get('retry-after')).toBe('1');
   });
 });
+
+describe('an exhausted budget', () => {
+  const cases = [
+    {wait: 0, statuses: [200, 402]},
+    {wait: 5000, statuses: [200, 200]},
+  ];
+  it.each(cases)(
+    'waits $wait ms for a reservation',
+    async ({wait, statuses}) => {
+      // The budget covers one reservation and two answers.
+      await start(
+        {kind: 'none'},
+        {
+          contract: {
+            budget: {prepaid: 320, currency: 'CAD'},
+            partition: {
+              servingSeconds: 0,
+              grantPercent: 0,
+              exhaustionWaitMilliseconds: wait,
+            },
+          },
+        },
+      );
+      const answers = await Promise.all([
+        fixture.chat({max_tokens: 64}),
+        fixture.chat({max_tokens: 64}),
+      ]);
+      expect(answers.map(({status}) => status).sort()).toEqual(statuses);
+    },
+  );
+});
