--- a/packages/bench/src/system/benchCluster.ts
+++ b/packages/bench/src/system/benchCluster.ts
@@ -142,8 +142,9 @@
         '/backends',
       );
       if (backends.length >= count) break;
-      if (Date.now() > deadline)
+      if (Date.now() > deadline) {
         throw new Error(`${name} misses backend servers`);
+      }
       await pause(pollMilliseconds);
     }
   }
--- a/packages/bench/src/system/metricsSink.ts
+++ b/packages/bench/src/system/metricsSink.ts
@@ -14,7 +14,7 @@
     this.socket.on('message', message => this.receive(message.toString()));
     return new Promise(resolve => {
       this.socket.bind(0, '127.0.0.1', () => {
-        resolve((this.socket.address() as AddressInfo).port);
+        resolve(this.socket.address().port);
       });
     });
   }
