--- a/packages/bench/src/system/metricsSink.ts
+++ b/packages/bench/src/system/metricsSink.ts
@@ -2,7 +2,6 @@
  * @fileoverview Receives the daemons' StatsD metrics and sums their counters.
  */
 import {createSocket, type Socket} from 'node:dgram';
-import {type AddressInfo} from 'node:net';
 
 /** Sums of counters by metric and instance. */
 export class MetricsSink {
