--- a/packages/consensus/tests/durability.test.ts
+++ b/packages/consensus/tests/durability.test.ts
@@ -40,8 +40,10 @@
   storage!: CrashableStorage;
   readonly time = new VirtualTime();
   /** Newest entry that each peer takes. */
-  readonly limits: Record<string, number> = {b: 1, c: 1};
+  readonly limits: Record<string, number> = {b: 1, c: 1, d: 1};
   applyMilliseconds = 0;
+  /** The peer that no longer answers. */
+  silent = '';
   /** Kinds of the messages sent so far. */
   readonly sent: string[] = [];
   private isHeld = false;
@@ -106,6 +108,7 @@
     message: ConsensusMessage,
   ): Promise<ConsensusReply> {
     const {term} = message as {term: number};
+    if (id === this.silent) await new Promise(() => undefined);
     const isPreVote = message.kind === 'vote' && message.preVote;
     this.sent.push(isPreVote ? 'preVote' : message.kind);
     if (message.kind === 'vote') {
@@ -212,6 +215,25 @@
   expect(fixture.replica.status().commitIndex).toBe(3);
 });
 
+it('promotes a learner only while it answers', async () => {
+  const fixture = await (await new Fixture().open()).lead();
+  const {replica, limits, time} = fixture;
+  Object.assign(limits, {b: 99, d: 99});
+  await time.run(300);
+  const addition = replica.addLearner({...members[0]!, id: 'd'});
+  await time.run(300);
+  await addition;
+  fixture.silent = 'd';
+  await time.run(1_100);
+  await expect(replica.promote('d')).rejects.toThrow(/not answered lately/);
+  fixture.silent = '';
+  await time.run(600);
+  const promotion = replica.promote('d');
+  await time.run(300);
+  await promotion;
+  expect(replica.status().members[3]).toMatchObject({id: 'd', role: 'voter'});
+});
+
 it('applies a long backlog in turns', async () => {
   const fixture = await new Fixture().open();
   const entries = [3, 4, 5, 6].map(index => ({...oldEntry, index}));
