--- a/packages/consensus/tests/replica.test.ts
+++ b/packages/consensus/tests/replica.test.ts
@@ -185,6 +185,25 @@
   await vi.waitFor(() => expect(added.applied.at(-1)).toBe('after'));
 });
 
+it('works alone, and grows from one replica to three', async () => {
+  const group = new Group();
+  await group.found('a');
+  const {replica} = await group.leader();
+  expect(await replica.propose([1])).toEqual([1]);
+  await replica.barrier();
+  for (const instance of ['b', 'c']) {
+    const added = await group.open(instance);
+    added.replica.start();
+    await replica.addLearner(added.member);
+    await vi.waitFor(() => replica.promote(added.member.id));
+  }
+  await replica.propose([2]);
+  await group.stop('a');
+  const next = await group.leader();
+  await next.replica.barrier();
+  expect(next.applied).toEqual([1, 2]);
+});
+
 it('hands leadership over', async () => {
   const group = new Group();
   await group.found('a', 'b', 'c');
