fix(ledger): a grant where money is short; recall as few grants as will do

The room is now at most half of the balance. The client recalled every grant at once, which leaves routers without one; it now asks the largest that cover the request, then the others.

--- a/packages/bench/src/money/ledgerAdmission.ts
+++ b/packages/bench/src/money/ledgerAdmission.ts
@@ -5,7 +5,12 @@
  * per customer, sized by its demand, and spends it only while it is cut off;
  * what connected routers hold is recalled before a request is refused.
  */
-import {Ledger, scopedKey, sizeGrant} from '@dogwoodtrestle/ledger';
+import {
+  grantsToRecall,
+  Ledger,
+  scopedKey,
+  sizeGrant,
+} from '@dogwoodtrestle/ledger';
 import {
   type Command,
   type JournalRecord,
@@ -86,10 +91,10 @@
     const result = this.open(request);
     if (result.kind === 'opened') return true;
     if (result.kind !== 'refused') return false;
-    const recallable = [...(result.recallable ?? [])];
-    recallable.sort((a, b) => b.remaining - a.remaining);
-    // As few grants as will do, since a router without one can't be cut off.
-    return recallable.some(
+    const few = grantsToRecall(result, maximumCost);
+    // A grant on which requests run can't be returned, so others may have to.
+    const all = [...few, ...(result.recallable ?? [])];
+    return all.some(
       ({grantId}) =>
         this.recall(grantId) && this.open(request).kind === 'opened',
     );
--- a/packages/daemon/src/ledgerClient/ledgerClient.ts
+++ b/packages/daemon/src/ledgerClient/ledgerClient.ts
@@ -5,6 +5,7 @@
  * together in the next one. A call that fails goes to the next known ledger
  * instance, until the command's deadline.
  */
+import {grantsToRecall} from '@dogwoodtrestle/ledger';
 import {
   type Command,
   type GrantHolder,
@@ -138,8 +139,25 @@
    *     TypeError on an invalid command, which would spoil its whole batch.
    */
   async submit(command: Command): Promise<Result> {
-    const result = await this.enqueue(checkCommand(command));
-    const holders = recallableOf(command, result);
+    const first = await this.enqueue(checkCommand(command));
+    if (command.kind !== 'openRequest' || first.kind !== 'refused') {
+      return first;
+    }
+    const few = grantsToRecall(first, command.maximumCost);
+    const second = await this.recallAndRetry(command, first, few);
+    if (second.kind !== 'refused') return second;
+    // Those may be in use or out of reach, so the others are asked as well.
+    const rest = (second.recallable ?? []).filter(
+      ({grantId}) => !few.some(asked => asked.grantId === grantId),
+    );
+    return this.recallAndRetry(command, second, rest);
+  }
+
+  private async recallAndRetry(
+    command: Command,
+    result: Result,
+    holders: GrantHolder[],
+  ): Promise<Result> {
     if (holders.length === 0) return result;
     const recalled = await this.options.recall(holders);
     return recalled ? this.enqueue(command) : result;
@@ -344,12 +362,6 @@
   }
 }
 
-/** Grants that stand in the way of a request. */
-function recallableOf(command: Command, result: Result): GrantHolder[] {
-  if (command.kind !== 'openRequest' || result.kind !== 'refused') return [];
-  return result.recallable ?? [];
-}
-
 function markUnknown(batch: PendingCommand[]): void {
   for (const pending of batch) pending.outcome = 'unknown';
 }
--- a/packages/daemon/tests/ledgerClient.test.ts
+++ b/packages/daemon/tests/ledgerClient.test.ts
@@ -1,5 +1,6 @@
 import {
   type Command,
+  type GrantHolder,
   type Result,
   type SubmitReply,
 } from '@dogwoodtrestle/schema';
@@ -14,8 +15,10 @@
   call: number,
 ) => SubmitReply | Error;
 
+type Recall = (holders: GrantHolder[]) => Promise<boolean>;
+
 /** A client whose calls are answered by a script; `probe` calls count too. */
-function clientOf(script: Script) {
+function clientOf(script: Script, recall?: Recall) {
   const calls: Array<{address: string; commands: Command[]}> = [];
   const client = new LedgerClient({
     calls: {
@@ -33,6 +36,7 @@
     submitTimeoutMilliseconds: 150,
     retryMilliseconds: 5,
     probeMilliseconds: 20,
+    ...(recall === undefined ? {} : {recall}),
   });
   return {client, calls};
 }
@@ -87,6 +91,31 @@
     expect(answer).toMatchObject({kind: 'duplicate'});
   });
 
+  it('recalls as few grants as will do, and the others if need be', async () => {
+    const recallable = [10, 400, 30].map(remaining => ({
+      grantId: `g${remaining}`,
+      holder: 'two',
+      remaining,
+    }));
+    const refused: Result = {
+      kind: 'refused',
+      code: 'budgetExhausted',
+      available: 0,
+      recallable,
+    };
+    const recalled: string[][] = [];
+    const {client} = clientOf(
+      (_address, commands) => results(commands.map(() => refused)),
+      async holders => {
+        recalled.push(holders.map(({grantId}) => grantId));
+        return true;
+      },
+    );
+    const answer = await client.submit(openCommand());
+    expect(answer).toMatchObject({code: 'budgetExhausted'});
+    expect(recalled).toEqual([['g400'], ['g10', 'g30']]);
+  });
+
   it('leaves a duplicate that was answered at once', async () => {
     const {client} = clientOf((_address, commands) =>
       results(commands.map(() => duplicate())),
--- a/packages/ledger/src/grantSizing.ts
+++ b/packages/ledger/src/grantSizing.ts
@@ -4,7 +4,8 @@
  * A grant should cover the demand of its holder for as long as it may serve
  * cut off. While money is short it takes at most an even part of what may be
  * out in grants, and leaves what the connected holders will need until the
- * next renewal; else every request would have to recall a grant.
+ * next renewal, or half of the balance where that is more; else every
+ * request would have to recall a grant.
  */
 import {percentOf} from './util/percentOf.js';
 
@@ -36,7 +37,8 @@
   const most = Math.floor(percentOf(balance, demand.grantPercent) / holders);
   // Requests reserve more than they cost, so one of them fits on top.
   const wanted = Math.ceil(demandPerSecond * servingSeconds) + largest;
-  const connected =
-    Math.ceil(demandPerSecond * holders * connectedSeconds) + largest;
-  return Math.max(0, Math.min(wanted, most, available - connected));
+  const connected = demandPerSecond * holders * connectedSeconds + largest;
+  const room = Math.max(0, available - Math.ceil(connected));
+  const half = Math.floor(available / 2);
+  return Math.max(0, Math.min(wanted, most, Math.max(room, half)));
 }
--- a/packages/ledger/src/index.ts
+++ b/packages/ledger/src/index.ts
@@ -7,6 +7,7 @@
 } from './changeDirection.js';
 export {checkContract, maximumBudget} from './checkContract.js';
 export {InvariantBreach, LedgerError} from './errors.js';
+export {grantsToRecall} from './grantsToRecall.js';
 export {type GrantDemand, sizeGrant} from './grantSizing.js';
 export {type CommandContext, type CustomerGrant, Ledger} from './ledger.js';
 export {defaultOptions, type LedgerOptions} from './ledgerOptions.js';
