--- a/packages/routing/src/utilisation.ts
+++ b/packages/routing/src/utilisation.ts
@@ -13,38 +13,72 @@
   entry: BackendEntry;
   /** Expected load with one more request, as a share of the capacity. */
   utilisation: number;
+  /** The same with the report taken at its word. */
+  reportedUtilisation: number;
 }
 
 const smallestWeight = 0.01;
 
+/** A server that may be chosen, with the weight of its health. */
+export interface UsableBackend {
+  entry: BackendEntry;
+  weight: number;
+}
+
 /** @param reportTrust Share of the reported differences that counts. */
 export function utilisations(
-  entries: readonly BackendEntry[],
-  input: ChoiceInput,
+  usable: readonly UsableBackend[],
+  {inFlight, correction}: Pick<ChoiceInput, 'inFlight' | 'correction'>,
   {reportTrust}: {reportTrust: number},
 ): Utilisation[] {
-  const others = entries.map(entry => loadOfOthers(entry, input));
-  let load = 0;
-  let capacity = 0;
-  entries.forEach(({announcement}, index) => {
-    load += others[index]!;
-    capacity += announcement.load.capacity;
-  });
-  const mean = capacity > 0 ? load / capacity : 0;
-  return entries.map((entry, index) => {
-    const {name, load} = entry.announcement;
-    const typical = mean * load.capacity;
-    const expected = typical + reportTrust * (others[index]! - typical);
-    const weight = Math.max(input.health(name).weight, smallestWeight);
-    const utilisation =
-      (expected + input.inFlight(name) + 1) / (load.capacity * weight);
-    return {entry, utilisation};
+  const loads = usable.map(({entry}) =>
+    splitLoad(
+      entry,
+      inFlight(entry.announcement.name),
+      correction?.(entry) ?? 0,
+    ),
+  );
+  const mean = meanUtilisationByOthers(usable, loads);
+  return usable.map(({entry, weight}, index) => {
+    const {own, others} = loads[index]!;
+    const {capacity} = entry.announcement.load;
+    const typical = mean * capacity;
+    const expected = typical + reportTrust * (others - typical);
+    const usableCapacity = capacity * Math.max(weight, smallestWeight);
+    return {
+      entry,
+      utilisation: (expected + own + 1) / usableCapacity,
+      reportedUtilisation: (others + own + 1) / usableCapacity,
+    };
   });
 }
 
-/** The reported load without the own requests that were part of it. */
-function loadOfOthers(entry: BackendEntry, input: ChoiceInput): number {
-  const {name, load} = entry.announcement;
-  const ownThen = input.inFlight(name) - (input.correction?.(entry) ?? 0);
-  return Math.max(0, load.running + load.queued - ownThen);
+interface SplitLoad {
+  /** Own requests in flight now. */
+  own: number;
+  /** The reported load without the own requests that were part of it. */
+  others: number;
+}
+
+function splitLoad(
+  {announcement: {load}}: BackendEntry,
+  own: number,
+  correction: number,
+): SplitLoad {
+  const ownWhenReported = own - correction;
+  const others = Math.max(0, load.running + load.queued - ownWhenReported);
+  return {own, others};
+}
+
+function meanUtilisationByOthers(
+  usable: readonly UsableBackend[],
+  loads: readonly SplitLoad[],
+): number {
+  let load = 0;
+  let capacity = 0;
+  usable.forEach(({entry}, index) => {
+    load += loads[index]!.others;
+    capacity += entry.announcement.load.capacity;
+  });
+  return capacity > 0 ? load / capacity : 0;
 }
