--- a/features/budgets.feature
+++ b/features/budgets.feature
@@ -12,7 +12,7 @@
   @promise-budget @failure-partition
   Scenario: Both sides of a long partition spend until they are exhausted
     Given a cluster of 5 routers with 3 ledger replicas behind relays
-    And the customer "desk" with a budget of 60000 and these partition terms:
+    And the customer "desk" with a budget of 20000 and these partition terms:
       | servingSeconds | grantPercent |
       | 60             | 40           |
     And "desk" has asked r3 for 10 words 20 times
@@ -20,7 +20,8 @@
     And "desk" asks r3 for 10 words until refused
     Then at least 1 answer of r3 was whole during the partition
     When "desk" asks r1 for 10 words until refused
-    And the network heals
+    Then the last answer is refused as "budgetExhausted" and did not run
+    When the network heals
     Then the budget of "desk" holds after all grants are merged
     And "desk" has one bill for each whole answer
 
