--- a/packages/bench/src/main.ts
+++ b/packages/bench/src/main.ts
@@ -6,7 +6,13 @@
 import {Command} from 'commander';
 
 import {compareGrantTerms, compareMoney} from './money/index.js';
-import {comparePolicies} from './routing/index.js';
+import {
+  compareFaults,
+  compareOverloadAtPeak,
+  comparePolicies,
+  measureDecisions,
+  measureGossip,
+} from './routing/index.js';
 import {measureChanges} from './system/changesBench.js';
 import {measureControl} from './system/controlBench.js';
 import {measureOverhead} from './system/overheadBench.js';
@@ -20,7 +26,11 @@
 }
 
 /** Requests a second to the modelled fleet, up to its capacity. */
-const comparedRates = [10, 20, 30];
+const comparedRates = [40, 60, 75];
+
+const serverCounts = [12, 120, 1_100];
+const gossipInstanceCounts = [8, 50, 400];
+const gossipServerCounts = [12, 150, 1_100];
 
 /** Benches by name. */
 const benches: Record<string, Bench> = {
@@ -56,6 +66,22 @@
     description: 'the routing policy against baselines',
     run: () => comparePolicies(comparedRates),
   },
+  'routing-overload': {
+    description: 'the routing policy at twice the capacity',
+    run: () => compareOverloadAtPeak(),
+  },
+  'routing-faults': {
+    description: 'failing and fresh servers, and a popular prompt',
+    run: () => compareFaults(),
+  },
+  'routing-decision': {
+    description: 'time of one routing decision by the number of servers',
+    run: () => measureDecisions(serverCounts),
+  },
+  gossip: {
+    description: 'bytes and time of gossip as the cluster grows',
+    run: () => measureGossip(gossipInstanceCounts, gossipServerCounts),
+  },
   ledger: {
     description: 'cost of the ledger as budgets grow',
     run: () => measureLedgerSlopes(),
--- a/packages/bench/src/routing/faultBench.ts
+++ b/packages/bench/src/routing/faultBench.ts
@@ -82,17 +82,13 @@
   },
 ];
 
-/** Rows by scenario name. */
-export function compareFaults(
-  options: Partial<FleetOptions> = {},
-): Record<string, Row[]> {
-  return Object.fromEntries(
-    scenarios.map(scenario => [
-      scenario.name,
-      Object.entries(scenario.policies).map(([name, policy]) =>
-        rowOf(name, run(scenario, policy, options)),
-      ),
-    ]),
+/** One row for each scenario and policy, the full policy first. */
+export function compareFaults(options: Partial<FleetOptions> = {}): Row[] {
+  return scenarios.flatMap(scenario =>
+    Object.entries(scenario.policies).map(([name, policy]) => ({
+      scenario: scenario.name,
+      ...rowOf(name, run(scenario, policy, options)),
+    })),
   );
 }
 
--- a/packages/bench/src/routing/overloadBench.ts
+++ b/packages/bench/src/routing/overloadBench.ts
@@ -112,6 +112,13 @@
   };
 }
 
+const peakRates = [60, 70, 80, 90];
+
+/** The comparison at twice the peak of the full policy. */
+export function compareOverloadAtPeak(): Row[] {
+  return compareOverload(findPeak(fullPolicy, peakRates));
+}
+
 /** One row for each policy, all under the same load. */
 export function compareOverload(
   peak: Peak,
--- a/packages/bench/tests/routing.test.ts
+++ b/packages/bench/tests/routing.test.ts
@@ -29,9 +29,11 @@
   it(
     'answers all requests with a server failing and with a popular prompt',
     () => {
-      const tables = compareFaults();
-      for (const rows of Object.values(tables)) {
-        expect(rows[0]).toMatchObject({'no whole answer': 0});
+      const rows = compareFaults();
+      for (const scenario of new Set(rows.map(row => row['scenario']))) {
+        // The first row of a scenario is the full policy's.
+        const row = rows.find(each => each['scenario'] === scenario);
+        expect(row).toMatchObject({'no whole answer': 0});
       }
     },
     timeout,
