--- a/packages/bench/src/main.ts
+++ b/packages/bench/src/main.ts
@@ -5,6 +5,7 @@
 
 import {Command} from 'commander';
 
+import {measureConsensus} from './consensus/consensusBench.js';
 import {compareGrantTerms, compareMoney} from './money/index.js';
 import {
   compareFaults,
@@ -82,6 +83,10 @@
     description: 'bytes and time of gossip as the cluster grows',
     run: () => measureGossip(gossipInstanceCounts, gossipServerCounts),
   },
+  consensus: {
+    description: 'commands a second through three replicas on one disk',
+    run: async () => (await measureConsensus()).map(row => ({...row})),
+  },
   ledger: {
     description: 'cost of the ledger as budgets grow',
     run: () => measureLedgerSlopes(),
