--- a/packages/consensus/tests/durability.test.ts
+++ b/packages/consensus/tests/durability.test.ts
@@ -215,6 +215,23 @@
   expect(fixture.replica.status().commitIndex).toBe(3);
 });
 
+it('confirms a read only by a message sent after it came in', async () => {
+  const fixture = await (await new Fixture().open()).lead();
+  const {replica, limits, time} = fixture;
+  limits['b'] = 3;
+  await time.run(300);
+  void replica.propose(['x']);
+  const read = replica.barrier();
+  limits['b'] = 4;
+  fixture.silent = 'b'; // answers what it has got, and nothing more
+  await time.run(50);
+  expect(replica.status().commitIndex).toBe(4);
+  expect(await isSettled(read)).toBe(false);
+  fixture.silent = '';
+  await time.run(700);
+  expect(await read).toBe(3);
+});
+
 it('promotes a learner only while it answers', async () => {
   const fixture = await (await new Fixture().open()).lead();
   const {replica, limits, time} = fixture;
