--- a/packages/consensus/tests/durability.test.ts
+++ b/packages/consensus/tests/durability.test.ts
@@ -192,6 +192,15 @@
   expect(await repeated).toMatchObject({success: true, matchIndex: 3});
 });
 
+it('commits no entry that the leader has not confirmed', async () => {
+  const {replica} = await new Fixture().open();
+  const previous = {previousIndex: 1, previousTerm: 1};
+  const heartbeat = {...append, ...previous, entries: [], commitIndex: 2};
+  const reply = await replica.receive(heartbeat);
+  expect(reply).toMatchObject({success: true, matchIndex: 1});
+  expect(replica.status().commitIndex).toBe(1);
+});
+
 it('counts its own copy only once it is durable', async () => {
   const fixture = await (await new Fixture().open()).lead();
   fixture.hold();
@@ -240,8 +249,10 @@
   const addition = replica.addLearner({...members[0]!, id: 'd'});
   await time.run(300);
   await addition;
-  fixture.silent = 'd';
+  fixture.silent = 'd'; // commits need no learner
+  const results = replica.propose(['x']);
   await time.run(1_100);
+  expect(await isSettled(results)).toBe(true);
   await expect(replica.promote('d')).rejects.toThrow(/not answered lately/);
   fixture.silent = '';
   await time.run(600);
