--- a/packages/ledger/src/audit/auditHistory.ts
+++ b/packages/ledger/src/audit/auditHistory.ts
@@ -49,7 +49,6 @@
   private readonly bills = new Map<string, Bill>();
   /** All bills, by key and entry. */
   private readonly madeBills = new Map<string, Bill>();
-  private readonly changes = new Set<string>();
   /** Customers whose balance has been compared. */
   private readonly compared = new Set<string>();
   private readonly findings: AuditFinding[] = [];
@@ -128,9 +127,15 @@
     }
     const command = validation.value;
     const {index, timestamp} = entry;
+    const context = {index, timestamp};
     try {
-      const result = this.ledger.apply(command, {index, timestamp});
-      this.enterResult(index, command, result);
+      // Ids that are past their retention are forgotten first.
+      this.ledger.apply({kind: 'advanceTime'}, context);
+      const isResend =
+        'changeId' in command &&
+        this.ledger.change(command.changeId) !== undefined;
+      const result = this.ledger.apply(command, context);
+      this.enterResult(index, command, result, isResend);
     } catch (error) {
       // Nothing can be decided after a breach, so the rest is not entered.
       this.stopped = true;
@@ -138,9 +143,16 @@
     }
   }
 
-  private enterResult(index: number, command: Command, result: Result): void {
+  private enterResult(
+    index: number,
+    command: Command,
+    result: Result,
+    isResend: boolean,
+  ): void {
     for (const bill of this.ledger.takeBills()) this.enterBill(index, bill);
-    if (result.kind === 'change') this.enterChange(index, command, result);
+    if (result.kind === 'change' && !isResend) {
+      this.enterChange(index, command, result);
+    }
     if (result.kind === 'opened' && command.kind === 'openRequest') {
       this.checked.opens++;
       const book = this.bookOf(command.customer, index);
@@ -164,9 +176,7 @@
     command: Command,
     result: Extract<Result, {kind: 'change'}>,
   ): void {
-    const isResend = this.changes.has(result.changeId);
-    this.changes.add(result.changeId);
-    if (isResend || result.state === 'rejected') return;
+    if (result.state === 'rejected') return;
     const book = this.bookOf(result.customer, index);
     if (command.kind === 'topUp') {
       this.checked.topUps++;
--- a/packages/ledger/tests/audit.test.ts
+++ b/packages/ledger/tests/audit.test.ts
@@ -189,6 +189,36 @@
     expect(audit(altered).findings).toContainEqual(finding);
   });
 
+  it('counts a change id that is used again after its retention', () => {
+    const options = {changeRetentionMilliseconds: 1000};
+    const topUp: Command = {
+      kind: 'topUp',
+      changeId: 't',
+      operator: 'ann',
+      customer: 'barley',
+      amount: 50,
+    };
+    const fixture = new LedgerFixture(options);
+    const steps: Array<[Command, number]> = [
+      [applyOf('first', 0), 0],
+      [topUp, 0],
+      [topUp, 500],
+      [topUp, 501],
+    ];
+    const entries = steps.map(([command, later], position) => {
+      fixture.apply(command, later);
+      const index = position + 1;
+      const timestamp = fixture.now;
+      return {index, term: 1, timestamp, kind: 'commands', commands: [command]};
+    });
+    const budgets = fixture.ledger.budgets();
+    expect(budgets).toMatchObject([{toppedUp: 100}]);
+    expect(auditHistory(entries, {budgets}, options)).toMatchObject({
+      checked: {topUps: 2},
+      findings: [],
+    });
+  });
+
   it('audits a cluster that goes on working', () => {
     const {entries, evidence} = books();
     const early = new LedgerFixture();
--- a/packages/ledger/tests/ledger.property.test.ts
+++ b/packages/ledger/tests/ledger.property.test.ts
@@ -8,7 +8,7 @@
 import fc from 'fast-check';
 import {describe, expect, it} from 'vitest';
 
-import {Ledger} from '@dogwoodtrestle/ledger';
+import {auditHistory, Ledger} from '@dogwoodtrestle/ledger';
 
 import {
   applyOf,
@@ -282,6 +282,16 @@
       JSON.parse(JSON.stringify(ledger.snapshot()));
     expect(plain(copy)).toEqual(plain(this.ledger));
     expect(plain(this.twin)).toEqual(plain(this.ledger));
+    const entries = this.history.map(({command, timestamp}, position) => ({
+      index: position + 1,
+      term: 1,
+      timestamp,
+      kind: 'commands',
+      commands: [command],
+    }));
+    const budgets = this.ledger.budgets();
+    const bills = [...this.model.values()].flatMap(account => account.bills);
+    expect(auditHistory(entries, {budgets, bills}).findings).toEqual([]);
     const views = (ledger: Ledger): unknown => [
       ledger.changesSince(0),
       ledger.budgets(),
