--- a/packages/daemon/src/control/context.ts
+++ b/packages/daemon/src/control/context.ts
@@ -10,6 +10,7 @@
 } from '@dogwoodtrestle/schema';
 
 import {JournalStore} from '../grants/journalStore.js';
+import {BillFetcher} from '../ledgerHost/billFetcher.js';
 import {LedgerHost} from '../ledgerHost/ledgerHost.js';
 import {ownPeerAddress} from '../membership/membership.js';
 import {InstanceCalls} from '../peer/instanceCalls.js';
@@ -114,11 +115,8 @@
   return context;
 }
 
-async function openHost({
-  options,
-  ownAddress,
-  calls,
-}: Context): Promise<LedgerHost | undefined> {
+async function openHost(context: Context): Promise<LedgerHost | undefined> {
+  const {options, ownAddress, calls} = context;
   const {settings, clock, logger, metrics, onReplicaFailure} = options;
   const {roles, dataFolder, name} = settings.instance;
   if (!roles.includes('ledger') || dataFolder === undefined) return undefined;
@@ -128,6 +126,7 @@
     address: ownAddress,
     settings: settings.ledger,
     send: (to, message) => calls.receive(to.address, message),
+    fetchBills: gap => billFetcherOf(context).fetch(gap),
     onFailure: onReplicaFailure,
     clock,
     logger,
@@ -135,6 +134,17 @@
   });
 }
 
+/** Asks the other members of the group. */
+function billFetcherOf({calls, ownAddress, host}: Context): BillFetcher {
+  return new BillFetcher({
+    addresses: () =>
+      (host?.replica.status().members ?? [])
+        .map(({address}) => address)
+        .filter(address => address !== ownAddress),
+    ask: (address, request) => calls.archivedBills(address, request),
+  });
+}
+
 /** Identity of this instance, for founding and repair. */
 export function identityOf(context: Context): PeerIdentity {
   const {options, incarnation, ownAddress, host} = context;
--- a/packages/daemon/src/ledgerHost/billArchive.ts
+++ b/packages/daemon/src/ledgerHost/billArchive.ts
@@ -3,7 +3,9 @@
  *
  * The archive follows from the replicated log: bills after the newest snapshot
  * are made again when a replica restarts. So it is synced only when a snapshot
- * is taken, and cut back to the snapshot when one is restored.
+ * is taken, and cut back to the snapshot when one is restored. A snapshot that
+ * came from another replica leaves a gap, which is filled from the archives of
+ * the others; until then bills can't be read here.
  */
 import {
   closeSync,
@@ -17,6 +19,8 @@
 
 import {type Bill} from '@dogwoodtrestle/schema';
 
+import {BaseError, type ErrorClass} from '../util/baseError.js';
+
 /** Which bills to read. */
 export interface BillFilter {
   customer?: string;
@@ -27,20 +31,30 @@
   limit?: number;
 }
 
-interface StoredBill {
-  bill: Bill;
-  /** Offset behind the bill's line, in bytes. */
-  end: number;
+/** Log entries whose bills are lacking. */
+export interface BillGap {
+  after: number;
+  until: number;
 }
 
+/** The archive lacks bills that another replica has. */
+export const BillsIncompleteError: ErrorClass = BaseError.subclass(
+  'BillsIncompleteError',
+);
+
+/** A line is a bill, or tells through which entry the lines are complete. */
+type ArchiveLine = {bill: Bill} | {through: number};
+
 const defaultLimit = 1000;
 
-/** Append-only file with one bill a line. */
+/** Append-only file of bills. */
 export class BillArchive {
   private readonly descriptor: number;
   private buffered: string[] = [];
-  /** Highest log index whose bills the archive holds. */
+  /** Bills made while there is a gap, which come behind it. */
+  private held: Bill[] = [];
   private newestIndex = 0;
+  private openGap: BillGap | undefined;
 
   private constructor(private readonly file: string) {
     this.descriptor = openSync(file, 'a');
@@ -57,24 +71,67 @@
     return archive;
   }
 
+  /** The entries whose bills are lacking, if there are any. */
+  get gap(): BillGap | undefined {
+    return this.openGap;
+  }
+
   /** Adds the bills of one log entry. Entries already held are skipped. */
   append(bills: Bill[]): void {
+    if (this.openGap !== undefined) {
+      this.held.push(...bills);
+      return;
+    }
     const fresh = bills.filter(({index}) => index > this.newestIndex);
-    for (const bill of fresh) this.buffered.push(`${JSON.stringify(bill)}\n`);
+    for (const bill of fresh) this.write({bill});
     this.newestIndex = fresh.at(-1)?.index ?? this.newestIndex;
   }
 
-  /** Makes everything appended so far durable. */
-  sync(): void {
+  /** Takes in that the ledger was replaced by a snapshot at a log index. */
+  skipTo(index: number): void {
+    const after = this.openGap?.after ?? this.newestIndex;
+    this.openGap = {after, until: index};
+    this.held = [];
+  }
+
+  /** Adds all bills of the gap, and what was made since. */
+  fill(bills: Bill[]): void {
+    const until = this.openGap?.until ?? 0;
+    const {held} = this;
+    this.openGap = undefined;
+    this.held = [];
+    this.append(bills);
+    this.newestIndex = Math.max(this.newestIndex, until);
+    this.append(held);
+  }
+
+  /**
+   * Makes everything appended so far durable.
+   *
+   * @param index Log index through which all bills have been appended.
+   */
+  sync(index: number): void {
+    if (this.openGap === undefined) this.write({through: index});
     this.flush();
     fsyncSync(this.descriptor);
   }
 
-  /** Reads bills, oldest first. */
+  /**
+   * Reads bills, oldest first.
+   *
+   * @throws BillsIncompleteError while there is a gap.
+   */
   async read(filter: BillFilter): Promise<Bill[]> {
     const {customer, since = 0, after = 0, limit = defaultLimit} = filter;
+    if (this.openGap !== undefined) {
+      throw new BillsIncompleteError(
+        'bills are still being fetched from another replica',
+      );
+    }
     const found: Bill[] = [];
-    for await (const {bill} of this.stored()) {
+    for await (const {line} of this.stored()) {
+      if (!('bill' in line)) continue;
+      const {bill} = line;
       const matches =
         (customer === undefined || bill.customer === customer) &&
         bill.settledAt >= since &&
@@ -87,18 +144,27 @@
 
   /** Syncs and closes the file. */
   close(): void {
-    this.sync();
+    this.flush();
+    fsyncSync(this.descriptor);
     closeSync(this.descriptor);
   }
 
   private async cutAfter(index: number): Promise<void> {
     let length = 0;
-    for await (const {bill, end} of this.stored()) {
-      if (bill.index > index) break;
+    let through = 0;
+    for await (const {line, end} of this.stored()) {
+      if ('through' in line) through = line.through;
+      else if (line.bill.index > index) break;
+      else this.newestIndex = line.bill.index;
       length = end;
-      this.newestIndex = bill.index;
     }
     ftruncateSync(this.descriptor, length);
+    if (through < index) this.openGap = {after: through, until: index};
+    this.newestIndex = Math.max(this.newestIndex, through);
+  }
+
+  private write(line: ArchiveLine): void {
+    this.buffered.push(`${JSON.stringify(line)}\n`);
   }
 
   private flush(): void {
@@ -107,23 +173,23 @@
     this.buffered = [];
   }
 
-  private async *stored(): AsyncGenerator<StoredBill> {
+  private async *stored(): AsyncGenerator<{line: ArchiveLine; end: number}> {
     this.flush();
     const input = createReadStream(this.file);
     let end = 0;
-    for await (const line of createInterface({input})) {
-      end += Buffer.byteLength(line) + 1;
-      const bill = parseBill(line);
-      if (bill === undefined) break;
-      yield {bill, end};
+    for await (const text of createInterface({input})) {
+      end += Buffer.byteLength(text) + 1;
+      const line = parseLine(text);
+      if (line === undefined) break;
+      yield {line, end};
     }
   }
 }
 
 /** Returns undefined for a line that was torn by a crash. */
-function parseBill(line: string): Bill | undefined {
+function parseLine(text: string): ArchiveLine | undefined {
   try {
-    return JSON.parse(line) as Bill;
+    return JSON.parse(text) as ArchiveLine;
   } catch {
     return undefined;
   }
--- a/packages/daemon/src/ledgerHost/ledgerHost.ts
+++ b/packages/daemon/src/ledgerHost/ledgerHost.ts
@@ -12,6 +12,9 @@
 } from '@dogwoodtrestle/consensus';
 import {Ledger} from '@dogwoodtrestle/ledger';
 import {
+  type Bill,
+  type BillsReply,
+  type BillsRequest,
   type ChangesReply,
   type ChangesRequest,
   type Command,
@@ -35,7 +38,7 @@
 import {type Metrics, silentMetrics} from '../util/metrics.js';
 import {PeriodicTask} from '../util/periodicTask.js';
 import {BarrierQueue} from './barrierQueue.js';
-import {BillArchive} from './billArchive.js';
+import {BillArchive, type BillGap} from './billArchive.js';
 import {answerQuery} from './ledgerQueries.js';
 import {LedgerStateMachine} from './ledgerStateMachine.js';
 import {QuorumAge} from './quorumAge.js';
@@ -51,6 +54,8 @@
   settings: Settings['ledger'];
   /** Delivers a consensus message; rejects if it can't. */
   send: (to: Member, message: ConsensusMessage) => Promise<ConsensusReply>;
+  /** Fetches bills that other replicas have archived. */
+  fetchBills?: (gap: BillGap) => Promise<Bill[] | undefined>;
   /** Called once if the replica stops because of an error. */
   onFailure?: (error: unknown) => void;
   clock?: Clock;
@@ -61,6 +66,7 @@
 }
 
 const defaultOptions = {
+  fetchBills: async () => undefined,
   onFailure: () => {},
   clock: systemClock,
   logger: silentLogger,
@@ -69,6 +75,7 @@
 };
 
 const millisecondsPerSecond = 1000;
+const billsPerPage = 10_000;
 
 /** Replica, ledger and bills of one instance. */
 export class LedgerHost implements ReplicaCalls {
@@ -112,9 +119,10 @@
       ledger,
       clock: options.clock,
       onBills: made => archive.bills?.append(made),
-      syncBills: () => archive.bills?.sync(),
+      syncBills: index => archive.bills?.sync(index),
       onRestore: index => {
         restoredIndex = index;
+        archive.bills?.skipTo(index);
       },
     });
     const {id, replica} = await openReplica(options, storage, machine);
@@ -206,6 +214,15 @@
     };
   }
 
+  /** Bills of log entries, if all of them are archived here. */
+  async archivedBills({after, until}: BillsRequest): Promise<BillsReply> {
+    const isComplete =
+      this.bills.gap === undefined && this.machine.appliedIndex >= until;
+    if (!isComplete) return {};
+    const page = await this.bills.read({after, limit: billsPerPage});
+    return {bills: wholeEntries(page, until)};
+  }
+
   /** The replica as operators see it. */
   view(): ReplicaView {
     const {id, role, term, leader, commitIndex, lastApplied, members} =
@@ -238,6 +255,7 @@
 
   private async advanceTime(): Promise<void> {
     this.report();
+    await this.fillBills();
     if (!this.isLeader) return;
     const expiry = this.ledger.nextExpiry();
     if (expiry === undefined) return;
@@ -249,6 +267,17 @@
     }
   }
 
+  /** Fetches the bills that a snapshot of another replica has skipped. */
+  private async fillBills(): Promise<void> {
+    const {gap} = this.bills;
+    if (gap === undefined) return;
+    const bills = await this.options.fetchBills(gap);
+    // Another snapshot may have come meanwhile.
+    if (bills === undefined || this.bills.gap !== gap) return;
+    this.bills.fill(bills);
+    this.options.logger.info({gap, bills: bills.length}, 'bills fetched');
+  }
+
   private report(): void {
     const {term, commitIndex, lastApplied, role} = this.replica.status();
     const {metrics} = this.options;
@@ -300,3 +329,9 @@
 function isNotProposed(error: unknown): boolean {
   return error instanceof NotLeader || error instanceof Stopped;
 }
+
+/** Leaves out the last entry of a full page, whose bills may go on. */
+function wholeEntries(page: Bill[], until: number): Bill[] {
+  const last = page.length === billsPerPage ? page.at(-1)?.index : undefined;
+  return page.filter(({index}) => index <= until && index !== last);
+}
--- a/packages/daemon/src/ledgerHost/ledgerStateMachine.ts
+++ b/packages/daemon/src/ledgerHost/ledgerStateMachine.ts
@@ -25,8 +25,8 @@
   clock: Clock;
   /** Takes the bills of one applied entry. */
   onBills: (bills: Bill[]) => void;
-  /** Makes all bills taken so far durable. */
-  syncBills: () => void;
+  /** Makes all bills up to a log index durable. */
+  syncBills: (index: number) => void;
   /** Called when the state has been replaced by a snapshot. */
   onRestore: (index: number) => void;
 }
@@ -38,6 +38,11 @@
 
   constructor(private readonly options: LedgerStateMachineOptions) {}
 
+  /** Log index of the newest applied entry with commands. */
+  get appliedIndex(): number {
+    return this.index;
+  }
+
   /** Ledger time of the newest applied entry, in milliseconds. */
   get ledgerTime(): number {
     return this.options.ledger.now;
@@ -63,7 +68,7 @@
 
   snapshot(): LedgerSnapshotFile {
     // Bills are made again only from the snapshot on.
-    this.options.syncBills();
+    this.options.syncBills(this.index);
     return {index: this.index, ledger: this.options.ledger.snapshot()};
   }
 
--- a/packages/daemon/src/peer/instanceCalls.ts
+++ b/packages/daemon/src/peer/instanceCalls.ts
@@ -3,6 +3,8 @@
  */
 import {
   type AnswerRequest,
+  type BillsReply,
+  type BillsRequest,
   type ChangesReply,
   type ChangesRequest,
   type ConsensusMessage,
@@ -43,6 +45,7 @@
   changes: 1000,
   identity: 1000,
   view: 1000,
+  bills: 10_000,
   request: 1000,
   recall: 500,
   journal: 1000,
@@ -157,6 +160,13 @@
     );
   }
 
+  archivedBills(address: string, request: BillsRequest): Promise<BillsReply> {
+    const {client} = this.options;
+    return client.call(address, timeouts.bills, (calls, options) =>
+      calls.archivedBills.mutate(request, options),
+    );
+  }
+
   view(address: string): Promise<ReplicaView> {
     const timeout = timeouts.view;
     return this.local(
--- a/packages/daemon/src/peer/peerApi.ts
+++ b/packages/daemon/src/peer/peerApi.ts
@@ -6,6 +6,8 @@
  */
 import {
   type AnswerRequest,
+  type BillsReply,
+  type BillsRequest,
   type ChangesReply,
   type ChangesRequest,
   type ConsensusMessage,
@@ -47,6 +49,7 @@
   submit(request: SubmitRequest): Promise<SubmitReply>;
   query(request: QueryRequest): Promise<QueryReply>;
   changes(request: ChangesRequest): Promise<ChangesReply>;
+  archivedBills(request: BillsRequest): Promise<BillsReply>;
   /** The replica as operators see it. */
   view(): ReplicaView;
 }
@@ -104,6 +107,9 @@
     changes: trpc.procedure
       .input(parserOf('ChangesRequest'))
       .mutation(({input}) => replicaOf(handlers).changes(input)),
+    archivedBills: trpc.procedure
+      .input(parserOf('BillsRequest'))
+      .mutation(({input}) => replicaOf(handlers).archivedBills(input)),
     view: trpc.procedure.mutation(() => replicaOf(handlers).view()),
     gossip: trpc.procedure
       .input(parserOf('GossipRequest'))
--- /dev/null
+++ b/packages/daemon/tests/ledgerHost.test.ts
@@ -0,0 +1,177 @@
+import {appendFile} from 'node:fs/promises';
+import path from 'node:path';
+
+import {type Bill, type PeerIdentity} from '@dogwoodtrestle/schema';
+import {afterEach, describe, expect, it} from 'vitest';
+
+import {BarrierQueue} from '../src/ledgerHost/barrierQueue.js';
+import {BillArchive} from '../src/ledgerHost/billArchive.js';
+import {BillFetcher} from '../src/ledgerHost/billFetcher.js';
+import {foundCluster} from '../src/ledgerHost/founding.js';
+import {CleanUps, temporaryFolder} from './fixtures.js';
+
+const cleanUps = new CleanUps();
+
+afterEach(() => cleanUps.run());
+
+function billOf(index: number, customer = 'exchange'): Bill {
+  return {index, customer, settledAt: index * 10, cost: index} as Bill;
+}
+
+async function archiveFile(): Promise<string> {
+  return path.join(await temporaryFolder(cleanUps), 'bills.jsonl');
+}
+
+async function indexesIn(archive: BillArchive): Promise<number[]> {
+  return (await archive.read({})).map(({index}) => index);
+}
+
+describe('BillArchive', () => {
+  it('drops what comes after the snapshot, so that it is made again', async () => {
+    const file = await archiveFile();
+    const archive = await BillArchive.open(file, 0);
+    archive.append([billOf(1), billOf(1)]);
+    archive.append([billOf(2)]);
+    archive.sync(2);
+    archive.append([billOf(3)]);
+    archive.close();
+    await appendFile(file, '{"bill":{"ind');
+    const again = await BillArchive.open(file, 2);
+    expect(again.gap).toBeUndefined();
+    again.append([billOf(2)]);
+    again.append([billOf(3), billOf(3)]); // one of them had been written
+    expect(await indexesIn(again)).toEqual([1, 1, 2, 3, 3]);
+    expect(await again.read({since: 20, limit: 1})).toEqual([billOf(2)]);
+    expect(await again.read({customer: 'other'})).toEqual([]);
+    again.close();
+  });
+
+  it('is incomplete after a snapshot from elsewhere until it is filled', async () => {
+    const file = await archiveFile();
+    const archive = await BillArchive.open(file, 0);
+    archive.append([billOf(1)]);
+    archive.skipTo(5);
+    archive.append([billOf(6)]);
+    await expect(archive.read({})).rejects.toThrow('another replica');
+    archive.sync(6);
+    archive.close();
+    const again = await BillArchive.open(file, 6);
+    expect(again.gap).toEqual({after: 0, until: 6});
+    again.append([billOf(7)]);
+    again.fill([billOf(1), billOf(4), billOf(6)]);
+    expect(await indexesIn(again)).toEqual([1, 4, 6, 7]);
+    again.sync(7);
+    again.close();
+    expect((await BillArchive.open(file, 7)).gap).toBeUndefined();
+  });
+});
+
+describe('BillFetcher', () => {
+  it('reads page by page, from a replica that has all of them', async () => {
+    const pages = new Map([
+      [1, [billOf(2), billOf(3)]],
+      [3, [billOf(4)]],
+      [4, []],
+    ]);
+    const fetcher = new BillFetcher({
+      addresses: () => ['gone', 'incomplete', 'whole'],
+      ask: async (address, {after}) => {
+        if (address === 'gone') throw new Error('unreachable');
+        return address === 'whole' ? {bills: pages.get(after)} : {};
+      },
+    });
+    const bills = await fetcher.fetch({after: 1, until: 4});
+    expect(bills?.map(({index}) => index)).toEqual([2, 3, 4]);
+  });
+});
+
+describe('BarrierQueue', () => {
+  it('shares a barrier only with reads that came before it', async () => {
+    const begun: Array<() => void> = [];
+    const queue = new BarrierQueue(
+      () => new Promise<void>(resolve => begun.push(resolve)),
+    );
+    const first = queue.wait();
+    const later = [queue.wait(), queue.wait()];
+    expect(begun).toHaveLength(1);
+    begun[0]?.();
+    await first;
+    await expect.poll(() => begun.length).toBe(2);
+    begun[1]?.();
+    await Promise.all(later);
+    expect(begun).toHaveLength(2);
+  });
+});
+
+describe('foundCluster', () => {
+  const initialReplicas = ['a:1', 'b:1', 'c:1'];
+
+  function identityOf(id: string, logEmpty = true): PeerIdentity {
+    const replica = {replicaId: id, logEmpty};
+    return {instance: id, incarnation: 1, address: '', wallTime: 1, replica};
+  }
+
+  async function attempt(
+    own: PeerIdentity,
+    others: Record<string, PeerIdentity>,
+    address = 'a:1',
+  ) {
+    const calls: string[] = [];
+    const outcome = await foundCluster({
+      address,
+      initialReplicas,
+      identity: () => own,
+      ask: async other => {
+        const identity = others[other];
+        if (identity === undefined) throw new Error('unreachable');
+        return identity;
+      },
+      foundLocally: async members => {
+        calls.push(`local ${members.map(({id}) => id).join()}`);
+      },
+      foundRemotely: async other => {
+        calls.push(other);
+      },
+    });
+    return {outcome, calls};
+  }
+
+  const empty = {'b:1': identityOf('b'), 'c:1': identityOf('c')};
+  const used = {...empty, 'c:1': identityOf('c', false)};
+
+  it('makes the membership durable here first, then tells the others', async () => {
+    expect(await attempt(identityOf('a'), empty)).toEqual({
+      outcome: 'founded',
+      calls: ['local a,b,c', 'b:1', 'c:1'],
+    });
+  });
+
+  it.each([
+    [
+      'another instance is to found',
+      identityOf('b'),
+      empty,
+      'b:1',
+      'notFounder',
+    ],
+    ['the own log is not empty', identityOf('a', false), {}, 'a:1', 'exists'],
+    ['another log is not empty', identityOf('a'), used, 'a:1', 'exists'],
+    [
+      'somebody is silent',
+      identityOf('a'),
+      {'b:1': identityOf('b')},
+      'a:1',
+      'waiting',
+    ],
+  ])('does nothing while %s', async (_name, own, others, address, outcome) => {
+    expect(await attempt(own, others, address)).toEqual({outcome, calls: []});
+  });
+
+  it('names an instance without a replica', async () => {
+    const bare = {...identityOf('c'), replica: undefined};
+    const others = {...empty, 'c:1': bare};
+    await expect(attempt(identityOf('a'), others)).rejects.toThrow(
+      'without the ledger role: c',
+    );
+  });
+});
