--- a/packages/bench/src/system/benchCluster.ts
+++ b/packages/bench/src/system/benchCluster.ts
@@ -122,7 +122,12 @@
     model,
     stream,
     max_tokens: maximumTokens,
-    messages: [{role: 'user', content: 'Summarise the lab sheet of lot 17.'}],
+    messages: [
+      {
+        role: 'user',
+        content: `Summarise the lab sheet of lot 17 in ${maximumTokens} words.`,
+      },
+    ],
   };
 }
 
@@ -137,8 +142,9 @@
         '/backends',
       );
       if (backends.length >= count) break;
-      if (Date.now() > deadline)
+      if (Date.now() > deadline) {
         throw new Error(`${name} misses backend servers`);
+      }
       await pause(pollMilliseconds);
     }
   }
