feat(daemon): orders to backend servers under the issuer lease

Off unless createControl gets givesOrders, since the settings have no place for it yet. Remaining hazard, for servers that ignore fencing: an issuer frozen between its last look at the clock and the sending.

--- a/packages/daemon/src/control/context.ts
+++ b/packages/daemon/src/control/context.ts
@@ -46,6 +46,8 @@
   isRunning?: (requestKey: string) => boolean;
   /** Ids that the attempts of a request can have had at backend servers. */
   attemptIds?: (request: OpenRequestRecord) => string[];
+  /** Whether the leader gives orders to backend servers. */
+  givesOrders?: boolean;
   /** Called if the ledger replica stops because of an error. */
   onReplicaFailure?: (error: unknown) => void;
   clock?: Clock;
@@ -60,6 +62,7 @@
   isEjected: () => false,
   isRunning: () => true,
   attemptIds: () => [],
+  givesOrders: false,
   onReplicaFailure: () => {},
   clock: systemClock,
   logger: silentLogger,
--- a/packages/daemon/src/control/duties.ts
+++ b/packages/daemon/src/control/duties.ts
@@ -6,6 +6,7 @@
 import {BackendOutcomes} from '../ledgerHost/backendOutcomes.js';
 import {Founder} from '../ledgerHost/founder.js';
 import {type LedgerHost} from '../ledgerHost/ledgerHost.js';
+import {OrderIssuer} from '../ledgerHost/orderIssuer.js';
 import {ReplicaRepair} from '../ledgerHost/replicaRepair.js';
 import {type Context, identityOf} from './context.js';
 import {type Parts} from './parts.js';
@@ -71,6 +72,9 @@
   return [
     createRepair(context, parts, host),
     createAbandonedRequests(context, parts, host),
+    ...(context.options.givesOrders
+      ? [createOrderIssuer(context, parts, host)]
+      : []),
   ];
 }
 
@@ -121,3 +125,25 @@
     metrics,
   });
 }
+
+function createOrderIssuer(
+  {options}: Context,
+  {membership, ledgerClient}: Parts,
+  host: LedgerHost,
+): OrderIssuer {
+  const {clock, logger, metrics} = options;
+  return new OrderIssuer({
+    issuer: membership.holder,
+    isLeader: () => host.isLeader,
+    contracts: () =>
+      host.ledger
+        .contracts()
+        .filter(({retired}) => !retired)
+        .map(({contract}) => contract),
+    servers: () => membership.directory.entries(clock.now()),
+    submit: command => ledgerClient.submit(command),
+    clock,
+    logger,
+    metrics,
+  });
+}
--- /dev/null
+++ b/packages/daemon/src/ledgerHost/orderIssuer.ts
@@ -0,0 +1,175 @@
+/**
+ * @fileoverview Gives orders to backend servers, while this replica leads and
+ * holds the issuer lease.
+ *
+ * Each order carries the fencing number of the lease. It is sent only if it
+ * ends, by its timeout, before the lease does by this process's own clocks.
+ * Servers that ignore the number get orders from a new issuer only after a
+ * margin for clocks that run apart. What remains is an order of an issuer that
+ * is frozen between its last look at the clock and the sending.
+ */
+import {
+  type BackendStatus,
+  type Order,
+  OrderPlanner,
+  type WantedOffer,
+  wantedOffers,
+} from '@dogwoodtrestle/routing';
+import {type Command, type Contract, type Result} from '@dogwoodtrestle/schema';
+import {request as sendRequest} from 'undici';
+
+import {ServingDeadline} from '../grants/servingDeadline.js';
+import {type Clock, systemClock} from '../util/clock.js';
+import {type Logger, silentLogger} from '../util/logger.js';
+import {type Metrics, silentMetrics} from '../util/metrics.js';
+import {PeriodicTask} from '../util/periodicTask.js';
+
+/** What the issuer needs. */
+export interface OrderIssuerOptions {
+  /** Identity of this process: `name#incarnation`. */
+  issuer: string;
+  isLeader: () => boolean;
+  contracts: () => Contract[];
+  servers: () => BackendStatus[];
+  submit: (command: Command) => Promise<Result>;
+  /** Sends an order; resolves with the HTTP status. */
+  send?: (url: string, body: object) => Promise<number>;
+  clock?: Clock;
+  logger?: Logger;
+  metrics?: Metrics;
+  intervalMilliseconds?: number;
+}
+
+const defaultOptions = {
+  send: postOrder,
+  clock: systemClock,
+  logger: silentLogger,
+  metrics: silentMetrics,
+  intervalMilliseconds: 3000,
+};
+
+const leaseMilliseconds = 12_000;
+const orderTimeoutMilliseconds = 2000;
+/** Time for which a new issuer spares servers that ignore its number. */
+const clockMarginMilliseconds = leaseMilliseconds / 10 + 1000;
+const conflictStatus = 409;
+
+/** Plans and sends orders. */
+export class OrderIssuer {
+  private readonly options: Required<OrderIssuerOptions>;
+  private readonly planner: OrderPlanner;
+  private readonly rounds: PeriodicTask;
+  private fencingNumber = 0;
+  private heldSince = 0;
+
+  constructor(options: OrderIssuerOptions) {
+    this.options = {...defaultOptions, ...options};
+    const {clock, logger, intervalMilliseconds} = this.options;
+    this.planner = new OrderPlanner(clock.now());
+    this.rounds = new PeriodicTask({
+      name: 'orders',
+      clock,
+      logger,
+      intervalMilliseconds,
+      run: () => this.round(),
+    });
+  }
+
+  start(): void {
+    this.rounds.start();
+  }
+
+  async stop(): Promise<void> {
+    await this.rounds.stop();
+  }
+
+  /** Renews the lease and sends what is due; public for tests. */
+  async round(): Promise<void> {
+    const {isLeader, clock} = this.options;
+    if (!isLeader()) return;
+    const deadline = new ServingDeadline(clock);
+    if (!(await this.claim())) return;
+    for (const order of this.plan()) {
+      // The server must have answered before the lease ends.
+      if (deadline.isOver(leaseMilliseconds - orderTimeoutMilliseconds)) {
+        this.planner.refused(order);
+      } else {
+        await this.give(order);
+      }
+    }
+  }
+
+  private async claim(): Promise<boolean> {
+    const {submit, issuer, clock} = this.options;
+    const lease = await submit({
+      kind: 'claimIssuerLease',
+      issuer,
+      durationMilliseconds: leaseMilliseconds,
+    });
+    if (lease.kind !== 'lease' || !lease.held) return false;
+    if (lease.fencingNumber !== this.fencingNumber) {
+      this.fencingNumber = lease.fencingNumber;
+      this.heldSince = clock.now();
+    }
+    return true;
+  }
+
+  private plan(): Order[] {
+    const {servers, clock} = this.options;
+    const now = clock.now();
+    return this.planner.plan({
+      wanted: this.wanted(),
+      servers: servers(),
+      fencingNumber: this.fencingNumber,
+      olderIssuersEnded: now - this.heldSince >= clockMarginMilliseconds,
+      now,
+    });
+  }
+
+  private wanted(): WantedOffer[] {
+    const {contracts, servers} = this.options;
+    const announcements = servers()
+      .filter(({state}) => state === 'serving')
+      .map(({entry}) => entry.announcement)
+      .filter(({kind}) => kind === 'model');
+    const capacity = announcements.reduce(
+      (sum, {load}) => sum + load.capacity,
+      0,
+    );
+    return wantedOffers({
+      contracts: contracts(),
+      demand: ({model}) =>
+        announcements
+          .filter(({models}) => models.some(({name}) => name === model))
+          .reduce((sum, {load}) => sum + load.running + load.queued, 0),
+      serverCapacity: Math.max(1, capacity / Math.max(1, announcements.length)),
+    });
+  }
+
+  private async give(order: Order): Promise<void> {
+    const {servers, send, logger, metrics} = this.options;
+    const {server, ...body} = order;
+    const target = servers().find(
+      ({entry}) => entry.announcement.name === server,
+    );
+    const url = target?.entry.announcement.url;
+    const status = url === undefined ? 0 : await send(url, body).catch(() => 0);
+    metrics.increment('orders.sent', 1, {order: order.order});
+    logger.info({order, status}, 'order sent');
+    if (status >= 200 && status < 300) return;
+    this.planner.refused(order);
+    if (status !== conflictStatus) return;
+    logger.warn({order}, 'a server has seen a higher fencing number');
+  }
+}
+
+async function postOrder(url: string, body: object): Promise<number> {
+  const response = await sendRequest(`${url}/v1/orders`, {
+    method: 'POST',
+    headers: {'content-type': 'application/json'},
+    body: JSON.stringify(body),
+    signal: AbortSignal.timeout(orderTimeoutMilliseconds),
+  });
+  await response.body.dump();
+  return response.statusCode;
+}
--- a/packages/daemon/src/observability/metrics.ts
+++ b/packages/daemon/src/observability/metrics.ts
@@ -44,6 +44,11 @@
     unit: 'requests',
     meaning: 'Open requests without a holder that were settled, by outcome.',
   },
+  'orders.sent': {
+    kind: 'counter',
+    unit: 'orders',
+    meaning: 'Orders given to backend servers, by order.',
+  },
   'replica.repairs': {
     kind: 'counter',
     unit: 'steps',
--- /dev/null
+++ b/packages/daemon/tests/orderIssuer.test.ts
@@ -0,0 +1,95 @@
+import {Ledger} from '@dogwoodtrestle/ledger';
+import {type BackendStatus} from '@dogwoodtrestle/routing';
+import {parserOf} from '@dogwoodtrestle/schema';
+import {describe, expect, it} from 'vitest';
+
+import {OrderIssuer} from '../src/ledgerHost/orderIssuer.js';
+import {contractOf} from './fixtures.js';
+
+function serverOf(name: string, fencing: string): BackendStatus {
+  const announcement = parserOf('Announcement')({
+    name,
+    incarnation: 1,
+    sequence: 1,
+    state: 'serving',
+    url: `http://${name}`,
+    failureDomain: name,
+    kind: 'model',
+    features: {fencing},
+  });
+  const entry = {announcement, observedAt: 0};
+  return {entry, state: 'serving', ageMilliseconds: 0};
+}
+
+/** Two processes that share a ledger, and a clock for each of them. */
+function setUp() {
+  const ledger = new Ledger();
+  const time = {ledger: 1000, index: 0};
+  const sent: Array<{url: string; fencingNumber: number}> = [];
+  const issuerOf = (issuer: string, clock: {now: number}) =>
+    new OrderIssuer({
+      issuer,
+      isLeader: () => true,
+      contracts: () => [contractOf()],
+      servers: () => [
+        serverOf('checks', 'checked'),
+        serverOf('ignores', 'ignored'),
+      ],
+      submit: async command => {
+        const timestamp = time.ledger;
+        return ledger.apply(command, {index: ++time.index, timestamp});
+      },
+      send: async (url, body) => {
+        const {fencingNumber} = body as {fencingNumber: number};
+        sent.push({url, fencingNumber});
+        clock.now += 11_000; // the answer takes nearly the whole lease
+        return 200;
+      },
+      clock: {
+        now: () => clock.now,
+        wallNow: () => clock.now,
+        setTimer: () => () => {},
+      },
+    });
+  return {time, sent, issuerOf};
+}
+
+describe('OrderIssuer', () => {
+  it('spares servers that ignore fencing until older issuers have ended', async () => {
+    const {time, sent, issuerOf} = setUp();
+    const clock = {now: 0};
+    const issuer = issuerOf('one#1', clock);
+    await issuer.round();
+    expect(sent).toEqual([{url: 'http://checks', fencingNumber: 1}]);
+    time.ledger += 11_000;
+    await issuer.round();
+    expect(sent).toMatchObject([{}, {url: 'http://ignores', fencingNumber: 1}]);
+  });
+
+  it('gives no order while another process holds the lease', async () => {
+    const {time, sent, issuerOf} = setUp();
+    await issuerOf('one#1', {now: 0}).round();
+    const second = issuerOf('two#1', {now: 0});
+    await second.round();
+    expect(sent).toHaveLength(1);
+    time.ledger += 12_001;
+    await second.round();
+    expect(sent[1]).toEqual({url: 'http://checks', fencingNumber: 2});
+  });
+
+  it('sends nothing that could end after its lease', async () => {
+    const {sent, issuerOf, time} = setUp();
+    const clock = {now: 0};
+    const issuer = issuerOf('one#1', clock);
+    await issuer.round(); // 11 s pass during the first order
+    clock.now = 20_000;
+    time.ledger += 20_000;
+    const before = sent.length;
+    const servers = [serverOf('a', 'checked'), serverOf('b', 'checked')];
+    (
+      issuer as unknown as {options: {servers: () => BackendStatus[]}}
+    ).options.servers = () => servers;
+    await issuer.round();
+    expect(sent).toHaveLength(before + 1);
+  });
+});
