--- a/packages/bench/src/routing/faultBench.ts
+++ b/packages/bench/src/routing/faultBench.ts
@@ -25,7 +25,7 @@
   'least in flight': baselinePolicy('leastInFlight'),
 };
 
-function faultOf(fault: 'down' | 'failsFast'): Partial<FleetOptions> {
+function faultOf(fault: 'down' | 'failsFast' | 'slow'): Partial<FleetOptions> {
   return {
     faults: [
       {server: 's0', at: faultStart, fault},
@@ -47,6 +47,16 @@
     options: faultOf('down'),
     policies: ejectionPolicies,
   },
+  {
+    name: 'server 8 times as slow',
+    requestsPerSecond: 40,
+    options: faultOf('slow'),
+    policies: {
+      'without hedging': fullPolicy,
+      'with hedging': {...fullPolicy, hedging: true},
+      'least in flight': baselinePolicy('leastInFlight'),
+    },
+  },
   {
     name: 'fresh server, 4 times as slow for 8 s',
     requestsPerSecond: 60,
--- a/packages/bench/src/routing/modelServer.ts
+++ b/packages/bench/src/routing/modelServer.ts
@@ -55,10 +55,11 @@
 }
 
 /** How an engine misbehaves. */
-export type EngineFault = 'none' | 'down' | 'failsFast';
+export type EngineFault = 'none' | 'down' | 'failsFast' | 'slow';
 
 const failFastMilliseconds = 3;
 const failFastShare = 0.9;
+const slowFaultFactor = 8;
 
 export class ModelServer {
   private readonly options: EngineOptions;
@@ -192,7 +193,8 @@
       stepMilliseconds +
       sequenceMilliseconds * decoding.length +
       prefillMilliseconds * prefilled;
-    this.time.after(duration * this.slowdown, () => {
+    const factor = this.fault === 'slow' ? slowFaultFactor : this.slowdown;
+    this.time.after(duration * factor, () => {
       for (const each of decoding) this.decode(each);
       this.step();
     });
--- a/packages/bench/src/routing/policy.ts
+++ b/packages/bench/src/routing/policy.ts
@@ -18,6 +18,7 @@
   retryBudget: boolean;
   outlierDetection: boolean;
   slowStart: boolean;
+  hedging: boolean;
   /** Whether priorities are passed to the engines. */
   enginePriorities: boolean;
 }
@@ -31,6 +32,7 @@
   retryBudget: true,
   outlierDetection: true,
   slowStart: true,
+  hedging: false,
   enginePriorities: true,
 };
 
@@ -45,6 +47,7 @@
     retryBudget: false,
     outlierDetection: false,
     slowStart: false,
+    hedging: false,
     enginePriorities: false,
   };
 }
--- a/packages/bench/src/routing/routerModel.ts
+++ b/packages/bench/src/routing/routerModel.ts
@@ -9,6 +9,8 @@
   type AdmissionTicket,
   type BackendEntry,
   chooseBackend,
+  decideHedging,
+  defaultHedgingOptions,
   Directory,
   LoadTracker,
   OutlierDetector,
@@ -20,10 +22,12 @@
 import {type Measurements} from './measurements.js';
 import {type EngineJob, type ModelServer} from './modelServer.js';
 import {type ChoiceName, type Policy} from './policy.js';
+import {RecentSamples} from './recentSamples.js';
 import {type VirtualTime} from './virtualTime.js';
 import {type GeneratedRequest} from './workload.js';
 
 const maximumAttempts = 3;
+const {quantile: hedgingQuantile} = defaultHedgingOptions;
 const firstTokenTimeoutMilliseconds = 5_000;
 /** Time per output token that a router expects. */
 const expectedTokenMilliseconds = 20;
@@ -49,6 +53,8 @@
   caller: Caller;
   ticket?: AdmissionTicket;
   attempt?: Attempt;
+  /** Second attempt beside the first, until one of them answers. */
+  hedge?: Attempt;
   attempts: number;
   tried: Set<string>;
   isOver: boolean;
@@ -73,6 +79,7 @@
   private readonly retryBudget = new RetryBudget();
   private readonly admission: Admission;
   private readonly byTicket = new Map<AdmissionTicket, Handle>();
+  private readonly firstTokens = new RecentSamples();
   private attemptCount = 0;
   private readonly choices: Record<
     ChoiceName,
@@ -172,7 +179,7 @@
   }
 
   private startAttempt(handle: Handle): void {
-    const {time, servers, measurements, failureDomain} = this.options;
+    const {time, servers} = this.options;
     const candidates = this.directory.candidates(
       {kind: 'model', name: 'm'},
       time.now,
@@ -183,8 +190,18 @@
       this.fail(handle);
       return;
     }
-    const attempt = this.attemptOn(entry.announcement.name, handle);
+    const attempt = this.launch(server, handle);
     handle.attempt = attempt;
+    time.after(firstTokenTimeoutMilliseconds, () => {
+      if (handle.attempt !== attempt || attempt.hasToken) return;
+      this.attemptFailed(handle, attempt);
+    });
+    if (this.options.policy.hedging) this.scheduleHedge(handle, attempt);
+  }
+
+  private launch(server: ModelServer, handle: Handle): Attempt {
+    const {time, measurements, failureDomain} = this.options;
+    const attempt = this.attemptOn(server.name, handle);
     handle.attempts += 1;
     handle.tried.add(attempt.server);
     measurements.attempts += 1;
@@ -192,15 +209,61 @@
     this.tracker.start(attempt.server, attempt.id, time.now);
     this.prefixes.recordSent(attempt.server, handle.request.blocks, time.now);
     server.submit(attempt.job);
-    time.after(firstTokenTimeoutMilliseconds, () => {
-      if (handle.attempt !== attempt || attempt.hasToken) return;
-      this.attemptFailed(handle, attempt);
+    return attempt;
+  }
+
+  private scheduleHedge(handle: Handle, attempt: Attempt): void {
+    const {time} = this.options;
+    const startedAt = time.now;
+    const samples = this.firstTokens.sorted();
+    const slow = samples[Math.floor((samples.length - 1) * hedgingQuantile)];
+    if (slow === undefined) return;
+    time.after(slow + 1, () => {
+      if (handle.attempt === attempt && !handle.isOver) {
+        this.hedge(handle, attempt, time.now - startedAt);
+      }
+    });
+  }
+
+  private hedge(handle: Handle, attempt: Attempt, waited: number): void {
+    const {time, servers} = this.options;
+    const candidates = this.directory.candidates(
+      {kind: 'model', name: 'm'},
+      time.now,
+    );
+    const entry = this.chooseByPolicy(handle, candidates);
+    const server = entry && servers.get(entry.announcement.name);
+    if (!entry || !server) return;
+    const {capacity} = entry.announcement.load;
+    const load = Math.max(0, loadOf(entry) + this.tracker.correction(entry));
+    const decision = decideHedging({
+      idempotent: true,
+      hasOutput: attempt.hasToken,
+      attemptCount: handle.attempts,
+      waitedMilliseconds: waited,
+      remainingMilliseconds: handle.request.kind.deadlineMilliseconds - waited,
+      recentFirstTokenMilliseconds: this.firstTokens.sorted(),
+      alternativeUtilisation: load / capacity,
+      cancellable: true,
+      takeRetry: () => this.retryBudget.tryRetry(time.now),
     });
+    if (decision.hedge) handle.hedge = this.launch(server, handle);
+  }
+
+  /** The first of two attempts that answers goes on alone. */
+  private settleHedge(handle: Handle, answering: Attempt): void {
+    const {hedge, attempt} = handle;
+    if (!hedge) return;
+    const loser = answering === hedge ? attempt : hedge;
+    handle.attempt = answering;
+    handle.hedge = undefined;
+    if (loser) this.stopAttempt(loser, true);
   }
 
   private attemptOn(server: string, handle: Handle): Attempt {
     const {request} = handle;
-    const {measurements, policy} = this.options;
+    const {measurements, policy, time} = this.options;
+    const startedAt = time.now;
     this.attemptCount += 1;
     const attempt: Attempt = {
       id: String(this.attemptCount),
@@ -216,13 +279,18 @@
           measurements.cachedTokens += tokens;
         },
         onToken: isLast => {
+          if (handle.hedge) this.settleHedge(handle, attempt);
           if (handle.attempt !== attempt) return;
+          if (!attempt.hasToken) this.firstTokens.record(time.now - startedAt);
           attempt.hasToken = true;
           handle.caller.onToken();
           if (isLast) this.done(handle);
         },
         onFailure: () => {
-          if (handle.attempt === attempt) this.attemptFailed(handle, attempt);
+          if (handle.hedge === attempt) this.endHedge(handle);
+          else if (handle.attempt === attempt) {
+            this.attemptFailed(handle, attempt);
+          }
         },
       },
     };
@@ -254,12 +322,20 @@
   }
 
   private endAttempt(handle: Handle, isCancelled: boolean): void {
-    const {attempt} = handle;
-    if (!attempt) return;
+    this.endHedge(handle);
+    if (handle.attempt) this.stopAttempt(handle.attempt, isCancelled);
+    handle.attempt = undefined;
+  }
+
+  private endHedge(handle: Handle): void {
+    if (handle.hedge) this.stopAttempt(handle.hedge, true);
+    handle.hedge = undefined;
+  }
+
+  private stopAttempt(attempt: Attempt, isCancelled: boolean): void {
     const {time, servers} = this.options;
     this.tracker.end(attempt.server, attempt.id, time.now);
     if (isCancelled) servers.get(attempt.server)?.cancel(attempt.job);
-    handle.attempt = undefined;
   }
 
   private end(handle: Handle): void {
