--- a/packages/bench/src/routing/routerModel.ts
+++ b/packages/bench/src/routing/routerModel.ts
@@ -27,6 +27,7 @@
 import {type GeneratedRequest} from './workload.js';
 
 const maximumAttempts = 3;
+const longPromptTokens = 2_000;
 const {quantile: hedgingQuantile} = defaultHedgingOptions;
 const firstTokenTimeoutMilliseconds = 5_000;
 /** Time per output token that a router expects. */
@@ -79,7 +80,11 @@
   private readonly retryBudget = new RetryBudget();
   private readonly admission: Admission;
   private readonly byTicket = new Map<AdmissionTicket, Handle>();
-  private readonly firstTokens = new RecentSamples();
+  /** Of short prompts and of long ones, which take longer by nature. */
+  private readonly firstTokens = {
+    short: new RecentSamples(),
+    long: new RecentSamples(),
+  };
   private attemptCount = 0;
   private readonly choices: Record<
     ChoiceName,
@@ -215,7 +220,7 @@
   private scheduleHedge(handle: Handle, attempt: Attempt): void {
     const {time} = this.options;
     const startedAt = time.now;
-    const samples = this.firstTokens.sorted();
+    const samples = this.firstTokensLike(handle).sorted();
     const slow = samples[Math.floor((samples.length - 1) * hedgingQuantile)];
     if (slow === undefined) return;
     time.after(slow + 1, () => {
@@ -242,7 +247,7 @@
       attemptCount: handle.attempts,
       waitedMilliseconds: waited,
       remainingMilliseconds: handle.request.kind.deadlineMilliseconds - waited,
-      recentFirstTokenMilliseconds: this.firstTokens.sorted(),
+      recentFirstTokenMilliseconds: this.firstTokensLike(handle).sorted(),
       alternativeUtilisation: load / capacity,
       cancellable: true,
       takeRetry: () => this.retryBudget.tryRetry(time.now),
@@ -250,6 +255,11 @@
     if (decision.hedge) handle.hedge = this.launch(server, handle);
   }
 
+  private firstTokensLike({request}: Handle): RecentSamples {
+    const isLong = request.promptTokens >= longPromptTokens;
+    return this.firstTokens[isLong ? 'long' : 'short'];
+  }
+
   /** The first of two attempts that answers goes on alone. */
   private settleHedge(handle: Handle, answering: Attempt): void {
     const {hedge, attempt} = handle;
@@ -281,7 +291,9 @@
         onToken: isLast => {
           if (handle.hedge) this.settleHedge(handle, attempt);
           if (handle.attempt !== attempt) return;
-          if (!attempt.hasToken) this.firstTokens.record(time.now - startedAt);
+          if (!attempt.hasToken) {
+            this.firstTokensLike(handle).record(time.now - startedAt);
+          }
           attempt.hasToken = true;
           handle.caller.onToken();
           if (isLast) this.done(handle);
--- a/packages/routing/src/hedging.ts
+++ b/packages/routing/src/hedging.ts
@@ -26,7 +26,10 @@
   attemptCount: number;
   waitedMilliseconds: number;
   remainingMilliseconds: number;
-  /** Recent times to first token, in ascending order. */
+  /**
+   * Recent times to first token of prompts of about that length, in ascending
+   * order. A long prompt isn’t slow for taking longer than a short one.
+   */
   recentFirstTokenMilliseconds: readonly number[];
   /** Utilisation of the server that the second attempt would go to. */
   alternativeUtilisation?: number;
