--- a/packages/bench/src/routing/faultBench.ts
+++ b/packages/bench/src/routing/faultBench.ts
@@ -76,6 +76,19 @@
       'least in flight': baselinePolicy('leastInFlight'),
     },
   },
+  {
+    name: 'KV caches imported, no fault',
+    requestsPerSecond: 50,
+    options: {},
+    policies: {
+      'recomputing always': fullPolicy,
+      'link of 1 GB/s': {...fullPolicy, kvTransfer: {}},
+      'link of 10 GB/s': {
+        ...fullPolicy,
+        kvTransfer: {bytesPerSecond: 10_000_000_000},
+      },
+    },
+  },
   {
     name: 'half of the requests paste one agreement',
     requestsPerSecond: 50,
--- a/packages/bench/src/routing/modelServer.ts
+++ b/packages/bench/src/routing/modelServer.ts
@@ -91,6 +91,10 @@
     return this.options.capacity;
   }
 
+  get prefillTokensPerSecond(): number {
+    return 1_000 / this.options.prefillMilliseconds;
+  }
+
   get isDown(): boolean {
     return this.fault === 'down';
   }
@@ -113,6 +117,16 @@
     this.startStepping();
   }
 
+  /** Blocks of the prompt that its cache really holds. */
+  cachedBlocks(blocks: readonly string[]): readonly string[] {
+    return blocks.slice(0, this.cache.hits(blocks));
+  }
+
+  /** Takes in blocks of the KV cache of another server. */
+  importBlocks(blocks: readonly string[]): void {
+    this.cache.store(blocks);
+  }
+
   cancel(job: EngineJob): void {
     this.queue = this.queue.filter(each => each !== job);
     this.running = this.running.filter(each => each.job !== job);
--- a/packages/bench/src/routing/policy.ts
+++ b/packages/bench/src/routing/policy.ts
@@ -3,6 +3,7 @@
   type AdmissionOptions,
   type ChoiceOptions,
   defaultAdmissionCapacityOptions,
+  type KvTransferOptions,
 } from '@dogwoodtrestle/routing';
 
 export type ChoiceName = 'policy' | 'randomOfTwo' | 'leastInFlight';
@@ -19,6 +20,8 @@
   outlierDetection: boolean;
   slowStart: boolean;
   hedging: boolean;
+  /** Whether KV caches are imported, and over what link. */
+  kvTransfer?: Partial<KvTransferOptions>;
   /** Whether priorities are passed to the engines. */
   enginePriorities: boolean;
 }
--- a/packages/bench/src/routing/routerModel.ts
+++ b/packages/bench/src/routing/routerModel.ts
@@ -10,6 +10,7 @@
   type BackendEntry,
   chooseBackend,
   decideHedging,
+  decideKvTransfer,
   defaultHedgingOptions,
   Directory,
   LoadTracker,
@@ -46,6 +47,7 @@
   server: string;
   job: EngineJob;
   hasToken: boolean;
+  isStopped: boolean;
 }
 
 /** A request in a router. */
@@ -212,11 +214,51 @@
     measurements.attempts += 1;
     if (server.failureDomain === failureDomain) measurements.localAttempts += 1;
     this.tracker.start(attempt.server, attempt.id, time.now);
+    this.submit(server, attempt, handle);
     this.prefixes.recordSent(attempt.server, handle.request.blocks, time.now);
-    server.submit(attempt.job);
     return attempt;
   }
 
+  /** Sends the job, after an import of the prompt's KV cache if that helps. */
+  private submit(server: ModelServer, attempt: Attempt, handle: Handle): void {
+    const transfer = this.planTransfer(server, handle);
+    if (!transfer) {
+      server.submit(attempt.job);
+      return;
+    }
+    this.options.time.after(transfer.milliseconds, () => {
+      server.importBlocks(transfer.source.cachedBlocks(attempt.job.blocks));
+      if (!attempt.isStopped) server.submit(attempt.job);
+    });
+  }
+
+  private planTransfer(
+    server: ModelServer,
+    {request}: Handle,
+  ): {source: ModelServer; milliseconds: number} | undefined {
+    const {policy, servers, time} = this.options;
+    if (!policy.kvTransfer) return undefined;
+    const hitsOf = (name: string) =>
+      this.prefixes.hits(name, request.blocks, time.now);
+    let source: ModelServer | undefined;
+    for (const each of servers.values()) {
+      if (each.isDown) continue;
+      if (!source || hitsOf(each.name) > hitsOf(source.name)) source = each;
+    }
+    if (!source || source === server) return undefined;
+    const {transfer, importMilliseconds} = decideKvTransfer(
+      {
+        promptTokens: request.promptTokens,
+        destinationHits: hitsOf(server.name),
+        sourceHits: hitsOf(source.name),
+        supported: true,
+        prefillTokensPerSecond: server.prefillTokensPerSecond,
+      },
+      policy.kvTransfer,
+    );
+    return transfer ? {source, milliseconds: importMilliseconds} : undefined;
+  }
+
   private scheduleHedge(handle: Handle, attempt: Attempt): void {
     const {time} = this.options;
     const startedAt = time.now;
@@ -279,6 +321,7 @@
       id: String(this.attemptCount),
       server,
       hasToken: false,
+      isStopped: false,
       job: {
         blocks: request.blocks,
         promptTokens: request.promptTokens,
@@ -346,6 +389,7 @@
 
   private stopAttempt(attempt: Attempt, isCancelled: boolean): void {
     const {time, servers} = this.options;
+    attempt.isStopped = true;
     this.tracker.end(attempt.server, attempt.id, time.now);
     if (isCancelled) servers.get(attempt.server)?.cancel(attempt.job);
   }
