--- a/packages/bench/src/routing/modelServer.ts
+++ b/packages/bench/src/routing/modelServer.ts
@@ -55,10 +55,11 @@
 }
 
 /** How an engine misbehaves. */
-export type EngineFault = 'none' | 'down' | 'failsFast';
+export type EngineFault = 'none' | 'down' | 'failsFast' | 'slow';
 
 const failFastMilliseconds = 3;
 const failFastShare = 0.9;
+const slowFaultFactor = 8;
 
 export class ModelServer {
   private readonly options: EngineOptions;
@@ -90,6 +91,10 @@
     return this.options.capacity;
   }
 
+  get prefillTokensPerSecond(): number {
+    return 1_000 / this.options.prefillMilliseconds;
+  }
+
   get isDown(): boolean {
     return this.fault === 'down';
   }
@@ -112,6 +117,16 @@
     this.startStepping();
   }
 
+  /** Blocks of the prompt that its cache really holds. */
+  cachedBlocks(blocks: readonly string[]): readonly string[] {
+    return blocks.slice(0, this.cache.hits(blocks));
+  }
+
+  /** Takes in blocks of the KV cache of another server. */
+  importBlocks(blocks: readonly string[]): void {
+    this.cache.store(blocks);
+  }
+
   cancel(job: EngineJob): void {
     this.queue = this.queue.filter(each => each !== job);
     this.running = this.running.filter(each => each.job !== job);
@@ -192,7 +207,8 @@
       stepMilliseconds +
       sequenceMilliseconds * decoding.length +
       prefillMilliseconds * prefilled;
-    this.time.after(duration * this.slowdown, () => {
+    const factor = this.fault === 'slow' ? slowFaultFactor : this.slowdown;
+    this.time.after(duration * factor, () => {
       for (const each of decoding) this.decode(each);
       this.step();
     });
--- a/packages/bench/src/routing/routerModel.ts
+++ b/packages/bench/src/routing/routerModel.ts
@@ -9,6 +9,9 @@
   type AdmissionTicket,
   type BackendEntry,
   chooseBackend,
+  decideHedging,
+  decideKvTransfer,
+  defaultHedgingOptions,
   Directory,
   LoadTracker,
   OutlierDetector,
@@ -20,10 +23,13 @@
 import {type Measurements} from './measurements.js';
 import {type EngineJob, type ModelServer} from './modelServer.js';
 import {type ChoiceName, type Policy} from './policy.js';
+import {RecentSamples} from './recentSamples.js';
 import {type VirtualTime} from './virtualTime.js';
 import {type GeneratedRequest} from './workload.js';
 
 const maximumAttempts = 3;
+const longPromptTokens = 2_000;
+const {quantile: hedgingQuantile} = defaultHedgingOptions;
 const firstTokenTimeoutMilliseconds = 5_000;
 /** Time per output token that a router expects. */
 const expectedTokenMilliseconds = 20;
@@ -41,6 +47,7 @@
   server: string;
   job: EngineJob;
   hasToken: boolean;
+  isStopped: boolean;
 }
 
 /** A request in a router. */
@@ -49,6 +56,8 @@
   caller: Caller;
   ticket?: AdmissionTicket;
   attempt?: Attempt;
+  /** Second attempt beside the first, until one of them answers. */
+  hedge?: Attempt;
   attempts: number;
   tried: Set<string>;
   isOver: boolean;
@@ -73,6 +82,11 @@
   private readonly retryBudget = new RetryBudget();
   private readonly admission: Admission;
   private readonly byTicket = new Map<AdmissionTicket, Handle>();
+  /** Of short prompts and of long ones, which take longer by nature. */
+  private readonly firstTokens = {
+    short: new RecentSamples(),
+    long: new RecentSamples(),
+  };
   private attemptCount = 0;
   private readonly choices: Record<
     ChoiceName,
@@ -172,7 +186,7 @@
   }
 
   private startAttempt(handle: Handle): void {
-    const {time, servers, measurements, failureDomain} = this.options;
+    const {time, servers} = this.options;
     const candidates = this.directory.candidates(
       {kind: 'model', name: 'm'},
       time.now,
@@ -183,29 +197,131 @@
       this.fail(handle);
       return;
     }
-    const attempt = this.attemptOn(entry.announcement.name, handle);
+    const attempt = this.launch(server, handle);
     handle.attempt = attempt;
+    time.after(firstTokenTimeoutMilliseconds, () => {
+      if (handle.attempt !== attempt || attempt.hasToken) return;
+      this.attemptFailed(handle, attempt);
+    });
+    if (this.options.policy.hedging) this.scheduleHedge(handle, attempt);
+  }
+
+  private launch(server: ModelServer, handle: Handle): Attempt {
+    const {time, measurements, failureDomain} = this.options;
+    const attempt = this.attemptOn(server.name, handle);
     handle.attempts += 1;
     handle.tried.add(attempt.server);
     measurements.attempts += 1;
     if (server.failureDomain === failureDomain) measurements.localAttempts += 1;
     this.tracker.start(attempt.server, attempt.id, time.now);
+    this.submit(server, attempt, handle);
     this.prefixes.recordSent(attempt.server, handle.request.blocks, time.now);
-    server.submit(attempt.job);
-    time.after(firstTokenTimeoutMilliseconds, () => {
-      if (handle.attempt !== attempt || attempt.hasToken) return;
-      this.attemptFailed(handle, attempt);
+    return attempt;
+  }
+
+  /** Sends the job, after an import of the prompt's KV cache if that helps. */
+  private submit(server: ModelServer, attempt: Attempt, handle: Handle): void {
+    const transfer = this.planTransfer(server, handle);
+    if (!transfer) {
+      server.submit(attempt.job);
+      return;
+    }
+    this.options.time.after(transfer.milliseconds, () => {
+      server.importBlocks(transfer.source.cachedBlocks(attempt.job.blocks));
+      if (!attempt.isStopped) server.submit(attempt.job);
     });
   }
 
+  private planTransfer(
+    server: ModelServer,
+    {request}: Handle,
+  ): {source: ModelServer; milliseconds: number} | undefined {
+    const {policy, servers, time} = this.options;
+    if (!policy.kvTransfer) return undefined;
+    const hitsOf = (name: string) =>
+      this.prefixes.hits(name, request.blocks, time.now);
+    let source: ModelServer | undefined;
+    for (const each of servers.values()) {
+      if (each.isDown) continue;
+      if (!source || hitsOf(each.name) > hitsOf(source.name)) source = each;
+    }
+    if (!source || source === server) return undefined;
+    const {transfer, importMilliseconds} = decideKvTransfer(
+      {
+        promptTokens: request.promptTokens,
+        destinationHits: hitsOf(server.name),
+        sourceHits: hitsOf(source.name),
+        supported: true,
+        prefillTokensPerSecond: server.prefillTokensPerSecond,
+      },
+      policy.kvTransfer,
+    );
+    return transfer ? {source, milliseconds: importMilliseconds} : undefined;
+  }
+
+  private scheduleHedge(handle: Handle, attempt: Attempt): void {
+    const {time} = this.options;
+    const startedAt = time.now;
+    const samples = this.firstTokensLike(handle).sorted();
+    const slow = samples[Math.floor((samples.length - 1) * hedgingQuantile)];
+    if (slow === undefined) return;
+    time.after(slow + 1, () => {
+      if (handle.attempt === attempt && !handle.isOver) {
+        this.hedge(handle, attempt, time.now - startedAt);
+      }
+    });
+  }
+
+  private hedge(handle: Handle, attempt: Attempt, waited: number): void {
+    const {time, servers} = this.options;
+    const candidates = this.directory.candidates(
+      {kind: 'model', name: 'm'},
+      time.now,
+    );
+    const entry = this.chooseByPolicy(handle, candidates);
+    const server = entry && servers.get(entry.announcement.name);
+    if (!entry || !server) return;
+    const {capacity} = entry.announcement.load;
+    const load = Math.max(0, loadOf(entry) + this.tracker.correction(entry));
+    const decision = decideHedging({
+      idempotent: true,
+      hasOutput: attempt.hasToken,
+      attemptCount: handle.attempts,
+      waitedMilliseconds: waited,
+      remainingMilliseconds: handle.request.kind.deadlineMilliseconds - waited,
+      recentFirstTokenMilliseconds: this.firstTokensLike(handle).sorted(),
+      alternativeUtilisation: load / capacity,
+      cancellable: true,
+      takeRetry: () => this.retryBudget.tryRetry(time.now),
+    });
+    if (decision.hedge) handle.hedge = this.launch(server, handle);
+  }
+
+  private firstTokensLike({request}: Handle): RecentSamples {
+    const isLong = request.promptTokens >= longPromptTokens;
+    return this.firstTokens[isLong ? 'long' : 'short'];
+  }
+
+  /** The first of two attempts that answers goes on alone. */
+  private settleHedge(handle: Handle, answering: Attempt): void {
+    const {hedge, attempt} = handle;
+    if (!hedge) return;
+    const loser = answering === hedge ? attempt : hedge;
+    handle.attempt = answering;
+    handle.hedge = undefined;
+    if (loser) this.stopAttempt(loser, true);
+  }
+
   private attemptOn(server: string, handle: Handle): Attempt {
     const {request} = handle;
-    const {measurements, policy} = this.options;
+    const {measurements, policy, time} = this.options;
+    const startedAt = time.now;
     this.attemptCount += 1;
     const attempt: Attempt = {
       id: String(this.attemptCount),
       server,
       hasToken: false,
+      isStopped: false,
       job: {
         blocks: request.blocks,
         promptTokens: request.promptTokens,
@@ -216,13 +332,20 @@
           measurements.cachedTokens += tokens;
         },
         onToken: isLast => {
+          if (handle.hedge) this.settleHedge(handle, attempt);
           if (handle.attempt !== attempt) return;
+          if (!attempt.hasToken) {
+            this.firstTokensLike(handle).record(time.now - startedAt);
+          }
           attempt.hasToken = true;
           handle.caller.onToken();
           if (isLast) this.done(handle);
         },
         onFailure: () => {
-          if (handle.attempt === attempt) this.attemptFailed(handle, attempt);
+          if (handle.hedge === attempt) this.endHedge(handle);
+          else if (handle.attempt === attempt) {
+            this.attemptFailed(handle, attempt);
+          }
         },
       },
     };
@@ -254,12 +377,21 @@
   }
 
   private endAttempt(handle: Handle, isCancelled: boolean): void {
-    const {attempt} = handle;
-    if (!attempt) return;
+    this.endHedge(handle);
+    if (handle.attempt) this.stopAttempt(handle.attempt, isCancelled);
+    handle.attempt = undefined;
+  }
+
+  private endHedge(handle: Handle): void {
+    if (handle.hedge) this.stopAttempt(handle.hedge, true);
+    handle.hedge = undefined;
+  }
+
+  private stopAttempt(attempt: Attempt, isCancelled: boolean): void {
     const {time, servers} = this.options;
+    attempt.isStopped = true;
     this.tracker.end(attempt.server, attempt.id, time.now);
     if (isCancelled) servers.get(attempt.server)?.cancel(attempt.job);
-    handle.attempt = undefined;
   }
 
   private end(handle: Handle): void {
