feat(daemon): open on a grant at once while the quorum is known to be away

Cause: each request of a cut-off router waited for the submit timeout (2 s) before it tried a grant. Ruled out: refusing at once where the grant doesn't cover it, since the quorum may be back; it is still asked then. The stand-in service refuses an attempt that it has said did not run.

--- a/packages/daemon/src/requests/opener.ts
+++ b/packages/daemon/src/requests/opener.ts
@@ -99,6 +99,10 @@
   ): Promise<Opening> {
     const {tracing, metrics, now, ledger} = this.dependencies;
     const startedAt = now();
+    if (!ledger.connected && request.idempotent) {
+      const opening = await this.tryGrant(request, context);
+      if (opening !== undefined) return opening;
+    }
     try {
       const result = await tracing.run(
         'router to ledger: open',
@@ -148,6 +152,22 @@
       : undefined;
   }
 
+  /**
+   * Opens a request on a grant while the quorum is known to be out of reach,
+   * so that it need not wait until that shows again.
+   */
+  private async tryGrant(
+    request: OpenRequest,
+    context: Context,
+  ): Promise<Opening | undefined> {
+    try {
+      return await this.openOnGrant(request, context);
+    } catch (error) {
+      if (error instanceof RefusalError) return undefined;
+      throw error;
+    }
+  }
+
   /**
    * Opens a request on a grant, or refuses it. An opening whose outcome is
    * unknown is released where the request isn't going to run.
--- a/packages/testkit/src/standIn/serviceServer.ts
+++ b/packages/testkit/src/standIn/serviceServer.ts
@@ -24,6 +24,8 @@
 /** A small booking service. */
 export class ServiceServer extends StandInBase {
   private readonly executions: Execution[];
+  /** Attempts that were said not to have run. */
+  private readonly excluded = new Set<string>();
 
   constructor(options: StandInOptions) {
     super(options);
@@ -41,7 +43,10 @@
     this.server.get('/attempts/:attempt', request => {
       const {attempt} = request.params as {attempt: string};
       const found = this.executions.find(each => each.attempt === attempt);
-      if (found === undefined) return {outcome: 'didNotRun'};
+      if (found === undefined) {
+        this.excluded.add(attempt); // it must not run later, either
+        return {outcome: 'didNotRun'};
+      }
       return {
         outcome: 'ran',
         status: 201,
@@ -69,6 +74,9 @@
   ): Promise<unknown> {
     const {attempt, failure} = this.receive(request);
     if (failure.kind === 'dropBeforeRun') return this.drop(request, reply);
+    if (this.excluded.has(attempt)) {
+      return reply.code(409).header('x-attempt-id', attempt).send({});
+    }
     const {lot} = request.body as {lot: string};
     const execution: Execution = {attempt, lot, at: Date.now()};
     this.executions.push(execution);
