--- a/scripts/test.mjs
+++ b/scripts/test.mjs
@@ -63,6 +63,10 @@
 step('format', 'npm', ['run', '--silent', 'format:check']);
 step('types', 'npm', ['run', '--silent', 'build']);
 step('lint', 'npm', ['run', '--silent', 'lint']);
+step('settings page is up to date', 'node', [
+  'scripts/writeSettingsPage.mjs',
+  '--check',
+]);
 if (existsSync('scripts/checkPromises.mjs')) {
   step('promises name their scenarios', 'node', ['scripts/checkPromises.mjs']);
 }
