--- a/packages/bench/src/routing/faultBench.ts
+++ b/packages/bench/src/routing/faultBench.ts
@@ -25,7 +25,7 @@
   'least in flight': baselinePolicy('leastInFlight'),
 };
 
-function faultOf(fault: 'down' | 'failsFast'): Partial<FleetOptions> {
+function faultOf(fault: 'down' | 'failsFast' | 'slow'): Partial<FleetOptions> {
   return {
     faults: [
       {server: 's0', at: faultStart, fault},
@@ -47,6 +47,16 @@
     options: faultOf('down'),
     policies: ejectionPolicies,
   },
+  {
+    name: 'server 8 times as slow',
+    requestsPerSecond: 40,
+    options: faultOf('slow'),
+    policies: {
+      'without hedging': fullPolicy,
+      'with hedging': {...fullPolicy, hedging: true},
+      'least in flight': baselinePolicy('leastInFlight'),
+    },
+  },
   {
     name: 'fresh server, 4 times as slow for 8 s',
     requestsPerSecond: 60,
@@ -66,6 +76,19 @@
       'least in flight': baselinePolicy('leastInFlight'),
     },
   },
+  {
+    name: 'KV caches imported, no fault',
+    requestsPerSecond: 50,
+    options: {},
+    policies: {
+      'recomputing always': fullPolicy,
+      'link of 1 GB/s': {...fullPolicy, kvTransfer: {}},
+      'link of 10 GB/s': {
+        ...fullPolicy,
+        kvTransfer: {bytesPerSecond: 10_000_000_000},
+      },
+    },
+  },
   {
     name: 'half of the requests paste one agreement',
     requestsPerSecond: 50,
@@ -82,17 +105,13 @@
   },
 ];
 
-/** Rows by scenario name. */
-export function compareFaults(
-  options: Partial<FleetOptions> = {},
-): Record<string, Row[]> {
-  return Object.fromEntries(
-    scenarios.map(scenario => [
-      scenario.name,
-      Object.entries(scenario.policies).map(([name, policy]) =>
-        rowOf(name, run(scenario, policy, options)),
-      ),
-    ]),
+/** One row for each scenario and policy, the full policy first. */
+export function compareFaults(options: Partial<FleetOptions> = {}): Row[] {
+  return scenarios.flatMap(scenario =>
+    Object.entries(scenario.policies).map(([name, policy]) => ({
+      scenario: scenario.name,
+      ...rowOf(name, run(scenario, policy, options)),
+    })),
   );
 }
 
