test: bills are counted once nothing is open any more

With the idempotency key ignored the scenario passed first, since it counted bills before the abandoned request was settled; now it fails (2 bills).

--- a/features/steps/operatorSteps.ts
+++ b/features/steps/operatorSteps.ts
@@ -292,6 +292,8 @@
   customer: string,
   count: number,
 ): Promise<void> {
+  // A request that is still open may be billed later.
+  await world.scenario.untilAccounted(customer, settleMilliseconds);
   const bills = await eventually(settleMilliseconds, async () => {
     const found = await world.scenario.bills(customer);
     return found.length >= count ? found : `${found.length} bills of ${count}`;
