fix(consensus): moves of segments are durable one by one

Cause: several renames shared one folder sync, so a loss of power could have kept a later one without an earlier one, and the log would not have opened for its gap. Found by reading; a test can't lose a folder's names on this machine.

--- a/packages/consensus/src/fileStorage/segmentedLog.ts
+++ b/packages/consensus/src/fileStorage/segmentedLog.ts
@@ -90,7 +90,6 @@
       await this.seal(this.live[0]);
       this.live.shift();
     }
-    await this.syncFolders();
   }
 
   /** Sets the whole live log aside; entries up to an index stay readable. */
@@ -98,11 +97,10 @@
     await this.closeHandle();
     for (const segment of this.live) {
       const lastIndex = Math.min(segment.lastIndex, committedIndex);
-      if (lastIndex < segment.firstIndex) await rm(segment.file);
+      if (lastIndex < segment.firstIndex) await this.remove(segment);
       else await this.seal({...segment, lastIndex});
     }
     this.live = [];
-    await this.syncFolders();
   }
 
   /** Returns the first range of indexes up to a last one that no file holds. */
@@ -234,14 +232,18 @@
     return handle;
   }
 
+  // Each step is durable before the next, oldest first, so that a crash never
+  // leaves a gap between live segments.
   private async seal(segment: Segment): Promise<void> {
     const file = path.join(this.historyFolder, sealedName(segment));
     await rename(segment.file, file);
+    await syncFolder(this.historyFolder);
+    await syncFolder(this.folder);
     this.sealed.push({...segment, file});
   }
 
-  private async syncFolders(): Promise<void> {
-    await syncFolder(this.historyFolder);
+  private async remove(segment: Segment): Promise<void> {
+    await rm(segment.file);
     await syncFolder(this.folder);
   }
 
