test(features): a stream that ends early, and a finished request sent again

With the check of the terminator removed (scratch copy) the scenario of noTerminator stayed green, since that stand-in sends every token. One that ends cleanly behind its first chunk is added beside it.

--- a/features/serving.feature
+++ b/features/serving.feature
@@ -24,6 +24,15 @@
     And "desk" has 1 bill, one for each request
     And the budget of "desk" holds
 
+  @promise-billed-once
+  Scenario: A finished request is sent again through another router
+    Given a cluster of 3 routers with 3 ledger replicas
+    And the customer "desk" with a budget of 100000
+    When "desk" asks r1 for 20 words with the key "k3"
+    And "desk" asks r2 for 20 words with the key "k3"
+    Then every answer is whole
+    And "desk" has 1 bill, one for each request
+
   @promise-whole-answer
   Scenario Outline: A model server fails as "<failure>" and the caller gets a whole answer
     Given a cluster of 3 routers with 3 ledger replicas
@@ -36,6 +45,7 @@
     Examples:
       | failure             |
       | dropAfterFirstChunk |
+      | endAfterFirstChunk  |
       | noTerminator        |
 
   @promise-whole-answer
--- a/packages/testkit/src/standIn/modelServer.ts
+++ b/packages/testkit/src/standIn/modelServer.ts
@@ -159,7 +159,7 @@
       raw.write(choice({role: 'assistant', content}, null));
       sent++;
       await this.failAfter(sent, raw, failure);
-      if (raw.destroyed) return;
+      if (raw.destroyed || raw.writableEnded) return;
     }
     if (failure.kind === 'noTerminator') return void raw.end();
     raw.write(choice({}, generation.finishReason));
@@ -173,6 +173,7 @@
     raw: ServerResponse,
     failure: FailureMode,
   ): Promise<void> {
+    if (failure.kind === 'endAfterFirstChunk') return void raw.end();
     const exits = failure.kind === 'exitAfterChunks' && sent >= failure.chunks;
     if (!exits && failure.kind !== 'dropAfterFirstChunk') return;
     await sleep(flushMilliseconds);
--- a/packages/testkit/src/standIn/options.ts
+++ b/packages/testkit/src/standIn/options.ts
@@ -8,6 +8,7 @@
   | {kind: 'none'}
   | {kind: 'exitAfterChunks'; chunks: number}
   | {kind: 'dropAfterFirstChunk'}
+  | {kind: 'endAfterFirstChunk'}
   | {kind: 'noTerminator'}
   | {kind: 'overReport'; factor: number}
   | {kind: 'crossedId'}
