--- a/features/serving.feature
+++ b/features/serving.feature
@@ -79,3 +79,14 @@
     And the load stops
     Then every answer is whole
     And "desk" has one bill for each request
+
+  @promise-graceful-stop
+  Scenario: A long stream ends whole before its router stops
+    Given a cluster of 3 routers with 3 ledger replicas
+    And the customer "desk" with a budget of 100000
+    And model servers that take 100 ms a token
+    When "desk" starts to ask r3 for 60 words as a stream
+    And 500 ms pass
+    And r3 is restarted gracefully
+    Then the started answer is whole
+    And "desk" has 1 bill, one for each request
--- a/features/steps/callerSteps.ts
+++ b/features/steps/callerSteps.ts
@@ -124,6 +124,11 @@
   assertWhole(this, this.scenario.answers.length - 1);
 });
 
+Then('the started answer is whole', async function (this: ScenarioWorld) {
+  this.scenario.answers.push(...(await Promise.all(this.started)));
+  assertWhole(this, this.scenario.answers.length - 1);
+});
+
 Then('every answer is whole', function (this: ScenarioWorld) {
   assertAllWhole(this);
 });
--- a/features/steps/clusterSteps.ts
+++ b/features/steps/clusterSteps.ts
@@ -118,6 +118,14 @@
   },
 );
 
+When(
+  /^(r\d+) is restarted gracefully$/,
+  async function (this: ScenarioWorld, name: string) {
+    const {code, signal} = await this.scenario.restart(name);
+    if (code !== 0) throw new Error(`${name} ended with ${signal ?? code}`);
+  },
+);
+
 When("the ledger's leader is frozen", async function (this: ScenarioWorld) {
   this.frozen = await this.scenario.leaderName();
   this.scenario.cluster.daemon(this.frozen).process?.signal('SIGSTOP');
