--- a/features/budgets.feature
+++ b/features/budgets.feature
@@ -47,7 +47,8 @@
     And the customer "desk" with a budget of 60000 and these partition terms:
       | servingSeconds | grantPercent |
       | 60             | 40           |
-    And "desk" has asked r3 for 10 words 20 times
+    And "desk" has asked r3 for 60 words 10 times
+    And 1500 ms pass
     And model servers that take 30 ms a token
     When the network is cut between r1, r2, r4 and r3, r5
     And 2500 ms pass
@@ -55,7 +56,8 @@
     And "desk" starts to ask r3 for 60 words as a stream with the key "k1"
     And 600 ms pass
     And r3 is killed
-    And the network heals
+    Then the started answer was cut off
+    When the network heals
     And r3 is started
     And "desk" asks r1 for 60 words as a stream with the key "k1" until served
     Then the budget of "desk" holds after all grants are merged
@@ -68,14 +70,16 @@
     And the customer "desk" with a budget of 60000 and these partition terms:
       | servingSeconds | grantPercent |
       | 60             | 40           |
-    And "desk" has asked r3 for 10 words 20 times
+    And "desk" has asked r3 for 60 words 10 times
+    And 1500 ms pass
     And model servers that take 30 ms a token
     When the network is cut between r1, r2, r4 and r3, r5
     And 2500 ms pass
     And "desk" starts to ask r3 for 60 words as a stream with the key "k2"
     And 600 ms pass
     And r3 is killed
-    And the network heals
+    Then the started answer was cut off
+    When the network heals
     And "desk" asks r1 for 60 words as a stream with the key "k2" until served
     And r3 is started
     Then the budget of "desk" holds after all grants are merged
--- a/features/contracts.feature
+++ b/features/contracts.feature
@@ -26,7 +26,8 @@
     And the customer "desk" with a budget of 60000 and these partition terms:
       | servingSeconds | grantPercent |
       | 10             | 40           |
-    And "desk" has asked r3 for 10 words 20 times
+    And "desk" has asked r3 for 60 words 10 times
+    And 1500 ms pass
     When the network is cut between r1, r2, r4 and r3, r5
     And 2500 ms pass
     And "desk" has asked r3 for 10 words 1 times
--- a/features/steps/callerSteps.ts
+++ b/features/steps/callerSteps.ts
@@ -129,6 +129,12 @@
   assertWhole(this, this.scenario.answers.length - 1);
 });
 
+Then('the started answer was cut off', async function (this: ScenarioWorld) {
+  const [answer] = await Promise.all(this.started);
+  assert.ok(answer !== undefined && answer.text !== '', answer?.body);
+  assert.equal(answer.finished, false);
+});
+
 Then('every answer is whole', function (this: ScenarioWorld) {
   assertAllWhole(this);
 });
