--- a/features/serving.feature
+++ b/features/serving.feature
@@ -24,6 +24,20 @@
     And "desk" has 1 bill, one for each request
     And the budget of "desk" holds
 
+  @promise-billed-once @failure-router-frozen
+  Scenario: A router wakes up and settles a request that another one has served meanwhile
+    Given a cluster of 4 routers with 3 ledger replicas
+    And the customer "desk" with a budget of 100000
+    And model servers that take 50 ms a token
+    When "desk" starts to ask r4 for 40 words as a stream with the key "k5"
+    And 800 ms pass
+    And r4 is frozen
+    And "desk" asks r1 for 40 words as a stream with the key "k5" until served
+    And the frozen instance wakes up
+    Then the started answer is whole
+    And "desk" has 1 bill, one for each request
+    And the budget of "desk" holds
+
   @promise-billed-once
   Scenario: A finished request is sent again through another router
     Given a cluster of 3 routers with 3 ledger replicas
--- a/features/steps/clusterSteps.ts
+++ b/features/steps/clusterSteps.ts
@@ -131,6 +131,11 @@
   this.scenario.cluster.daemon(this.frozen).process?.signal('SIGSTOP');
 });
 
+When(/^(r\d+) is frozen$/, function (this: ScenarioWorld, name: string) {
+  this.frozen = name;
+  this.scenario.cluster.daemon(name).process?.signal('SIGSTOP');
+});
+
 When('the frozen instance wakes up', function (this: ScenarioWorld) {
   this.scenario.cluster.daemon(this.frozen).process?.signal('SIGCONT');
 });
