--- a/features/budgets.feature
+++ b/features/budgets.feature
@@ -24,6 +24,7 @@
     When the network heals
     Then the budget of "desk" holds after all grants are merged
     And "desk" has one bill for each whole answer
+    And the budget of "desk" holds
 
   @promise-budget @failure-top-up-in-partition
   Scenario: A budget is topped up during a partition
@@ -63,6 +64,7 @@
     Then the budget of "desk" holds after all grants are merged
     And "desk" has at most one bill for the key "k1"
     And "desk" has one bill for each whole answer
+    And the budget of "desk" holds
 
   @promise-billed-once @failure-two-together
   Scenario: A router dies in a partition, and its journal comes back after the retry was billed
@@ -85,3 +87,4 @@
     And r3 is started
     Then the budget of "desk" holds after all grants are merged
     And "desk" has one bill for each whole answer
+    And the budget of "desk" holds
