--- a/packages/testkit/tests/modelServer.test.ts
+++ b/packages/testkit/tests/modelServer.test.ts
@@ -74,6 +74,7 @@
 
   const failures: Array<{failure: FailureMode; shows: RegExp}> = [
     {failure: {kind: 'noTerminator'}, shows: /^(?![^]*DONE)/},
+    {failure: {kind: 'endAfterFirstChunk'}, shows: /^(?![^]*DONE)/},
     {failure: {kind: 'crossedId'}, shows: /"id":"crossed-a3"/},
     {
       failure: {kind: 'overReport', factor: 9},
