--- a/packages/daemon/src/membership/membership.ts
+++ b/packages/daemon/src/membership/membership.ts
@@ -27,6 +27,7 @@
 import {type Logger, silentLogger} from '../util/logger.js';
 import {type Metrics, silentMetrics} from '../util/metrics.js';
 import {PeriodicTask} from '../util/periodicTask.js';
+import {GossipExchange} from './gossipExchange.js';
 
 /** The parts of the own record that change. */
 export interface InstanceStatus {
@@ -82,6 +83,7 @@
   readonly directory: Directory;
   private readonly options: Required<MembershipOptions>;
   private readonly table: InstanceTable;
+  private readonly gossip: GossipExchange;
   private readonly rounds: PeriodicTask;
   private readonly reported = new Set<string>();
   private leaving = false;
@@ -93,6 +95,13 @@
     const {silentAfterMilliseconds} = settings.backends;
     this.directory = new Directory({silentAfterMilliseconds});
     this.table = new InstanceTable(this.firstRecord(), clock.now());
+    this.gossip = new GossipExchange({
+      table: this.table,
+      directory: this.directory,
+      address: ownPeerAddress(settings),
+      clock,
+      send: this.options.exchange,
+    });
     this.rounds = new PeriodicTask({
       name: 'membership round',
       clock,
@@ -125,14 +134,12 @@
   }
 
   /** Answers a peer's question. */
-  answer({from, instances, backends}: GossipRequest): GossipReply {
-    const now = this.options.clock.now();
+  answer(request: GossipRequest): GossipReply {
     // Nobody would ever ask a newcomer that no settings name.
-    if (this.isNews(from)) this.ask(from.address).catch(() => undefined);
-    return {
-      instances: this.table.newerThan(instances, now),
-      backends: this.directory.newerThan(backends, now),
-    };
+    if (this.isNews(request.from)) {
+      this.ask(request.from.address).catch(() => undefined);
+    }
+    return this.gossip.answer(request);
   }
 
   /** Takes in that another instance leaves. */
@@ -146,7 +153,7 @@
   announce(announcement: Announcement): 'accepted' | 'stale' {
     const held = this.directory.get(announcement.name)?.announcement;
     if (held !== undefined && isOlder(announcement, held)) return 'stale';
-    this.directory.observe(announcement, this.options.clock.now());
+    this.gossip.observe(announcement);
     return 'accepted';
   }
 
@@ -271,7 +278,7 @@
   /** One round of questions; public for tests. */
   async round(): Promise<void> {
     this.beat();
-    const {settings, fanout, clock} = this.options;
+    const {settings, fanout} = this.options;
     const peers = choosePeers(
       {
         self: this.table.own,
@@ -283,8 +290,7 @@
       {fanout},
     );
     await Promise.allSettled(peers.map(address => this.ask(address)));
-    this.table.forget(clock.now());
-    this.directory.forget(clock.now());
+    this.gossip.forget();
     this.report();
   }
 
@@ -295,21 +301,12 @@
   }
 
   private async ask(address: string): Promise<void> {
-    const {settings, clock, exchange, metrics} = this.options;
-    const {name, incarnation} = this.table.own;
-    const request: GossipRequest = {
-      from: {name, incarnation, address: ownPeerAddress(settings)},
-      instances: this.table.digest(),
-      backends: this.directory.digest(),
-    };
-    const askedAt = clock.now();
-    const reply = await exchange(address, request).catch((error: unknown) => {
+    const reply = await this.gossip.ask(address).catch((error: unknown) => {
       this.reportRefusal(address, error);
       throw error;
     });
-    this.table.merge(reply.instances, askedAt);
-    this.directory.merge(reply.backends, askedAt);
     this.heard = true;
+    const {metrics} = this.options;
     metrics.increment('membership.records', reply.backends.length);
   }
 
--- a/packages/daemon/tests/peer.test.ts
+++ b/packages/daemon/tests/peer.test.ts
@@ -30,7 +30,11 @@
       address: request.address,
       wallTime: 5,
     }),
-    gossip: () => ({instances: [], backends: []}),
+    gossip: () => ({
+      instances: [],
+      backends: [],
+      renewals: {instances: [], backends: []},
+    }),
     recall: async () => ({returned: 0}),
     running: () => ({running: []}),
     receiveFarewell: () => {},
