--- a/packages/bench/src/routing/routerModel.ts
+++ b/packages/bench/src/routing/routerModel.ts
@@ -1,30 +1,20 @@
 /**
- * @fileoverview One modelled router: its own view of the servers, and the
- * decisions of the routing package or of a baseline.
+ * @fileoverview One modelled router: admission, attempts, retries and hedging
+ * of the requests that callers send to it.
  */
 import {type Announcement} from '@dogwoodtrestle/schema';
 import {
   Admission,
-  admissionCapacity,
   type AdmissionTicket,
-  type BackendEntry,
-  chooseBackend,
   decideHedging,
-  decideKvTransfer,
   defaultHedgingOptions,
-  Directory,
-  LoadTracker,
-  OutlierDetector,
-  PrefixIndex,
   RetryBudget,
-  SlowStart,
 } from '@dogwoodtrestle/routing';
 
 import {type Measurements} from './measurements.js';
 import {type EngineJob, type ModelServer} from './modelServer.js';
-import {type ChoiceName, type Policy} from './policy.js';
 import {RecentSamples} from './recentSamples.js';
-import {type VirtualTime} from './virtualTime.js';
+import {ServerView, type ServerViewOptions} from './serverView.js';
 import {type GeneratedRequest} from './workload.js';
 
 const maximumAttempts = 3;
@@ -44,7 +34,7 @@
 
 interface Attempt {
   id: string;
-  server: string;
+  server: ModelServer;
   job: EngineJob;
   hasToken: boolean;
   isStopped: boolean;
@@ -63,22 +53,12 @@
   isOver: boolean;
 }
 
-export interface RouterModelOptions {
-  failureDomain: string;
-  routerCount: number;
-  policy: Policy;
-  time: VirtualTime;
-  random: () => number;
-  servers: ReadonlyMap<string, ModelServer>;
+export interface RouterModelOptions extends ServerViewOptions {
   measurements: Measurements;
 }
 
 export class RouterModel {
-  readonly directory = new Directory();
-  private readonly tracker = new LoadTracker();
-  private readonly prefixes = new PrefixIndex();
-  private readonly outliers = new OutlierDetector();
-  private readonly slowStart: SlowStart;
+  private readonly view: ServerView;
   private readonly retryBudget = new RetryBudget();
   private readonly admission: Admission;
   private readonly byTicket = new Map<AdmissionTicket, Handle>();
@@ -88,41 +68,20 @@
     long: new RecentSamples(),
   };
   private attemptCount = 0;
-  private readonly choices: Record<
-    ChoiceName,
-    (handle: Handle, candidates: BackendEntry[]) => BackendEntry | undefined
-  > = {
-    policy: (handle, candidates) => this.chooseByPolicy(handle, candidates),
-    randomOfTwo: (handle, candidates) => {
-      const usable = untried(handle, candidates);
-      const draw = () =>
-        usable[Math.floor(this.options.random() * usable.length)];
-      const [first, second] = [draw(), draw()];
-      if (!first || !second) return first;
-      return loadOf(first) <= loadOf(second) ? first : second;
-    },
-    leastInFlight: (handle, candidates) =>
-      this.leastInFlight(untried(handle, candidates)),
-  };
 
   constructor(private readonly options: RouterModelOptions) {
-    const {time, random} = options;
-    this.slowStart = new SlowStart(time.now);
+    this.view = new ServerView(options);
     this.admission = new Admission({
       ...options.policy.admissionOptions,
       capacity: 1,
-      random,
+      random: options.random,
     });
   }
 
   observe(announcement: Announcement, ageMilliseconds: number): void {
-    const {now} = this.options.time;
-    const observedAt = now - ageMilliseconds;
-    const observation = this.directory.observe(announcement, observedAt);
-    if (observation === 'ignored') return;
-    this.slowStart.observe(announcement, now);
-    this.prefixes.observe(announcement);
-    this.updateCapacity();
+    if (!this.view.observe(announcement, ageMilliseconds)) return;
+    const {runningCount} = this.admission;
+    this.admission.setCapacity(this.view.capacity(runningCount));
   }
 
   send(request: GeneratedRequest, caller: Caller): Handle {
@@ -142,7 +101,7 @@
   /** The caller has given up. */
   cancel(handle: Handle): void {
     if (handle.isOver) return;
-    this.endAttempt(handle, true);
+    this.endAttempts(handle, true);
     this.end(handle);
   }
 
@@ -186,77 +145,94 @@
   }
 
   private startAttempt(handle: Handle): void {
-    const {time, servers} = this.options;
-    const candidates = this.directory.candidates(
-      {kind: 'model', name: 'm'},
-      time.now,
-    );
-    const entry = this.choices[this.options.policy.choice](handle, candidates);
-    const server = entry && servers.get(entry.announcement.name);
-    if (!entry || !server) {
+    const {time, policy} = this.options;
+    const choice = this.view.choose(handle);
+    if (!choice) {
       this.fail(handle);
       return;
     }
-    const attempt = this.launch(server, handle);
+    const attempt = this.launch(choice.server, handle);
     handle.attempt = attempt;
     time.after(firstTokenTimeoutMilliseconds, () => {
       if (handle.attempt !== attempt || attempt.hasToken) return;
       this.attemptFailed(handle, attempt);
     });
-    if (this.options.policy.hedging) this.scheduleHedge(handle, attempt);
+    if (policy.hedging) this.scheduleHedge(handle, attempt);
   }
 
   private launch(server: ModelServer, handle: Handle): Attempt {
-    const {time, measurements, failureDomain} = this.options;
-    const attempt = this.attemptOn(server.name, handle);
+    const {measurements, failureDomain} = this.options;
+    const {request} = handle;
+    this.attemptCount += 1;
+    const attempt: Attempt = {
+      id: String(this.attemptCount),
+      server,
+      hasToken: false,
+      isStopped: false,
+      job: this.jobOf(handle, () => attempt),
+    };
     handle.attempts += 1;
-    handle.tried.add(attempt.server);
+    handle.tried.add(server.name);
     measurements.attempts += 1;
     if (server.failureDomain === failureDomain) measurements.localAttempts += 1;
-    this.tracker.start(attempt.server, attempt.id, time.now);
-    this.submit(server, attempt, handle);
-    this.prefixes.recordSent(attempt.server, handle.request.blocks, time.now);
+    this.submit(attempt, request);
+    this.view.start(server.name, attempt.id, request);
     return attempt;
   }
 
   /** Sends the job, after an import of the prompt's KV cache if that helps. */
-  private submit(server: ModelServer, attempt: Attempt, handle: Handle): void {
-    const transfer = this.planTransfer(server, handle);
+  private submit(attempt: Attempt, request: GeneratedRequest): void {
+    const {server, job} = attempt;
+    const transfer = this.view.planTransfer(server, request);
     if (!transfer) {
-      server.submit(attempt.job);
+      server.submit(job);
       return;
     }
     this.options.time.after(transfer.milliseconds, () => {
-      server.importBlocks(transfer.source.cachedBlocks(attempt.job.blocks));
-      if (!attempt.isStopped) server.submit(attempt.job);
+      server.importBlocks(transfer.source.cachedBlocks(job.blocks));
+      if (!attempt.isStopped) server.submit(job);
     });
   }
 
-  private planTransfer(
-    server: ModelServer,
-    {request}: Handle,
-  ): {source: ModelServer; milliseconds: number} | undefined {
-    const {policy, servers, time} = this.options;
-    if (!policy.kvTransfer) return undefined;
-    const hitsOf = (name: string) =>
-      this.prefixes.hits(name, request.blocks, time.now);
-    let source: ModelServer | undefined;
-    for (const each of servers.values()) {
-      if (each.isDown) continue;
-      if (!source || hitsOf(each.name) > hitsOf(source.name)) source = each;
-    }
-    if (!source || source === server) return undefined;
-    const {transfer, importMilliseconds} = decideKvTransfer(
-      {
-        promptTokens: request.promptTokens,
-        destinationHits: hitsOf(server.name),
-        sourceHits: hitsOf(source.name),
-        supported: true,
-        prefillTokensPerSecond: server.prefillTokensPerSecond,
+  private jobOf(handle: Handle, attemptOf: () => Attempt): EngineJob {
+    const {request} = handle;
+    const {measurements, policy, time} = this.options;
+    const startedAt = time.now;
+    return {
+      blocks: request.blocks,
+      promptTokens: request.promptTokens,
+      outputTokens: request.outputTokens,
+      priority: policy.enginePriorities ? request.kind.priority : 'normal',
+      onCacheHits: tokens => {
+        measurements.promptTokens += request.promptTokens;
+        measurements.cachedTokens += tokens;
       },
-      policy.kvTransfer,
-    );
-    return transfer ? {source, milliseconds: importMilliseconds} : undefined;
+      onToken: isLast =>
+        this.receiveToken(handle, attemptOf(), startedAt, isLast),
+      onFailure: () => this.receiveFailure(handle, attemptOf()),
+    };
+  }
+
+  private receiveToken(
+    handle: Handle,
+    attempt: Attempt,
+    startedAt: number,
+    isLast: boolean,
+  ): void {
+    if (handle.hedge) this.settleHedge(handle, attempt);
+    if (handle.attempt !== attempt) return;
+    if (!attempt.hasToken) {
+      const milliseconds = this.options.time.now - startedAt;
+      this.firstTokensLike(handle).record(milliseconds);
+    }
+    attempt.hasToken = true;
+    handle.caller.onToken();
+    if (isLast) this.done(handle, attempt);
+  }
+
+  private receiveFailure(handle: Handle, attempt: Attempt): void {
+    if (handle.hedge === attempt) this.endHedge(handle);
+    else if (handle.attempt === attempt) this.attemptFailed(handle, attempt);
   }
 
   private scheduleHedge(handle: Handle, attempt: Attempt): void {
@@ -273,16 +249,8 @@
   }
 
   private hedge(handle: Handle, attempt: Attempt, waited: number): void {
-    const {time, servers} = this.options;
-    const candidates = this.directory.candidates(
-      {kind: 'model', name: 'm'},
-      time.now,
-    );
-    const entry = this.chooseByPolicy(handle, candidates);
-    const server = entry && servers.get(entry.announcement.name);
-    if (!entry || !server) return;
-    const {capacity} = entry.announcement.load;
-    const load = Math.max(0, loadOf(entry) + this.tracker.correction(entry));
+    const choice = this.view.choose(handle);
+    if (!choice) return;
     const decision = decideHedging({
       idempotent: true,
       hasOutput: attempt.hasToken,
@@ -290,11 +258,11 @@
       waitedMilliseconds: waited,
       remainingMilliseconds: handle.request.kind.deadlineMilliseconds - waited,
       recentFirstTokenMilliseconds: this.firstTokensLike(handle).sorted(),
-      alternativeUtilisation: load / capacity,
+      alternativeUtilisation: choice.utilisation,
       cancellable: true,
-      takeRetry: () => this.retryBudget.tryRetry(time.now),
+      takeRetry: () => this.retryBudget.tryRetry(this.options.time.now),
     });
-    if (decision.hedge) handle.hedge = this.launch(server, handle);
+    if (decision.hedge) handle.hedge = this.launch(choice.server, handle);
   }
 
   private firstTokensLike({request}: Handle): RecentSamples {
@@ -305,64 +273,23 @@
   /** The first of two attempts that answers goes on alone. */
   private settleHedge(handle: Handle, answering: Attempt): void {
     const {hedge, attempt} = handle;
-    if (!hedge) return;
     const loser = answering === hedge ? attempt : hedge;
     handle.attempt = answering;
     handle.hedge = undefined;
     if (loser) this.stopAttempt(loser, true);
   }
 
-  private attemptOn(server: string, handle: Handle): Attempt {
-    const {request} = handle;
-    const {measurements, policy, time} = this.options;
-    const startedAt = time.now;
-    this.attemptCount += 1;
-    const attempt: Attempt = {
-      id: String(this.attemptCount),
-      server,
-      hasToken: false,
-      isStopped: false,
-      job: {
-        blocks: request.blocks,
-        promptTokens: request.promptTokens,
-        outputTokens: request.outputTokens,
-        priority: policy.enginePriorities ? request.kind.priority : 'normal',
-        onCacheHits: tokens => {
-          measurements.promptTokens += request.promptTokens;
-          measurements.cachedTokens += tokens;
-        },
-        onToken: isLast => {
-          if (handle.hedge) this.settleHedge(handle, attempt);
-          if (handle.attempt !== attempt) return;
-          if (!attempt.hasToken) {
-            this.firstTokensLike(handle).record(time.now - startedAt);
-          }
-          attempt.hasToken = true;
-          handle.caller.onToken();
-          if (isLast) this.done(handle);
-        },
-        onFailure: () => {
-          if (handle.hedge === attempt) this.endHedge(handle);
-          else if (handle.attempt === attempt) {
-            this.attemptFailed(handle, attempt);
-          }
-        },
-      },
-    };
-    return attempt;
-  }
-
-  private done(handle: Handle): void {
-    this.record(handle, 'success');
-    this.endAttempt(handle, false);
+  private done(handle: Handle, attempt: Attempt): void {
+    this.view.record(attempt.server.name, 'success');
+    this.endAttempts(handle, false);
     this.end(handle);
     handle.caller.onDone();
   }
 
   private attemptFailed(handle: Handle, attempt: Attempt): void {
     const {time, policy} = this.options;
-    this.record(handle, 'failure');
-    this.endAttempt(handle, true);
+    this.view.record(attempt.server.name, 'failure');
+    this.endAttempts(handle, true);
     // A stream that has begun isn't run again here.
     const mayRetry = !attempt.hasToken && handle.attempts < maximumAttempts;
     const hasBudget =
@@ -376,7 +303,7 @@
     handle.caller.onFailure();
   }
 
-  private endAttempt(handle: Handle, isCancelled: boolean): void {
+  private endAttempts(handle: Handle, isCancelled: boolean): void {
     this.endHedge(handle);
     if (handle.attempt) this.stopAttempt(handle.attempt, isCancelled);
     handle.attempt = undefined;
@@ -388,10 +315,9 @@
   }
 
   private stopAttempt(attempt: Attempt, isCancelled: boolean): void {
-    const {time, servers} = this.options;
     attempt.isStopped = true;
-    this.tracker.end(attempt.server, attempt.id, time.now);
-    if (isCancelled) servers.get(attempt.server)?.cancel(attempt.job);
+    this.view.end(attempt.server.name, attempt.id);
+    if (isCancelled) attempt.server.cancel(attempt.job);
   }
 
   private end(handle: Handle): void {
@@ -401,77 +327,4 @@
     this.admission.leave(handle.ticket, this.options.time.now);
     this.serveQueue();
   }
-
-  private record(handle: Handle, outcome: 'success' | 'failure'): void {
-    const {policy, servers, time} = this.options;
-    if (!policy.outlierDetection || !handle.attempt) return;
-    const {server} = handle.attempt;
-    this.outliers.record(server, outcome, servers.size, time.now);
-  }
-
-  private chooseByPolicy(
-    handle: Handle,
-    candidates: BackendEntry[],
-  ): BackendEntry | undefined {
-    const {policy, time, random, failureDomain} = this.options;
-    const {now} = time;
-    return chooseBackend({
-      candidates,
-      now,
-      inFlight: name => this.tracker.inFlight(name),
-      correction: entry => this.tracker.correction(entry),
-      failureDomain,
-      promptTokens: handle.request.promptTokens,
-      prefixHits: name => this.prefixes.hits(name, handle.request.blocks, now),
-      health: name => ({
-        ejected: this.outliers.ejected(name, now),
-        weight: policy.slowStart ? this.slowStart.weight(name, now) : 1,
-      }),
-      exclude: handle.tried,
-      random,
-      options: policy.choiceOptions,
-    }).backend;
-  }
-
-  private leastInFlight(candidates: BackendEntry[]): BackendEntry | undefined {
-    let least = Infinity;
-    for (const {announcement} of candidates) {
-      least = Math.min(least, this.tracker.inFlight(announcement.name));
-    }
-    const best = candidates.filter(
-      ({announcement}) => this.tracker.inFlight(announcement.name) === least,
-    );
-    return best[Math.floor(this.options.random() * best.length)];
-  }
-
-  /** This router's part of the places of the servers that may get work. */
-  private updateCapacity(): void {
-    const {time, routerCount, policy} = this.options;
-    const candidates = this.directory.candidates(
-      {kind: 'model', name: 'm'},
-      time.now,
-    );
-    const headroom = policy.admissionHeadroom;
-    this.admission.setCapacity(
-      admissionCapacity(
-        {
-          candidates,
-          correction: entry => this.tracker.correction(entry),
-          running: this.admission.runningCount,
-          routerCount,
-        },
-        {headroom},
-      ),
-    );
-  }
-}
-
-function untried(handle: Handle, candidates: BackendEntry[]): BackendEntry[] {
-  return candidates.filter(
-    ({announcement}) => !handle.tried.has(announcement.name),
-  );
-}
-
-function loadOf({announcement: {load}}: BackendEntry): number {
-  return load.running + load.queued;
 }
