--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -12,6 +12,7 @@
 import {RequestPath} from './requests/index.js';
 import {type Secrets} from './settings/loadSettings.js';
 import {type Stoppable} from './shutdown.js';
+import {lockFolder} from './util/folderLock.js';
 
 /** What a daemon is built from. */
 export interface DaemonOptions {
@@ -32,6 +33,9 @@
   secrets,
   logger,
 }: DaemonOptions): Promise<Daemon> {
+  const {dataFolder} = settings.instance;
+  const unlock =
+    dataFolder === undefined ? undefined : await lockFolder(dataFolder);
   const metrics = createMetrics(settings);
   const tracing = createTracing(settings);
   const control = await createControl({
@@ -98,6 +102,7 @@
       await requests.close();
       await tracing.close();
       await metrics.close();
+      await unlock?.();
       return report;
     },
   };
--- a/packages/daemon/src/main.ts
+++ b/packages/daemon/src/main.ts
@@ -68,6 +68,12 @@
   EACCES: 'a port or folder of the settings may not be used',
 };
 
-function startMessage({code}: {code?: string}): string {
-  return startMessages[code ?? ''] ?? 'the daemon could not start';
+function startMessage({
+  code,
+  message,
+}: {
+  code?: string;
+  message?: string;
+}): string {
+  return startMessages[code ?? ''] ?? message ?? 'the daemon could not start';
 }
--- /dev/null
+++ b/packages/daemon/tests/folderLock.test.ts
@@ -0,0 +1,51 @@
+import {mkdtemp, readFile, rm, writeFile} from 'node:fs/promises';
+import os from 'node:os';
+import path from 'node:path';
+
+import {afterEach, beforeEach, describe, expect, it} from 'vitest';
+
+import {FolderInUseError, lockFolder} from '../src/util/folderLock.js';
+
+let folder: string;
+
+beforeEach(async () => {
+  folder = await mkdtemp(path.join(os.tmpdir(), 'lock-'));
+});
+
+afterEach(() => rm(folder, {recursive: true}));
+
+/** Start time of this process, as the lock states it. */
+async function ownLock(): Promise<string> {
+  const release = await lockFolder(folder);
+  const text = await readFile(lockFile(), 'utf8');
+  await release();
+  return text;
+}
+
+function lockFile(): string {
+  return path.join(folder, 'process.lock');
+}
+
+describe('lockFolder', () => {
+  it('refuses a folder that a running process uses', async () => {
+    const stat = await readFile(`/proc/${process.ppid}/stat`, 'utf8');
+    const start = stat.slice(stat.lastIndexOf(')') + 2).split(' ')[19];
+    await writeFile(lockFile(), `${process.ppid} ${start}`);
+    const attempt = lockFolder(folder);
+    await expect(attempt).rejects.toBeInstanceOf(FolderInUseError);
+    await expect(attempt).rejects.toThrow(`process ${process.ppid}`);
+  });
+
+  const stale = [
+    {name: 'a process that has ended', lock: '999999999 1'},
+    {name: 'an earlier process with the same id', lock: `${process.ppid} 1`},
+    {name: 'nobody', lock: ''},
+  ];
+  it.each(stale)('takes over the lock of $name', async ({lock}) => {
+    await writeFile(lockFile(), lock);
+    expect(await ownLock()).toMatch(new RegExp(`^${process.pid} `));
+    await (
+      await lockFolder(folder)
+    )();
+  });
+});
