--- a/packages/bench/src/routing/policy.ts
+++ b/packages/bench/src/routing/policy.ts
@@ -3,6 +3,7 @@
   type AdmissionOptions,
   type ChoiceOptions,
   defaultAdmissionCapacityOptions,
+  type KvTransferOptions,
 } from '@dogwoodtrestle/routing';
 
 export type ChoiceName = 'policy' | 'randomOfTwo' | 'leastInFlight';
@@ -18,6 +19,9 @@
   retryBudget: boolean;
   outlierDetection: boolean;
   slowStart: boolean;
+  hedging: boolean;
+  /** Whether KV caches are imported, and over what link. */
+  kvTransfer?: Partial<KvTransferOptions>;
   /** Whether priorities are passed to the engines. */
   enginePriorities: boolean;
 }
@@ -31,6 +35,7 @@
   retryBudget: true,
   outlierDetection: true,
   slowStart: true,
+  hedging: false,
   enginePriorities: true,
 };
 
@@ -45,6 +50,7 @@
     retryBudget: false,
     outlierDetection: false,
     slowStart: false,
+    hedging: false,
     enginePriorities: false,
   };
 }
