fix(daemon): an abandoned request that was taken over meanwhile isn't settled

The settlement now applies only while the gone holder still holds it, and the bill names that holder. Seen failing without onlyHolder (asserted).

--- a/packages/daemon/src/control/duties.ts
+++ b/packages/daemon/src/control/duties.ts
@@ -117,7 +117,6 @@
       (await calls.running(address, {requestKeys})).running,
     askBackends: request => outcomes.ask(request),
     submit: command => ledgerClient.submit(command),
-    instance: settings.instance.name,
     abandonedAfterMilliseconds:
       settings.ledger.abandonedAfterSeconds * millisecondsPerSecond,
     clock,
--- a/packages/daemon/src/ledgerHost/abandonedRequests.ts
+++ b/packages/daemon/src/ledgerHost/abandonedRequests.ts
@@ -44,8 +44,6 @@
   /** Asks backend servers what became of a request. */
   askBackends: (request: OpenRequestRecord) => Promise<BackendOutcome>;
   submit: (command: Command) => Promise<unknown>;
-  /** Name of this instance, for the bills. */
-  instance: string;
   abandonedAfterMilliseconds: number;
   clock?: Clock;
   logger?: Logger;
@@ -124,8 +122,7 @@
   }
 
   private async settle(request: OpenRequestRecord): Promise<void> {
-    const {askBackends, submit, instance, clock, logger, metrics} =
-      this.options;
+    const {askBackends, submit, clock, logger, metrics} = this.options;
     const told = await askBackends(request);
     if (told.kind === 'running') return;
     const ending =
@@ -143,7 +140,9 @@
       attempt: request.attempt,
       cost,
       outcome,
-      instance,
+      instance: request.holder,
+      // Another instance may have taken the request over meanwhile.
+      onlyHolder: true,
       attempts: 1,
       settledAt: Math.round(clock.wallNow()),
       ...(usage === undefined ? {} : {usage}),
--- a/packages/daemon/tests/abandonedRequests.test.ts
+++ b/packages/daemon/tests/abandonedRequests.test.ts
@@ -50,7 +50,6 @@
     running: async () => [],
     askBackends: async () => ({kind: 'unknown'}),
     submit: async command => settled.push(command),
-    instance: 'leader',
     abandonedAfterMilliseconds: 10_000,
     ...changes,
   });
@@ -61,7 +60,14 @@
 describe('AbandonedRequests', () => {
   it('bills the unknown cost where nobody can tell', async () => {
     expect(await settledBy({})).toMatchObject([
-      {requestKey: 'exchange/desk/r1', attempt: 2, cost: 7, outcome: 'unknown'},
+      {
+        requestKey: 'exchange/desk/r1',
+        attempt: 2,
+        cost: 7,
+        outcome: 'unknown',
+        instance: 'one#1',
+        onlyHolder: true,
+      },
     ]);
   });
 
