fix(daemon): an adoption whose answer was lost is recognized

Sent again, it was refused as superseded, and nobody ran the request until it was settled as abandoned. The request's holder and attempt now tell. A recall's retry no longer counts as another open of the key.

--- a/packages/daemon/src/ledgerClient/ledgerClient.ts
+++ b/packages/daemon/src/ledgerClient/ledgerClient.ts
@@ -7,6 +7,7 @@
  */
 import {grantsToRecall} from '@dogwoodtrestle/ledger';
 import {
+  type AdoptRequest,
   type Command,
   type GrantHolder,
   parserOf,
@@ -82,13 +83,20 @@
 
 const checkCommand = parserOf('Command');
 
+/** Result of a command. */
+interface Answer {
+  result: Result;
+  /** Whether an earlier copy may have been applied. */
+  resent: boolean;
+}
+
 /** A command on its way. */
 interface PendingCommand {
   command: Command;
   deadline: number;
   /** Whether a copy may have been applied without an answer. */
   outcome: UnreachableOutcome;
-  resolve: (result: Result) => void;
+  resolve: (answer: Answer) => void;
   reject: (error: Error) => void;
 }
 
@@ -139,7 +147,11 @@
    *     TypeError on an invalid command, which would spoil its whole batch.
    */
   async submit(command: Command): Promise<Result> {
-    const first = await this.enqueue(checkCommand(command));
+    this.opens.noteSent(checkCommand(command));
+    const {result: first, resent} = await this.enqueue(command);
+    if (resent && command.kind === 'adoptRequest') {
+      return this.adoptionOf(command, first);
+    }
     if (command.kind !== 'openRequest' || first.kind !== 'refused') {
       return first;
     }
@@ -160,7 +172,7 @@
   ): Promise<Result> {
     if (holders.length === 0) return result;
     const recalled = await this.options.recall(holders);
-    return recalled ? this.enqueue(command) : result;
+    return recalled ? (await this.enqueue(command)).result : result;
   }
 
   /**
@@ -194,7 +206,26 @@
     this.probing = false;
   }
 
-  private enqueue(command: Command): Promise<Result> {
+  /**
+   * An adoption whose first copy was applied is refused when it is sent again;
+   * the request itself tells whether this instance holds it.
+   */
+  private async adoptionOf(
+    command: AdoptRequest,
+    result: Result,
+  ): Promise<Result> {
+    const {requestKey, expectedAttempt, holder} = command;
+    const isSuperseded =
+      result.kind === 'refused' && result.code === 'attemptSuperseded';
+    if (!isSuperseded || !this.opens.isOnlyOne(command)) return result;
+    const request = await this.query('request', {requestKey});
+    if (request === undefined || !('attempt' in request)) return result;
+    const {attempt} = request;
+    const isOwn = request.holder === holder && attempt === expectedAttempt + 1;
+    return isOwn ? {kind: 'opened', requestKey, attempt} : result;
+  }
+
+  private enqueue(command: Command): Promise<Answer> {
     const {clock, maximumQueue, submitTimeoutMilliseconds} = this.options;
     return new Promise((resolve, reject) => {
       const pending: PendingCommand = {
@@ -208,7 +239,6 @@
         this.giveUp(pending);
         return;
       }
-      this.opens.noteSent(command);
       this.queue.push(pending);
       void this.pump();
     });
@@ -269,7 +299,8 @@
       return;
     }
     const {command, outcome, resolve} = pending;
-    resolve(this.opens.resultOf(command, result, outcome === 'unknown'));
+    const resent = outcome === 'unknown';
+    resolve({result: this.opens.resultOf(command, result, resent), resent});
   }
 
   /**
--- a/packages/daemon/src/ledgerClient/openTracker.ts
+++ b/packages/daemon/src/ledgerClient/openTracker.ts
@@ -9,17 +9,13 @@
  * holder, and the key was opened after this process first reached the ledger,
  * so not by an earlier process of the same instance.
  */
-import {
-  type Command,
-  type OpenRequest,
-  type Result,
-} from '@dogwoodtrestle/schema';
+import {type Command, type Result} from '@dogwoodtrestle/schema';
 
 const maximumTrackedKeys = 100_000;
 
-/** Tracks the request keys that this process has sent opens for. */
+/** Tracks the requests that this process has sent opens and adoptions for. */
 export class OpenTracker {
-  /** Opens sent by request key as the ledger scopes it. */
+  /** Commands sent, by their identity. */
   private readonly sent = new Map<string, number>();
   private firstLedgerTime: number | undefined;
 
@@ -30,8 +26,8 @@
 
   /** Takes in a command that is about to be sent for the first time. */
   noteSent(command: Command): void {
-    if (command.kind !== 'openRequest') return;
     const key = keyOf(command);
+    if (key === undefined) return;
     this.sent.set(key, (this.sent.get(key) ?? 0) + 1);
     this.dropOldest();
   }
@@ -48,12 +44,18 @@
     const own =
       status === 'open' &&
       holder === command.holder &&
-      this.sent.get(keyOf(command)) === 1 &&
+      this.isOnlyOne(command) &&
       openedAt > (this.firstLedgerTime ?? Infinity);
     if (!own) return result;
     return {kind: 'opened', requestKey: result.requestKey, attempt};
   }
 
+  /** Whether this process has sent no other command of the same contents. */
+  isOnlyOne(command: Command): boolean {
+    const key = keyOf(command);
+    return key !== undefined && this.sent.get(key) === 1;
+  }
+
   private dropOldest(): void {
     if (this.sent.size <= maximumTrackedKeys) return;
     const oldest = this.sent.keys().next().value;
@@ -61,6 +63,14 @@
   }
 }
 
-function keyOf({customer, workspace, requestKey}: OpenRequest): string {
-  return `${customer}/${workspace}/${requestKey}`;
+/** Identity of a command that opens a request or takes one over. */
+function keyOf(command: Command): string | undefined {
+  if (command.kind === 'openRequest') {
+    const {customer, workspace, requestKey} = command;
+    return `${customer}/${workspace}/${requestKey}`;
+  }
+  if (command.kind === 'adoptRequest') {
+    return `${command.requestKey} after ${command.expectedAttempt}`;
+  }
+  return undefined;
 }
--- a/packages/daemon/tests/ledgerClient.test.ts
+++ b/packages/daemon/tests/ledgerClient.test.ts
@@ -18,7 +18,7 @@
 type Recall = (holders: GrantHolder[]) => Promise<boolean>;
 
 /** A client whose calls are answered by a script; `probe` calls count too. */
-function clientOf(script: Script, recall?: Recall) {
+function clientOf(script: Script, recall?: Recall, request?: object) {
   const calls: Array<{address: string; commands: Command[]}> = [];
   const client = new LedgerClient({
     calls: {
@@ -29,7 +29,7 @@
         if (reply instanceof Error) throw reply;
         return reply;
       },
-      query: async () => ({kind: 'notLeader'}),
+      query: async () => ({kind: 'answer', value: request as never}),
     },
     addresses: () => ['a', 'b'],
     maybeReceived: error => (error as Error).message === 'lost',
@@ -167,6 +167,32 @@
     await client.stop();
   });
 
+  it.each<[string, object, string]>([
+    ['is held by this instance', {holder: 'one', attempt: 2}, 'opened'],
+    ['is held by another one', {holder: 'two', attempt: 2}, 'refused'],
+    ['went on since', {holder: 'one', attempt: 3}, 'refused'],
+    ['is settled', {holder: 'one'}, 'refused'],
+  ])('resolves a resent adoption of what %s', async (_name, request, kind) => {
+    const {client} = clientOf(
+      (_address, commands, call) => {
+        if (call === 2) return new Error('lost');
+        return results(
+          commands.map(() => ({kind: 'refused', code: 'attemptSuperseded'})),
+        );
+      },
+      undefined,
+      request,
+    );
+    await client.probe();
+    const answer = await client.submit({
+      kind: 'adoptRequest',
+      requestKey: 'exchange/desk/r1',
+      expectedAttempt: 1,
+      holder: 'one',
+    });
+    expect(answer.kind).toBe(kind);
+  });
+
   it('refuses an invalid command without sending it', async () => {
     const {client, calls} = clientOf(() => results([]));
     const command = openCommand({maximumCost: -1});
