fix(daemon): a booking is not sent on an opening that came too late

Cause: a router that is frozen between the opening and the sending may wake after another router has asked the service, heard that the call did not run, and run it anew; its own send would be a second run. Ruled out: relying on the service alone to refuse the earlier attempt. Seen failing first (guard out, scratch copy): the service got attempt 1. Left: a freeze between the check and the send, which the service's own refusal covers.

--- a/packages/daemon/src/grants/grantKeeper.ts
+++ b/packages/daemon/src/grants/grantKeeper.ts
@@ -19,7 +19,7 @@
 import {mergeRecords, returnGrant} from './grantAccounts.js';
 import {HeldGrant} from './heldGrant.js';
 import {type JournalPlace} from './journal.js';
-import {ServingDeadline} from './servingDeadline.js';
+import {Stopwatch} from '../util/stopwatch.js';
 
 /** What the keeper of grants needs. */
 export interface GrantKeeperOptions {
@@ -174,7 +174,7 @@
   private async renew(grant: HeldGrant): Promise<void> {
     const {ledgerClient, clock, holder} = this.options;
     const {grantId, customer, amount, place, contractVersion} = grant.options;
-    const deadline = new ServingDeadline(clock);
+    const deadline = new Stopwatch(clock);
     const result = await ledgerClient
       .submit({
         kind: 'takeGrant',
--- a/packages/daemon/src/grants/heldGrant.ts
+++ b/packages/daemon/src/grants/heldGrant.ts
@@ -12,7 +12,7 @@
 
 import {type Clock} from '../util/clock.js';
 import {type JournalPlace} from './journal.js';
-import {ServingDeadline} from './servingDeadline.js';
+import {Stopwatch} from '../util/stopwatch.js';
 
 /** What a request needs to be opened on a grant. */
 export type GrantOpening = Pick<
@@ -52,14 +52,14 @@
   private servingMilliseconds = 0;
   /** As of the taking; all records count against them. */
   private allowances: WorkspaceAllowance[] | undefined;
-  private deadline: ServingDeadline;
+  private deadline: Stopwatch;
   private version: number;
   private newestSequence = 0;
 
   /** Can't be spent before the first `renew`. */
   constructor(readonly options: HeldGrantOptions) {
     this.version = options.contractVersion;
-    this.deadline = new ServingDeadline(options.clock);
+    this.deadline = new Stopwatch(options.clock);
   }
 
   get grantId(): string {
@@ -100,7 +100,7 @@
    *
    * @param deadline Made before the command was sent.
    */
-  renew(result: GrantResult, deadline: ServingDeadline): void {
+  renew(result: GrantResult, deadline: Stopwatch): void {
     // What the ledger has billed meanwhile is in the records as well.
     this.amount = result.amount;
     this.servingMilliseconds = result.servingMilliseconds;
--- a/packages/daemon/src/ledgerHost/orderIssuer.ts
+++ b/packages/daemon/src/ledgerHost/orderIssuer.ts
@@ -18,7 +18,7 @@
 import {type Command, type Contract, type Result} from '@dogwoodtrestle/schema';
 import {request as sendRequest} from 'undici';
 
-import {ServingDeadline} from '../grants/servingDeadline.js';
+import {Stopwatch} from '../util/stopwatch.js';
 import {type Clock, systemClock} from '../util/clock.js';
 import {type Logger, silentLogger} from '../util/logger.js';
 import {type Metrics, silentMetrics} from '../util/metrics.js';
@@ -87,7 +87,7 @@
   async round(): Promise<void> {
     const {isLeader, clock} = this.options;
     if (!isLeader()) return;
-    const deadline = new ServingDeadline(clock);
+    const deadline = new Stopwatch(clock);
     if (!(await this.claim())) return;
     for (const order of this.plan()) {
       // The server must have answered before the lease ends.
--- a/packages/daemon/src/requests/serviceHandler.ts
+++ b/packages/daemon/src/requests/serviceHandler.ts
@@ -8,6 +8,8 @@
 import {type BackendEntry} from '@dogwoodtrestle/routing';
 import {type DuplicateResult, type StoredAnswer} from '@dogwoodtrestle/schema';
 
+import {Stopwatch} from '../util/stopwatch.js';
+import {systemClock} from '../util/clock.js';
 import {type Limiter} from './limiter.js';
 import {type OpenedRequest, type Opener, type Opening} from './opener.js';
 import {refusal} from './refusal.js';
@@ -32,6 +34,12 @@
 /** Times that one request is opened anew: newer contracts, dead servers. */
 const maximumOpenings = 6;
 
+/**
+ * A non-idempotent call is sent this soon after its opening was asked for, or
+ * not at all. Instances are taken for gone only after a longer silence.
+ */
+const sendWithinMilliseconds = 2000;
+
 /** What the handler works with. */
 export interface ServiceHandlerParts extends ServiceRunParts {
   opener: Opener;
@@ -157,6 +165,7 @@
         continue;
       }
       const backend = selectBackend(this.parts, this.template, this.excluded);
+      const sinceAsked = new Stopwatch(systemClock);
       const opening = await this.open(current, callPrice, backend);
       if (opening.kind === 'staleContract') {
         current = await refreshCaller(this.parts.dependencies, current);
@@ -166,6 +175,11 @@
         return this.join(opening.result, callPrice);
       }
       if (backend === undefined) throw refusal('noBackend');
+      const isTooLate = sinceAsked.isOver(sendWithinMilliseconds);
+      if (isTooLate && !this.template.idempotent) {
+        await this.giveBack(opening.opened);
+        continue;
+      }
       const answer = await this.run(opening.opened, callPrice, backend);
       if (answer !== undefined) return answer;
       this.excluded.add(backend.announcement.name);
@@ -222,6 +236,18 @@
     );
   }
 
+  /**
+   * Settles an opening that came too late to be used. This process may have
+   * been frozen, and others may have taken it for gone and asked the service.
+   */
+  private async giveBack(opened: OpenedRequest): Promise<void> {
+    this.template.explanation.add('too late to send', {
+      sendWithinMilliseconds,
+    });
+    const settlement = {cost: 0, outcome: 'didNotRun', attempts: 0} as const;
+    await this.parts.settler.settle(opened, settlement, this.template.context);
+  }
+
   private async run(
     opened: OpenedRequest,
     callPrice: number,
--- a/packages/daemon/tests/requests/failures.test.ts
+++ b/packages/daemon/tests/requests/failures.test.ts
@@ -186,3 +186,42 @@
     },
   );
 });
+
+describe('a booking', () => {
+  const book = {
+    body: JSON.stringify({lot: '7'}),
+    headers: {'idempotency-key': 'sale-7'},
+  };
+
+  it('is not sent on an opening that came too late', async () => {
+    let opens = 0;
+    fixture = await RequestFixture.start({
+      submit: async (command, apply) => {
+        const result = apply();
+        if (command.kind === 'openRequest' && ++opens === 1) {
+          await new Promise(resolve => setTimeout(resolve, 2100));
+        }
+        return result;
+      },
+    });
+    const service = await fixture.startService();
+    const answer = await fixture.post('/services/bookings/bookings', book);
+    expect(answer.status).toBe(201);
+    const attempts = service.calls.map(({attempt}) => attempt);
+    expect(attempts).toEqual(['barley.desk.sale-7.2']);
+  });
+
+  const failures: FailureMode[] = [{kind: 'dropAfterRun'}, {kind: 'crossedId'}];
+  it.each(failures)('is read back after $kind', async failure => {
+    fixture = await RequestFixture.start();
+    const service = await fixture.startService();
+    service.control({failure, times: 1});
+    const answer = await fixture.post('/services/bookings/bookings', book);
+    const again = await fixture.post('/services/bookings/bookings', book);
+    expect([answer.status, again.status]).toEqual([201, 201]);
+    expect(await again.json()).toEqual(await answer.json());
+    expect(service.calls.filter(({method}) => method === 'POST')).toHaveLength(
+      1,
+    );
+  });
+});
