feat(daemon): the length of a prompt counts in the choice

Cause: the policy weighs recomputing by prompt tokens; the daemon passed none, so that a short chat was weighed like one of 1,000 tokens. Conclusion: passed, estimated at 4 characters a token.

--- a/packages/daemon/src/requests/backendSelector.ts
+++ b/packages/daemon/src/requests/backendSelector.ts
@@ -18,6 +18,16 @@
 /** Retries in ten seconds however few requests there are. */
 const minimumRetries = 10;
 
+/** What the choice knows of a prompt. */
+export interface Prompt {
+  /** Hashes of its blocks, see `prefixBlocks`. */
+  blocks: readonly string[];
+  /** Estimate of its length. */
+  tokens: number;
+}
+
+const noPrompt: Prompt = {blocks: [], tokens: 0};
+
 /** Chooses the backend server of each attempt. */
 export class BackendSelector {
   private readonly load = new LoadTracker();
@@ -57,12 +67,12 @@
   /**
    * Chooses among the servers that offer the target.
    *
-   * @param blocks Hashes of the prompt's blocks, see `prefixBlocks`.
+   * @param prompt The prompt, where there is one.
    */
   choose(
     target: Target,
     exclude: ReadonlySet<string>,
-    blocks: readonly string[] = [],
+    {blocks, tokens}: Prompt = noPrompt,
   ): Choice {
     const {directory, now, settings} = this.dependencies;
     const time = now();
@@ -72,6 +82,7 @@
       inFlight: name => this.load.inFlight(name),
       correction: entry => this.load.correction(entry),
       failureDomain: settings.instance.failureDomain,
+      promptTokens: tokens,
       prefixHits: name => this.prefixes.hits(name, blocks, time),
       health: name => ({
         ejected: this.outliers.ejected(name, time),
--- a/packages/daemon/src/requests/chatRun.ts
+++ b/packages/daemon/src/requests/chatRun.ts
@@ -18,7 +18,7 @@
 import {type Hop, traceparentOf} from '../observability/tracing.js';
 import {type AnswerBuffer} from './answerBuffer.js';
 import {attemptError, isFailedAttempt} from './attemptError.js';
-import {type BackendSelector} from './backendSelector.js';
+import {type BackendSelector, type Prompt} from './backendSelector.js';
 import {type ChatBody} from './chatBody.js';
 import {type CostBound, costOf} from './costBound.js';
 import {type RequestDependencies} from './dependencies.js';
@@ -38,6 +38,9 @@
 /** Attempts at backend servers for one request, resumptions included. */
 const maximumAttempts = 4;
 
+/** Ordinary length of a token, for estimates only. */
+const charactersPerToken = 4;
+
 /** What a run works with. */
 export interface ChatRunParts {
   dependencies: RequestDependencies;
@@ -88,8 +91,7 @@
   private last?: Attempt;
   private readonly splicer = new StreamSplicer();
   private readonly startedAt: number;
-  /** Hashes of the prompt's blocks. */
-  private readonly blocks: string[];
+  private readonly prompt: Prompt;
 
   constructor(
     private readonly parts: ChatRunParts,
@@ -97,7 +99,11 @@
   ) {
     this.startedAt = parts.dependencies.now();
     const {model, messages} = job.body;
-    this.blocks = prefixBlocks(model, JSON.stringify(messages));
+    const text = JSON.stringify(messages);
+    this.prompt = {
+      blocks: prefixBlocks(model, text),
+      tokens: Math.ceil(text.length / charactersPerToken),
+    };
   }
 
   async run(): Promise<void> {
@@ -183,7 +189,7 @@
   ): Promise<T> {
     const {selector} = this.parts;
     const {backend, attemptId} = attempt;
-    selector.start(backend, attemptId, this.blocks);
+    selector.start(backend, attemptId, this.prompt.blocks);
     try {
       const result = await body(this.callOf(attempt, span), attempt);
       selector.end(backend, attemptId, 'success');
@@ -198,11 +204,11 @@
     const {selector} = this.parts;
     const {job} = this;
     const target = {kind: 'model' as const, name: job.body.model};
-    let choice = selector.choose(target, this.tried, this.blocks);
+    let choice = selector.choose(target, this.tried, this.prompt);
     if (choice.backend === undefined && this.tried.size > 0) {
       // All have failed once; a failure that has passed is worth another try.
       this.tried.clear();
-      choice = selector.choose(target, this.tried, this.blocks);
+      choice = selector.choose(target, this.tried, this.prompt);
     }
     job.explanation.add('choice', {
       chosen: choice.backend?.announcement.name,
