--- a/packages/daemon/src/requests/chatHandler.ts
+++ b/packages/daemon/src/requests/chatHandler.ts
@@ -11,7 +11,8 @@
 import {AnswerBuffer} from './answerBuffer.js';
 import {type AnswerStore} from './answerStore.js';
 import {type ChatBody, parseChatBody} from './chatBody.js';
-import {type ChatRunParts, runChat} from './chatRun.js';
+import {type ChatRunParts} from './chatJob.js';
+import {runChat} from './chatRun.js';
 import {boundCost, type CostBound} from './costBound.js';
 import {type Limiter} from './limiter.js';
 import {type OpenedRequest, type Opener} from './opener.js';
--- a/packages/daemon/src/requests/refusal.ts
+++ b/packages/daemon/src/requests/refusal.ts
@@ -213,6 +213,12 @@
     didNotRun: false,
     retryAfterSeconds: 1,
   },
+  callerLeft: {
+    status: 499,
+    type: 'client_closed_request',
+    message: 'The caller closed the connection before the answer was whole.',
+    didNotRun: false,
+  },
   internalError: {
     status: 500,
     type: 'server_error',
--- /dev/null
+++ b/packages/daemon/src/requests/streamForwarder.ts
@@ -0,0 +1,150 @@
+/**
+ * @fileoverview Forwards the streams of attempts into one answer.
+ *
+ * A stream that breaks is resumed where the engine can. A second attempt's
+ * text is compared with what the caller has, and only the rest is sent.
+ */
+import {
+  attemptError,
+  type AttemptFailure,
+  isFailedAttempt,
+} from './attemptError.js';
+import {type ChatEnding, type ChatJob, type ChatRunParts} from './chatJob.js';
+import {type ChatChunk, type ModelCall, usageOf} from './modelClient.js';
+import {traceparentOf} from '../observability/tracing.js';
+import {StreamSplicer} from './streamSplicer.js';
+
+/** How a stream ended, with the chunk that told its usage. */
+export type StreamEnding = ChatEnding & {usageChunk?: ChatChunk};
+
+/** Failures of a stream after which the engine may still have the rest. */
+const resumableFailures: ReadonlySet<AttemptFailure> = new Set([
+  'dropped',
+  'noTerminator',
+  'idle',
+]);
+
+/** Forwards streams to one answer. */
+export class StreamForwarder {
+  private readonly splicer = new StreamSplicer();
+  private readonly startedAt: number;
+
+  constructor(
+    private readonly parts: ChatRunParts,
+    private readonly job: ChatJob,
+  ) {
+    this.startedAt = parts.dependencies.now();
+  }
+
+  /** Forwards the chunks of one attempt, and resumes it when it breaks. */
+  async forward(call: ModelCall): Promise<StreamEnding> {
+    this.splicer.restart();
+    let usageChunk: ChatChunk | undefined;
+    let received = 0;
+    let chunks = this.parts.models.stream(call);
+    for (let resumed = 0; ; resumed++) {
+      try {
+        for await (const chunk of chunks) {
+          if (chunk.usage != null) {
+            usageChunk = chunk;
+            if ((chunk.choices ?? []).length === 0) continue;
+          }
+          if (hasContent(chunk)) received++;
+          const spliced = this.splicer.splice(chunk);
+          if (spliced === 'diverged') {
+            throw attemptError('diverged', {sent: true});
+          }
+          if (spliced !== undefined) await this.push(spliced);
+          if (received > this.job.bound.maximumOutputTokens) {
+            return await this.cutOff(call);
+          }
+        }
+        const usage = usageOf(usageChunk?.usage);
+        return {outcome: 'completed', usage, usageChunk};
+      } catch (error) {
+        if (resumed > 0 || !this.isResumable(error, call)) throw error;
+        chunks = await this.resume(call, received);
+      }
+    }
+  }
+
+  private isResumable(error: unknown, {backend, signal}: ModelCall): boolean {
+    if (!isFailedAttempt(error) || signal.aborted) return false;
+    const {resume} = backend.announcement.features;
+    return resume && resumableFailures.has(error.failure);
+  }
+
+  private async resume(
+    call: ModelCall,
+    received: number,
+  ): Promise<AsyncGenerator<ChatChunk, void, void>> {
+    const {dependencies, models} = this.parts;
+    const attributes = {'attempt.id': call.attemptId, after: received};
+    return dependencies.tracing.run(
+      'router to backend server: resume',
+      this.job.context,
+      attributes,
+      async span => {
+        dependencies.metrics.increment('attempts.resumed');
+        this.job.explanation.add('resume', attributes);
+        return models.resume(
+          {...call, traceparent: traceparentOf(span)},
+          received,
+        );
+      },
+    );
+  }
+
+  /** Ends an answer whose engine went past the output bound. */
+  private async cutOff(call: ModelCall): Promise<StreamEnding> {
+    const {dependencies, models} = this.parts;
+    dependencies.logger.warn(
+      {
+        requestId: this.job.requestId,
+        backend: call.backend.announcement.name,
+        maximumOutputTokens: this.job.bound.maximumOutputTokens,
+      },
+      'the engine went past the output bound',
+    );
+    void models.cancel(call.backend, call.attemptId);
+    await this.push({
+      object: 'chat.completion.chunk',
+      model: this.job.body.model,
+      choices: [{delta: {}, finish_reason: 'length'}],
+    });
+    return {outcome: 'overReported'};
+  }
+
+  /** Sends the end of a whole answer. */
+  async finish({usageChunk}: StreamEnding): Promise<void> {
+    const {answer, body} = this.job;
+    if (body.stream_options?.include_usage === true && usageChunk) {
+      await answer.push(this.render(usageChunk));
+    }
+    await answer.push('data: [DONE]\n\n');
+    answer.complete();
+  }
+
+  private async push(chunk: ChatChunk): Promise<void> {
+    const {answer} = this.job;
+    if (!answer.started) {
+      const {metrics, now} = this.parts.dependencies;
+      metrics.timing('requests.first_byte', now() - this.startedAt);
+      answer.begin({status: 200, contentType: 'text/event-stream'});
+    }
+    await answer.push(this.render(chunk));
+  }
+
+  /** Renders a chunk with the caller's id in place of the attempt's. */
+  private render(chunk: ChatChunk): string {
+    const own: ChatChunk = {...chunk, id: `chatcmpl-${this.job.requestId}`};
+    if (this.job.body.stream_options?.include_usage !== true) delete own.usage;
+    return `data: ${JSON.stringify(own)}\n\n`;
+  }
+}
+
+/** Whether a chunk carries a part of the answer: at least one token. */
+function hasContent({choices}: ChatChunk): boolean {
+  const delta = choices?.[0]?.delta;
+  return Boolean(delta?.content) || delta?.tool_calls !== undefined;
+}
