--- a/packages/testkit/src/launcher/cluster.ts
+++ b/packages/testkit/src/launcher/cluster.ts
@@ -12,7 +12,7 @@
 
 import {type LinkState, Relay} from '../relay.js';
 import {type StandInOptions} from '../standIn/options.js';
-import {freePort, isFree} from './freePort.js';
+import {isFree} from './freePort.js';
 import {ManagedProcess, type ProcessExit} from './managedProcess.js';
 import {type DaemonPlan, settingsText} from './settings.js';
 
@@ -26,7 +26,7 @@
   network: string;
   /** Whether the instances reach each other through relays. */
   relays: boolean;
-  /** Port for callers on each address; 0 picks a free one. */
+  /** Port for callers on each address. */
   callerPort: number;
   /** Folder for data, keys and logs; by default a temporary one, removed at the end. */
   folder?: string;
@@ -36,6 +36,17 @@
   stopTimeoutMilliseconds: number;
 }
 
+/**
+ * Ports of a cluster. They lie below the range from which the kernel gives
+ * outgoing connections theirs, so that a restarted process finds its own free.
+ */
+const ports = {
+  caller: 20_080,
+  peer: 20_081,
+  relay: 20_082,
+  firstStandIn: 20_100,
+} as const;
+
 /** Defaults of {@link ClusterOptions}. */
 export const defaultClusterOptions: ClusterOptions = {
   routers: 3,
@@ -43,7 +54,7 @@
   failureDomains: ['a', 'b', 'c', 'd'],
   network: `127.${100 + (process.pid % 100)}.${process.pid % 250}`,
   relays: false,
-  callerPort: 0,
+  callerPort: ports.caller,
   settings: {},
   readyTimeoutMilliseconds: 15_000,
   stopTimeoutMilliseconds: 40_000,
@@ -165,9 +176,10 @@
       routers: [...this.daemons.values()].map(each => each.url),
       key: this.backendKey,
       recordFile: this.file(`${name}.jsonl`),
+      port: ports.firstStandIn + this.standIns.size,
       ...options,
       // A restarted server keeps its address.
-      ...(known === undefined ? {} : {port: Number(new URL(known.url).port)}),
+      ...(known === undefined ? {} : {port: known.options.port}),
     };
     const process = this.track(
       ManagedProcess.start({
@@ -234,20 +246,21 @@
     const {network, failureDomains, replicas, relays} = this.options;
     const name = `r${number}`;
     const address = `${network}.${number}`;
-    const callerPort = this.options.callerPort || (await freePort(address));
-    if (!(await isFree(address, callerPort))) {
+    const {callerPort} = this.options;
+    const advertisedPeerPort = relays ? ports.relay : ports.peer;
+    for (const port of [callerPort, ports.peer, advertisedPeerPort]) {
+      if (await isFree(address, port)) continue;
       throw new Error(
-        `port ${callerPort} of ${address} is taken; stop what listens there`,
+        `port ${port} of ${address} is taken; stop what listens there`,
       );
     }
-    const peerPort = await freePort(address);
     return {
       name,
       address,
       failureDomain: failureDomains[(number - 1) % failureDomains.length] ?? '',
       callerPort,
-      peerPort,
-      advertisedPeerPort: relays ? await freePort(address) : peerPort,
+      peerPort: ports.peer,
+      advertisedPeerPort,
       ...(number <= replicas ? {dataFolder: this.file(`${name}-data`)} : {}),
     };
   }
