--- a/features/ledger.feature
+++ b/features/ledger.feature
@@ -37,3 +37,18 @@
     When "desk" asks r2 for 10 words
     Then the answer is whole
     And the budget of "desk" holds
+
+  @promise-accepted @failure-silent-control @failure-two-together
+  Scenario: The leader can hear the others but not be heard, and heals after it was replaced
+    Given a cluster of 4 routers with 3 ledger replicas behind relays
+    And the customer "desk" with a budget of 100000
+    And "desk" has asked r4 for 10 words 5 times
+    When the ledger's leader can no longer be heard by the others
+    And "desk" asks r4 for 10 words until served
+    And an operator tops up "desk" by 500 through the other instances
+    Then the top-up is accepted
+    When the network heals
+    Then the budget of "desk" was topped up by 500
+    When "desk" asks the woken instance for 10 words until served
+    Then the budget of "desk" holds
+    And "desk" has one bill for each whole answer
--- a/features/steps/callerSteps.ts
+++ b/features/steps/callerSteps.ts
@@ -48,10 +48,18 @@
 );
 
 When(
-  '{string} asks the woken instance for {int} words',
-  async function (this: ScenarioWorld, customer: string, words: number) {
-    const router = this.frozen;
-    await this.scenario.chat({customer, router, words});
+  /^"(\w+)" asks the woken instance for (\d+) words( until served)?$/,
+  async function (
+    this: ScenarioWorld,
+    customer: string,
+    words: string,
+    until: string | null,
+  ) {
+    const chat = {customer, router: this.frozen, words: Number(words)};
+    if (until === null) await this.scenario.chat(chat);
+    else {
+      await this.scenario.untilServed(() => this.scenario.chatUnnoted(chat));
+    }
   },
 );
 
--- a/features/steps/clusterSteps.ts
+++ b/features/steps/clusterSteps.ts
@@ -123,6 +123,19 @@
   this.scenario.cluster.daemon(this.frozen).process?.signal('SIGSTOP');
 });
 
+When(
+  "the ledger's leader can no longer be heard by the others",
+  async function (this: ScenarioWorld) {
+    this.frozen = await this.scenario.leaderName();
+    const {cluster} = this.scenario;
+    for (const name of this.daemonNames) {
+      if (name === this.frozen) continue;
+      cluster.setLink(this.frozen, name, {swallowForward: true});
+      cluster.setLink(name, this.frozen, {swallowBackward: true});
+    }
+  },
+);
+
 When('the frozen instance wakes up', function (this: ScenarioWorld) {
   this.scenario.cluster.daemon(this.frozen).process?.signal('SIGCONT');
 });
--- a/features/steps/operatorSteps.ts
+++ b/features/steps/operatorSteps.ts
@@ -61,7 +61,7 @@
 );
 
 When(
-  /^an operator tops up "(\w+)" by (\d+) through (r\d+|the running instances)(?: and loses the answer)?$/,
+  /^an operator tops up "(\w+)" by (\d+) through (r\d+|the (?:running|other) instances)(?: and loses the answer)?$/,
   async function (
     this: ScenarioWorld,
     customer: string,
