--- a/packages/routing/src/prefixIndex.ts
+++ b/packages/routing/src/prefixIndex.ts
@@ -23,7 +23,7 @@
   maximumReported: 20_000,
   maximumSent: 4_000,
   maximumProbes: 16,
-  sentMemoryMilliseconds: 30_000,
+  sentMemoryMilliseconds: 60_000,
 };
 
 interface ServerHints {
