--- a/packages/bench/src/system/metricsSink.ts
+++ b/packages/bench/src/system/metricsSink.ts
@@ -2,7 +2,6 @@
  * @fileoverview Receives the daemons' StatsD metrics and sums their counters.
  */
 import {createSocket, type Socket} from 'node:dgram';
-import {type AddressInfo} from 'node:net';
 
 /** Sums of counters by metric and instance. */
 export class MetricsSink {
@@ -14,7 +13,7 @@
     this.socket.on('message', message => this.receive(message.toString()));
     return new Promise(resolve => {
       this.socket.bind(0, '127.0.0.1', () => {
-        resolve((this.socket.address() as AddressInfo).port);
+        resolve(this.socket.address().port);
       });
     });
   }
--- a/packages/consensus/tests/durability.test.ts
+++ b/packages/consensus/tests/durability.test.ts
@@ -40,8 +40,12 @@
   storage!: CrashableStorage;
   readonly time = new VirtualTime();
   /** Newest entry that each peer takes. */
-  readonly limits: Record<string, number> = {b: 1, c: 1};
+  readonly limits: Record<string, number> = {b: 1, c: 1, d: 1};
   applyMilliseconds = 0;
+  /** The peer that no longer answers. */
+  silent = '';
+  /** Kinds of the messages sent so far. */
+  readonly sent: string[] = [];
   private isHeld = false;
   private writes: (() => void)[] = [];
 
@@ -104,6 +108,9 @@
     message: ConsensusMessage,
   ): Promise<ConsensusReply> {
     const {term} = message as {term: number};
+    if (id === this.silent) await new Promise(() => undefined);
+    const isPreVote = message.kind === 'vote' && message.preVote;
+    this.sent.push(isPreVote ? 'preVote' : message.kind);
     if (message.kind === 'vote') {
       return {kind: 'vote', term: message.preVote ? 3 : term, granted: true};
     }
@@ -162,6 +169,16 @@
   expect(await rival).toMatchObject({granted: false});
 });
 
+it('asks for votes only once its own is durable', async () => {
+  const fixture = await new Fixture().open();
+  fixture.hold();
+  fixture.replica.start();
+  await fixture.time.run(1_001);
+  expect(fixture.sent).toEqual(['preVote', 'preVote']);
+  await fixture.release();
+  expect(fixture.sent).toContain('vote');
+});
+
 it('acknowledges entries only once they are durable', async () => {
   const fixture = await new Fixture().open();
   fixture.hold();
@@ -175,6 +192,15 @@
   expect(await repeated).toMatchObject({success: true, matchIndex: 3});
 });
 
+it('commits no entry that the leader has not confirmed', async () => {
+  const {replica} = await new Fixture().open();
+  const previous = {previousIndex: 1, previousTerm: 1};
+  const heartbeat = {...append, ...previous, entries: [], commitIndex: 2};
+  const reply = await replica.receive(heartbeat);
+  expect(reply).toMatchObject({success: true, matchIndex: 1});
+  expect(replica.status().commitIndex).toBe(1);
+});
+
 it('counts its own copy only once it is durable', async () => {
   const fixture = await (await new Fixture().open()).lead();
   fixture.hold();
@@ -198,6 +224,44 @@
   expect(fixture.replica.status().commitIndex).toBe(3);
 });
 
+it('confirms a read only by a message sent after it came in', async () => {
+  const fixture = await (await new Fixture().open()).lead();
+  const {replica, limits, time} = fixture;
+  limits['b'] = 3;
+  await time.run(300);
+  void replica.propose(['x']);
+  const read = replica.barrier();
+  limits['b'] = 4;
+  fixture.silent = 'b'; // answers what it has got, and nothing more
+  await time.run(50);
+  expect(replica.status().commitIndex).toBe(4);
+  expect(await isSettled(read)).toBe(false);
+  fixture.silent = '';
+  await time.run(700);
+  expect(await read).toBe(3);
+});
+
+it('promotes a learner only while it answers', async () => {
+  const fixture = await (await new Fixture().open()).lead();
+  const {replica, limits, time} = fixture;
+  Object.assign(limits, {b: 99, d: 99});
+  await time.run(300);
+  const addition = replica.addLearner({...members[0]!, id: 'd'});
+  await time.run(300);
+  await addition;
+  fixture.silent = 'd'; // commits need no learner
+  const results = replica.propose(['x']);
+  await time.run(1_100);
+  expect(await isSettled(results)).toBe(true);
+  await expect(replica.promote('d')).rejects.toThrow(/not answered lately/);
+  fixture.silent = '';
+  await time.run(600);
+  const promotion = replica.promote('d');
+  await time.run(300);
+  await promotion;
+  expect(replica.status().members[3]).toMatchObject({id: 'd', role: 'voter'});
+});
+
 it('applies a long backlog in turns', async () => {
   const fixture = await new Fixture().open();
   const entries = [3, 4, 5, 6].map(index => ({...oldEntry, index}));
--- a/packages/daemon/src/observability/metrics.ts
+++ b/packages/daemon/src/observability/metrics.ts
@@ -44,6 +44,11 @@
     unit: 'requests',
     meaning: 'Open requests without a holder that were settled, by outcome.',
   },
+  'orders.sent': {
+    kind: 'counter',
+    unit: 'orders',
+    meaning: 'Orders given to backend servers, by order.',
+  },
   'replica.repairs': {
     kind: 'counter',
     unit: 'steps',
@@ -144,16 +149,6 @@
     unit: 'terms',
     meaning: 'Term of the replica.',
   },
-  'replica.repairs': {
-    kind: 'counter',
-    unit: 'steps',
-    meaning: 'Steps of repair that were taken, by kind.',
-  },
-  'requests.abandoned': {
-    kind: 'counter',
-    unit: 'requests',
-    meaning: 'Requests settled for a holder that is gone.',
-  },
   'requests.duration': {
     kind: 'timing',
     unit: 'ms',
--- a/packages/daemon/tests/requests/failures.test.ts
+++ b/packages/daemon/tests/requests/failures.test.ts
@@ -155,3 +155,73 @@
     expect(answer.headers.get('retry-after')).toBe('1');
   });
 });
+
+describe('an exhausted budget', () => {
+  const cases = [
+    {wait: 0, statuses: [200, 402]},
+    {wait: 5000, statuses: [200, 200]},
+  ];
+  it.each(cases)(
+    'waits $wait ms for a reservation',
+    async ({wait, statuses}) => {
+      // The budget covers one reservation and two answers.
+      await start(
+        {kind: 'none'},
+        {
+          contract: {
+            budget: {prepaid: 320, currency: 'CAD'},
+            partition: {
+              servingSeconds: 0,
+              grantPercent: 0,
+              exhaustionWaitMilliseconds: wait,
+            },
+          },
+        },
+      );
+      const answers = await Promise.all([
+        fixture.chat({max_tokens: 64}),
+        fixture.chat({max_tokens: 64}),
+      ]);
+      expect(answers.map(({status}) => status).sort()).toEqual(statuses);
+    },
+  );
+});
+
+describe('a booking', () => {
+  const book = {
+    body: JSON.stringify({lot: '7'}),
+    headers: {'idempotency-key': 'sale-7'},
+  };
+
+  it('is not sent on an opening that came too late', async () => {
+    let opens = 0;
+    fixture = await RequestFixture.start({
+      submit: async (command, apply) => {
+        const result = apply();
+        if (command.kind === 'openRequest' && ++opens === 1) {
+          await new Promise(resolve => setTimeout(resolve, 2100));
+        }
+        return result;
+      },
+    });
+    const service = await fixture.startService();
+    const answer = await fixture.post('/services/bookings/bookings', book);
+    expect(answer.status).toBe(201);
+    const attempts = service.calls.map(({attempt}) => attempt);
+    expect(attempts).toEqual(['barley.desk.sale-7.2']);
+  });
+
+  const failures: FailureMode[] = [{kind: 'dropAfterRun'}, {kind: 'crossedId'}];
+  it.each(failures)('is read back after $kind', async failure => {
+    fixture = await RequestFixture.start();
+    const service = await fixture.startService();
+    service.control({failure, times: 1});
+    const answer = await fixture.post('/services/bookings/bookings', book);
+    const again = await fixture.post('/services/bookings/bookings', book);
+    expect([answer.status, again.status]).toEqual([201, 201]);
+    expect(await again.json()).toEqual(await answer.json());
+    expect(service.calls.filter(({method}) => method === 'POST')).toHaveLength(
+      1,
+    );
+  });
+});
