fix(routing): the urgent reserve no longer starves other priorities

Cause: while urgent requests took up the places of the reserve, whether they queued or were admitted at once, work below never met a place that it might take, and its minimum share counted for nothing: it starved for good. Two table cases, seen failing before the change, and on a scratch copy without the credit for starts that pass by and without the check for an owed start. Now a priority that is owed a start gets the next free place, reserve or not, and starts that pass by those who wait are credited too. A bound on the credit was tried and left out: no test could tell, as owed starts always go first.

--- a/packages/routing/src/admission/admission.ts
+++ b/packages/routing/src/admission/admission.ts
@@ -150,6 +150,7 @@
       return this.refuse('deadlineTooClose', wait);
     }
     if (isIdle) {
+      this.queues.recordBypass(ticket.priority);
       this.start(ticket, request.now);
       return {kind: 'admitted', ticket};
     }
@@ -181,7 +182,7 @@
     this.shed = [];
     const late = this.removeLate(now);
     const started: AdmissionTicket[] = [];
-    for (;;) {
+    while (this.running.size < this.options.capacity) {
       const ticket = this.queues.shift(each => this.hasRoom(each));
       if (!ticket) break;
       if (isLate(ticket, now)) {
@@ -231,8 +232,9 @@
       : options.standingWaitMilliseconds[priority];
   }
 
-  /** Whether others that are as urgent or more so wait already. */
+  /** Whether others wait whose turn comes before. */
   private isBlocked({priority}: AdmissionTicket): boolean {
+    if (this.queues.owesStart) return true;
     return priorities
       .slice(0, rankOf(priority) + 1)
       .some(each => this.queues.sizeOf(each) > 0);
--- a/packages/routing/src/admission/priorityQueues.ts
+++ b/packages/routing/src/admission/priorityQueues.ts
@@ -42,15 +42,27 @@
     this.queueOf(item.priority).push(item);
   }
 
-  /** Takes the item whose turn it is, of a priority that may start. */
+  /**
+   * Takes the item whose turn it is. A priority that is owed a start gets it
+   * even where it may not start otherwise.
+   */
   shift(mayStart: (priority: Priority) => boolean): T | undefined {
-    const waiting = priorities.filter(
+    const first = priorities.find(
       each => this.sizeOf(each) > 0 && mayStart(each),
     );
-    const first = waiting[0];
-    if (!first) return undefined;
-    const turn = this.owedPriority(waiting.slice(1)) ?? first;
-    return this.queueOf(turn).shift();
+    if (first) this.addCredits(first);
+    const turn = this.takeOwedStart() ?? first;
+    return turn && this.queueOf(turn).shift();
+  }
+
+  /** Whether a waiting item is to start before any other. */
+  get owesStart(): boolean {
+    return this.owedPriority() !== undefined;
+  }
+
+  /** Notes a start that passed by those who wait. */
+  recordBypass(priority: Priority): void {
+    this.addCredits(priority);
   }
 
   /** Notes a start, whether or not the request had to wait. */
@@ -102,16 +114,27 @@
     return priorities.flatMap(each => this.queueOf(each).remove(test));
   }
 
-  private owedPriority(lower: readonly Priority[]): Priority | undefined {
-    for (const priority of lower) {
+  /** Credits the less urgent that wait while this one starts. */
+  private addCredits(starting: Priority): void {
+    for (const priority of priorities.slice(rankOf(starting) + 1)) {
+      if (this.sizeOf(priority) === 0) continue;
       const credit = this.creditOf(priority) + this.minimumShares[priority];
       this.credits.set(priority, credit);
     }
-    const owed = lower.find(priority => this.creditOf(priority) >= 1);
+  }
+
+  private takeOwedStart(): Priority | undefined {
+    const owed = this.owedPriority();
     if (owed) this.credits.set(owed, this.creditOf(owed) - 1);
     return owed;
   }
 
+  private owedPriority(): Priority | undefined {
+    return priorities.find(
+      each => this.sizeOf(each) > 0 && this.creditOf(each) >= 1,
+    );
+  }
+
   private creditOf(priority: Priority): number {
     return this.credits.get(priority) ?? 0;
   }
--- a/packages/routing/tests/admission.test.ts
+++ b/packages/routing/tests/admission.test.ts
@@ -177,6 +177,33 @@
     expect(admission.next(0).started).toEqual([]);
   });
 
+  it.each([
+    {name: 'queue', urgentArrivals: 3},
+    {name: 'are admitted at once', urgentArrivals: 1},
+  ])(
+    'starves no priority where urgent requests that $name fill the reserve',
+    ({urgentArrivals}) => {
+      const admission = admissionOf({capacity: 4, urgentReserve: 0.5});
+      const running: AdmissionTicket[] = [];
+      const enter = (priority: Priority) => {
+        const outcome = admission.enter(requestOf({priority}));
+        if (outcome.kind === 'admitted') running.push(outcome.ticket);
+        running.push(...admission.next(0).started);
+      };
+      for (let index = 0; index < 4; index += 1) enter('urgent');
+      enter('normal');
+      enter('background');
+      const started = new Set<Priority>();
+      for (let round = 0; round < 100; round += 1) {
+        const left = running.shift();
+        if (left) admission.leave(left, 0);
+        for (let index = 0; index < urgentArrivals; index += 1) enter('urgent');
+        for (const {priority} of running) started.add(priority);
+      }
+      expect([...started].sort()).toEqual(['background', 'normal', 'urgent']);
+    },
+  );
+
   it.each([
     {name: 'a burst', now: 999, kind: 'queued'},
     {name: 'a standing queue', now: 1_000, kind: 'refused'},
