--- a/packages/daemon/src/grants/demandMeter.ts
+++ b/packages/daemon/src/grants/demandMeter.ts
@@ -19,12 +19,12 @@
     this.observedAt = now;
   }
 
-  /** Takes in the cost of one request, in micros. */
-  observe(cost: number, now: number): void {
+  /** Takes in one request's cost, and what was reserved for it, in micros. */
+  observe(cost: number, reserved: number, now: number): void {
     this.decay(now);
     this.observedAt = now;
     this.weighted += cost;
-    this.largest = Math.max(this.largest, cost);
+    this.largest = Math.max(this.largest, cost, reserved);
   }
 
   /** Spending in micros per second. */
@@ -33,7 +33,7 @@
     return this.weighted / (averagingMilliseconds / 1000);
   }
 
-  /** Largest cost of one request, in micros; fades slowly. */
+  /** Largest reservation of one request, in micros; fades slowly. */
   largestRequest(now: number): number {
     this.decay(now);
     return Math.ceil(this.largest);
--- a/packages/daemon/src/grants/grantKeeper.ts
+++ b/packages/daemon/src/grants/grantKeeper.ts
@@ -72,14 +72,14 @@
     return this.grants.filter(({options}) => options.customer === customer);
   }
 
-  observe(customer: string, cost: number): void {
+  observe(customer: string, cost: number, reserved: number): void {
     const now = this.options.clock.now();
     let meter = this.meters.get(customer);
     if (meter === undefined) {
       meter = new DemandMeter(now);
       this.meters.set(customer, meter);
     }
-    meter.observe(cost, now);
+    meter.observe(cost, reserved, now);
   }
 
   async contractChanged(view: ContractView): Promise<void> {
--- a/packages/daemon/src/grants/grants.ts
+++ b/packages/daemon/src/grants/grants.ts
@@ -80,9 +80,12 @@
     cancel();
   }
 
-  /** Takes in what a request costs, so that grants are sized by demand. */
-  observe(customer: string, cost: number): void {
-    this.keeper.observe(customer, cost);
+  /**
+   * Takes in what a request cost and what was reserved for it, so that grants
+   * are sized by demand.
+   */
+  observe(customer: string, cost: number, reserved = cost): void {
+    this.keeper.observe(customer, cost, reserved);
   }
 
   /** Gives grants back that were taken under an older contract. */
--- a/packages/daemon/src/requests/dependencies.ts
+++ b/packages/daemon/src/requests/dependencies.ts
@@ -51,7 +51,7 @@
     settlement: JournalSettlement,
   ): Promise<void>;
   /** Tells of spending, so that grants are sized by demand. */
-  observe(customer: string, cost: number): void;
+  observe(customer: string, cost: number, reserved: number): void;
 }
 
 /** Contracts in force, by the hash of a workspace's key. */
--- a/packages/daemon/src/requests/opener.ts
+++ b/packages/daemon/src/requests/opener.ts
@@ -27,15 +27,12 @@
 import {type Settler} from './settler.js';
 
 /** A request that may be sent now. */
-export type OpenedRequest =
-  | {by: 'quorum'; requestKey: string; attempt: number}
-  | {
-      by: 'grant';
-      requestKey: string;
-      attempt: number;
-      grantId: string;
-      sequence: number;
-    };
+export type OpenedRequest = {
+  requestKey: string;
+  attempt: number;
+  /** Amount reserved, in micros; 0 where it isn't known here. */
+  reserved: number;
+} & ({by: 'quorum'} | {by: 'grant'; grantId: string; sequence: number});
 
 /** Outcome of opening a request. */
 export type Opening =
@@ -119,6 +116,7 @@
               by: 'quorum',
               requestKey: request.requestKey,
               attempt: result.attempt,
+              reserved: request.maximumCost,
             },
           };
         case 'duplicate':
@@ -148,6 +146,7 @@
           by: 'quorum',
           requestKey: result.requestKey,
           attempt: adopted.attempt,
+          reserved: 0,
         }
       : undefined;
   }
@@ -214,6 +213,7 @@
             by: 'grant',
             requestKey: request.requestKey,
             attempt: 1,
+            reserved: request.maximumCost,
             grantId: result.grantId,
             sequence: result.sequence,
           },
--- a/packages/daemon/src/requests/serviceHandler.ts
+++ b/packages/daemon/src/requests/serviceHandler.ts
@@ -312,6 +312,7 @@
       by: 'quorum',
       requestKey: result.requestKey,
       attempt: result.attempt,
+      reserved: callPrice,
     };
     return reconcile(
       this.parts,
--- a/packages/daemon/src/requests/settler.ts
+++ b/packages/daemon/src/requests/settler.ts
@@ -41,7 +41,8 @@
   ): Promise<boolean> {
     const full = {...settlement, settledAt: Date.now()};
     const [customer = ''] = opened.requestKey.split('/');
-    this.dependencies.grants.observe(customer, settlement.cost);
+    const {grants} = this.dependencies;
+    grants.observe(customer, settlement.cost, opened.reserved);
     if (opened.by === 'grant') {
       return this.settleOnGrant(opened, full, context);
     }
@@ -59,7 +60,12 @@
    * have committed without an answer.
    */
   release(requestKey: string, context: Context): void {
-    const opened = {by: 'quorum', requestKey, attempt: 1} as const;
+    const opened = {
+      by: 'quorum',
+      requestKey,
+      attempt: 1,
+      reserved: 0,
+    } as const;
     const settlement = {cost: 0, outcome: 'didNotRun', attempts: 0} as const;
     // The key may be that of a request which another instance runs.
     const condition = {onlyHolder: true, settledAt: Date.now()};
--- a/packages/ledger/src/grantSizing.ts
+++ b/packages/ledger/src/grantSizing.ts
@@ -24,7 +24,7 @@
   holders: number;
   servingSeconds: number;
   grantPercent: number;
-  /** Largest cost that one request may have had. */
+  /** Largest amount that was reserved for one request. */
   largestRequest?: number;
 }
 
