--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -14,6 +14,7 @@
 import {type Secrets} from './settings/loadSettings.js';
 import {type Stoppable} from './shutdown.js';
 import {lockFolder} from './util/folderLock.js';
+import {pause} from './util/pause.js';
 
 /** What a daemon is built from. */
 export interface DaemonOptions {
@@ -95,9 +96,7 @@
       const {announceMilliseconds, drainMilliseconds} = settings.shutdown;
       isReady = false;
       await control.leave();
-      await new Promise(resolve => {
-        setTimeout(resolve, announceMilliseconds);
-      });
+      await pause(announceMilliseconds);
       requests.refuseNew();
       const report = await requests.drain(drainMilliseconds);
       await closeHttpServer(server);
@@ -124,9 +123,7 @@
 async function waitForPeers({membership}: Control): Promise<void> {
   const deadline = performance.now() + joinMilliseconds;
   while (!membership.hasHeard && performance.now() < deadline) {
-    await new Promise(resolve => {
-      setTimeout(resolve, joinPollMilliseconds);
-    });
+    await pause(joinPollMilliseconds);
   }
 }
 
--- a/packages/daemon/src/requests/chatRun.ts
+++ b/packages/daemon/src/requests/chatRun.ts
@@ -11,6 +11,7 @@
 import {prefixBlocks} from '@dogwoodtrestle/routing';
 
 import {type Hop, traceparentOf} from '../observability/tracing.js';
+import {pause} from '../util/pause.js';
 import {isFailedAttempt} from './attemptError.js';
 import {chatAttemptId, maximumChatAttempts} from './attemptIds.js';
 import {type Prompt} from './backendSelector.js';
@@ -240,12 +241,6 @@
   }
 }
 
-function pause(milliseconds: number): Promise<void> {
-  return new Promise(resolve => {
-    setTimeout(resolve, milliseconds);
-  });
-}
-
 /** Tells failures of the backend server from those of the caller. */
 function blameOf(error: unknown, signal: AbortSignal): 'failure' | 'neutral' {
   if (!isFailedAttempt(error) || signal.aborted) return 'neutral';
--- a/packages/daemon/src/requests/index.ts
+++ b/packages/daemon/src/requests/index.ts
@@ -6,6 +6,7 @@
 import {type FastifyInstance} from 'fastify';
 import {Agent} from 'undici';
 
+import {pause} from '../util/pause.js';
 import {AdmissionGate} from './admissionGate.js';
 import {AnswerStore} from './answerStore.js';
 import {BackendSelector} from './backendSelector.js';
@@ -145,9 +146,7 @@
     const {now} = this.dependencies;
     const deadline = now() + milliseconds;
     while (this.inFlight > 0 && now() < deadline) {
-      await new Promise(resolve => {
-        setTimeout(resolve, drainPollMilliseconds);
-      });
+      await pause(drainPollMilliseconds);
     }
     const requests = this.inFlight;
     const settlements = await this.settler.drain(Math.max(0, deadline - now()));
--- a/packages/daemon/src/requests/modelClient.ts
+++ b/packages/daemon/src/requests/modelClient.ts
@@ -11,6 +11,7 @@
 import {type Dispatcher} from 'undici';
 
 import {attemptError, connectionError} from './attemptError.js';
+import {addressOf, readBody} from './backendHttp.js';
 import {discard} from './discard.js';
 
 /** A chunk of a chat answer, as the engine sent it. */
@@ -63,7 +64,7 @@
   /** Runs a chat request whose answer is one JSON value. */
   async complete(call: ModelCall): Promise<Record<string, unknown>> {
     const response = await this.post(call);
-    const text = await readText(response.body);
+    const text = await readBody(response.body, maximumAnswerBytes);
     let answer: Record<string, unknown>;
     try {
       answer = JSON.parse(text) as Record<string, unknown>;
@@ -119,7 +120,7 @@
         await response.body.dump();
         return undefined;
       }
-      return JSON.parse(await readText(response.body)) as {
+      return JSON.parse(await readBody(response.body, maximumAnswerBytes)) as {
         state: string;
         usage?: EngineUsage;
       };
@@ -158,7 +159,9 @@
     });
     if (response.statusCode !== 200) {
       const {statusCode} = response;
-      const body = await readText(response.body).catch(() => '');
+      const body = await readBody(response.body, maximumAnswerBytes).catch(
+        () => '',
+      );
       const isCallersFault =
         statusCode >= 400 && statusCode < 429 && statusCode !== 408;
       throw attemptError(isCallersFault ? 'rejected' : 'status', {
@@ -185,12 +188,11 @@
     backend: BackendEntry,
     options: Omit<Dispatcher.RequestOptions, 'origin'>,
   ): Promise<Dispatcher.ResponseData> {
-    const url = new URL(backend.announcement.url);
-    const base = url.pathname === '/' ? '' : url.pathname.replace(/\/$/, '');
+    const {origin, base} = addressOf(backend);
     try {
       return await this.options.dispatcher.request({
         ...options,
-        origin: url.origin,
+        origin,
         path: `${base}${options.path}`,
         headersTimeout: this.options.idleMilliseconds,
         bodyTimeout: this.options.idleMilliseconds,
@@ -255,22 +257,3 @@
         outputTokens: usage.completion_tokens,
       };
 }
-
-async function readText(
-  body: Dispatcher.ResponseData['body'],
-): Promise<string> {
-  const pieces: Buffer[] = [];
-  let size = 0;
-  try {
-    for await (const piece of body) {
-      size += (piece as Buffer).length;
-      if (size > maximumAnswerBytes) {
-        throw attemptError('badPayload', {sent: true});
-      }
-      pieces.push(piece as Buffer);
-    }
-  } catch (error) {
-    throw connectionError(error);
-  }
-  return Buffer.concat(pieces).toString('utf8');
-}
--- a/packages/daemon/src/requests/opener.ts
+++ b/packages/daemon/src/requests/opener.ts
@@ -17,6 +17,7 @@
   QuorumUnreachableError,
   type UnreachableOutcome,
 } from '../ledgerClient/index.js';
+import {pause} from '../util/pause.js';
 import {type RequestDependencies} from './dependencies.js';
 import {
   refusal,
@@ -251,12 +252,6 @@
   return reserved > 0 && available + reserved >= maximumCost;
 }
 
-function pause(milliseconds: number): Promise<void> {
-  return new Promise(resolve => {
-    setTimeout(resolve, milliseconds);
-  });
-}
-
 function refusalFor(result: RefusedResult): Refusal {
   const reason = reasonTable[result.code] ?? 'internalError';
   const {available, reserved, recallable, code, retryAfterMilliseconds} =
--- a/packages/daemon/src/requests/serviceClient.ts
+++ b/packages/daemon/src/requests/serviceClient.ts
@@ -6,6 +6,7 @@
 import {type Dispatcher} from 'undici';
 
 import {attemptError, connectionError} from './attemptError.js';
+import {addressOf, readBody} from './backendHttp.js';
 import {discard} from './discard.js';
 
 /** A call to a service. */
@@ -83,7 +84,7 @@
       contentType: String(
         response.headers['content-type'] ?? 'application/octet-stream',
       ),
-      body: await readBody(response.body),
+      body: await readBody(response.body, maximumAnswerBytes),
     };
   }
 
@@ -99,7 +100,7 @@
         method: 'GET',
         signal: AbortSignal.timeout(readBackTimeoutMilliseconds),
       });
-      const text = await readBody(response.body);
+      const text = await readBody(response.body, maximumAnswerBytes);
       if (response.statusCode !== 200) return {outcome: 'unknown'};
       return parseReadBack(JSON.parse(text));
     } catch {
@@ -157,30 +158,3 @@
     },
   };
 }
-
-function addressOf(backend: BackendEntry): {origin: string; base: string} {
-  const url = new URL(backend.announcement.url);
-  return {
-    origin: url.origin,
-    base: url.pathname === '/' ? '' : url.pathname.replace(/\/$/, ''),
-  };
-}
-
-async function readBody(
-  body: Dispatcher.ResponseData['body'],
-): Promise<string> {
-  const pieces: Buffer[] = [];
-  let size = 0;
-  try {
-    for await (const piece of body) {
-      size += (piece as Buffer).length;
-      if (size > maximumAnswerBytes) {
-        throw attemptError('badPayload', {sent: true});
-      }
-      pieces.push(piece as Buffer);
-    }
-  } catch (error) {
-    throw connectionError(error);
-  }
-  return Buffer.concat(pieces).toString('utf8');
-}
--- a/packages/daemon/src/requests/serviceRun.ts
+++ b/packages/daemon/src/requests/serviceRun.ts
@@ -10,6 +10,7 @@
 import {type StoredAnswer} from '@dogwoodtrestle/schema';
 
 import {type Hop, traceparentOf} from '../observability/tracing.js';
+import {pause} from '../util/pause.js';
 import {isFailedAttempt} from './attemptError.js';
 import {serviceAttemptId} from './attemptIds.js';
 import {type BackendSelector} from './backendSelector.js';
@@ -178,9 +179,7 @@
   for (let attempt = 0; attempt < readBackTries; attempt++) {
     last = await services.readBack(backend, attemptId);
     if (last.outcome === 'ran' || last.outcome === 'didNotRun') return last;
-    await new Promise(resolve => {
-      setTimeout(resolve, readBackPauseMilliseconds).unref();
-    });
+    await pause(readBackPauseMilliseconds);
   }
   return last;
 }
--- a/packages/daemon/src/requests/settler.ts
+++ b/packages/daemon/src/requests/settler.ts
@@ -11,6 +11,7 @@
   type StoredAnswer,
 } from '@dogwoodtrestle/schema';
 
+import {pause} from '../util/pause.js';
 import {type RequestDependencies} from './dependencies.js';
 import {type OpenedRequest} from './opener.js';
 
@@ -151,9 +152,7 @@
     answer: StoredAnswer | undefined,
   ): Promise<void> {
     while (!this.stopping) {
-      await new Promise(resolve => {
-        setTimeout(resolve, retryPauseMilliseconds).unref();
-      });
+      await pause(retryPauseMilliseconds);
       try {
         await this.submit(opened, settlement, context, answer);
         return;
