perf(daemon): poll the configuration once a second

Cause: control's processor time a daemon was above the stated 1.9% of a core on a busy machine (3.3%), and two polls a second were part of it.

--- a/packages/daemon/src/configuration/configuration.ts
+++ b/packages/daemon/src/configuration/configuration.ts
@@ -44,7 +44,7 @@
   clock: systemClock,
   logger: silentLogger,
   metrics: silentMetrics,
-  pollMilliseconds: 500,
+  pollMilliseconds: 1000,
   staleMilliseconds: 2000,
   unknownKeyMilliseconds: 2000,
 };
