--- a/packages/bench/src/main.ts
+++ b/packages/bench/src/main.ts
@@ -17,6 +17,7 @@
 import {measureChanges} from './system/changesBench.js';
 import {measureControl} from './system/controlBench.js';
 import {measureOverhead} from './system/overheadBench.js';
+import {measureRecords} from './system/recordBench.js';
 import {measureStreamCost, measureStreamMemory} from './system/streamsBench.js';
 import {measureLedgerSlopes} from './ledgerSlopes.js';
 import {formatTable, type Row} from './util/table.js';
@@ -47,6 +48,10 @@
     description: 'time until a change is in force everywhere',
     run: () => measureChanges(),
   },
+  records: {
+    description: 'a request at the stated delays between instances',
+    run: () => measureRecords(),
+  },
   streams: {
     description: 'processor time of a router by the length of answers',
     run: () => measureStreamCost(),
