--- a/packages/bench/src/system/recordBench.ts
+++ b/packages/bench/src/system/recordBench.ts
@@ -74,8 +74,9 @@
       body: JSON.stringify(chatBody(outputTokens)),
     });
     await answer.body.text();
-    if (answer.statusCode !== 200)
+    if (answer.statusCode !== 200) {
       throw new Error(`status ${answer.statusCode}`);
+    }
     const elapsed = performance.now() - startedAt;
     if (number < warmUpRequests) continue;
     histogram.recordValue(Math.round(elapsed * microsecondsPerMillisecond));
