--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -8,10 +8,13 @@
 import {type Logger} from './observability/logger.js';
 import {createMetrics} from './observability/metrics.js';
 import {createTracing} from './observability/tracing.js';
+import {attemptIdsOf} from './requests/attemptIds.js';
 import {type InstanceSource} from './requests/dependencies.js';
 import {RequestPath} from './requests/index.js';
 import {type Secrets} from './settings/loadSettings.js';
 import {type Stoppable} from './shutdown.js';
+import {lockFolder} from './util/folderLock.js';
+import {pause} from './util/pause.js';
 
 /** What a daemon is built from. */
 export interface DaemonOptions {
@@ -32,6 +35,9 @@
   secrets,
   logger,
 }: DaemonOptions): Promise<Daemon> {
+  const {dataFolder} = settings.instance;
+  const unlock =
+    dataFolder === undefined ? undefined : await lockFolder(dataFolder);
   const metrics = createMetrics(settings);
   const tracing = createTracing(settings);
   const control = await createControl({
@@ -44,6 +50,8 @@
     keptAnswer: requestKey => requests.keptAnswer(requestKey),
     inFlight: backend => requests.inFlightAt(backend),
     isEjected: backend => requests.isEjected(backend),
+    attemptIds: attemptIdsOf,
+    givesOrders: settings.backends.giveOrders,
     isRunning: requestKey => requests.isRunning(requestKey),
     onReplicaFailure: error => {
       logger.fatal({err: error}, 'the ledger replica has stopped');
@@ -88,9 +96,7 @@
       const {announceMilliseconds, drainMilliseconds} = settings.shutdown;
       isReady = false;
       await control.leave();
-      await new Promise(resolve => {
-        setTimeout(resolve, announceMilliseconds);
-      });
+      await pause(announceMilliseconds);
       requests.refuseNew();
       const report = await requests.drain(drainMilliseconds);
       await closeHttpServer(server);
@@ -98,6 +104,7 @@
       await requests.close();
       await tracing.close();
       await metrics.close();
+      await unlock?.();
       return report;
     },
   };
@@ -116,9 +123,7 @@
 async function waitForPeers({membership}: Control): Promise<void> {
   const deadline = performance.now() + joinMilliseconds;
   while (!membership.hasHeard && performance.now() < deadline) {
-    await new Promise(resolve => {
-      setTimeout(resolve, joinPollMilliseconds);
-    });
+    await pause(joinPollMilliseconds);
   }
 }
 
--- a/packages/daemon/src/requests/backendSelector.ts
+++ b/packages/daemon/src/requests/backendSelector.ts
@@ -18,6 +18,16 @@
 /** Retries in ten seconds however few requests there are. */
 const minimumRetries = 10;
 
+/** What the choice knows of a prompt. */
+export interface Prompt {
+  /** Hashes of its blocks, see `prefixBlocks`. */
+  blocks: readonly string[];
+  /** Estimate of its length. */
+  tokens: number;
+}
+
+const noPrompt: Prompt = {blocks: [], tokens: 0};
+
 /** Chooses the backend server of each attempt. */
 export class BackendSelector {
   private readonly load = new LoadTracker();
@@ -57,12 +67,12 @@
   /**
    * Chooses among the servers that offer the target.
    *
-   * @param blocks Hashes of the prompt's blocks, see `prefixBlocks`.
+   * @param prompt The prompt, where there is one.
    */
   choose(
     target: Target,
     exclude: ReadonlySet<string>,
-    blocks: readonly string[] = [],
+    {blocks, tokens}: Prompt = noPrompt,
   ): Choice {
     const {directory, now, settings} = this.dependencies;
     const time = now();
@@ -72,6 +82,7 @@
       inFlight: name => this.load.inFlight(name),
       correction: entry => this.load.correction(entry),
       failureDomain: settings.instance.failureDomain,
+      promptTokens: tokens,
       prefixHits: name => this.prefixes.hits(name, blocks, time),
       health: name => ({
         ejected: this.outliers.ejected(name, time),
@@ -87,18 +98,9 @@
     return this.outliers.ejected(name, this.dependencies.now());
   }
 
-  /** Requests that the target's servers can take beyond those they have. */
-  spareCapacity(target: Target): {total: number; spare: number} {
-    const {directory, now} = this.dependencies;
-    let total = 0;
-    let used = 0;
-    for (const entry of directory.candidates(target, now())) {
-      const {load, name} = entry.announcement;
-      const reported = load.running + load.queued + this.load.correction(entry);
-      total += load.capacity;
-      used += Math.max(reported, this.load.inFlight(name));
-    }
-    return {total, spare: total - used};
+  /** Number to add to the load that a server reports. */
+  correction(entry: BackendEntry): number {
+    return this.load.correction(entry);
   }
 
   /** Counts a new request, by which the number of retries is bounded. */
--- a/packages/daemon/src/requests/opener.ts
+++ b/packages/daemon/src/requests/opener.ts
@@ -17,6 +17,7 @@
   QuorumUnreachableError,
   type UnreachableOutcome,
 } from '../ledgerClient/index.js';
+import {pause} from '../util/pause.js';
 import {type RequestDependencies} from './dependencies.js';
 import {
   refusal,
@@ -27,15 +28,12 @@
 import {type Settler} from './settler.js';
 
 /** A request that may be sent now. */
-export type OpenedRequest =
-  | {by: 'quorum'; requestKey: string; attempt: number}
-  | {
-      by: 'grant';
-      requestKey: string;
-      attempt: number;
-      grantId: string;
-      sequence: number;
-    };
+export type OpenedRequest = {
+  requestKey: string;
+  attempt: number;
+  /** Amount reserved, in micros; 0 where it isn't known here. */
+  reserved: number;
+} & ({by: 'quorum'} | {by: 'grant'; grantId: string; sequence: number});
 
 /** Outcome of opening a request. */
 export type Opening =
@@ -119,6 +117,7 @@
               by: 'quorum',
               requestKey: request.requestKey,
               attempt: result.attempt,
+              reserved: request.maximumCost,
             },
           };
         case 'duplicate':
@@ -148,6 +147,7 @@
           by: 'quorum',
           requestKey: result.requestKey,
           attempt: adopted.attempt,
+          reserved: 0,
         }
       : undefined;
   }
@@ -214,6 +214,7 @@
             by: 'grant',
             requestKey: request.requestKey,
             attempt: 1,
+            reserved: request.maximumCost,
             grantId: result.grantId,
             sequence: result.sequence,
           },
@@ -251,12 +252,6 @@
   return reserved > 0 && available + reserved >= maximumCost;
 }
 
-function pause(milliseconds: number): Promise<void> {
-  return new Promise(resolve => {
-    setTimeout(resolve, milliseconds);
-  });
-}
-
 function refusalFor(result: RefusedResult): Refusal {
   const reason = reasonTable[result.code] ?? 'internalError';
   const {available, reserved, recallable, code, retryAfterMilliseconds} =
