--- a/features/budgets.feature
+++ b/features/budgets.feature
@@ -88,3 +88,18 @@
     Then the budget of "desk" holds after all grants are merged
     And "desk" has one bill for each whole answer
     And the budget of "desk" holds
+
+  @promise-budget @failure-partition
+  Scenario: A partition begins right after a customer's first request
+    Given a cluster of 5 routers with 3 ledger replicas behind relays
+    And the customer "desk" with a budget of 60000 and these partition terms:
+      | servingSeconds | grantPercent |
+      | 60             | 40           |
+    And "desk" has asked r3 for 10 words 1 times
+    And 2500 ms pass
+    When the network is cut between r1, r2, r4 and r3, r5
+    And 2500 ms pass
+    And "desk" asks r3 for 10 words
+    Then the answer is whole
+    When the network heals
+    Then the budget of "desk" holds after all grants are merged
