--- a/packages/daemon/tests/requests/failures.test.ts
+++ b/packages/daemon/tests/requests/failures.test.ts
@@ -5,6 +5,7 @@
 } from '@dogwoodtrestle/testkit';
 import {afterEach, describe, expect, it} from 'vitest';
 
+import {QuorumUnreachableError} from '../../src/ledgerClient/index.js';
 import {type FixtureOptions, RequestFixture} from './fixture.js';
 
 let fixture: RequestFixture;
@@ -225,3 +226,32 @@
     );
   });
 });
+
+describe('an opening without an answer', () => {
+  it('is released, with a bill of nothing that says it did not run', async () => {
+    let opens = 0;
+    fixture = await RequestFixture.start({
+      submit: (command, apply) => {
+        const result = apply();
+        if (command.kind !== 'openRequest' || ++opens > 1) {
+          return Promise.resolve(result);
+        }
+        const error: Error = new QuorumUnreachableError('lost', {
+          props: {outcome: 'unknown'},
+        });
+        return Promise.reject(error);
+      },
+    });
+    await fixture.startModel();
+    const answer = await fixture.chat();
+    expect(await answer.json()).toMatchObject({
+      error: {code: 'quorumUnreachable', didNotRun: true},
+    });
+    const {billed} = await fixture.settledBudget();
+    const bills = fixture.ledger.takeBills();
+    expect({billed, bills: bills.map(({outcome}) => outcome)}).toEqual({
+      billed: 0,
+      bills: ['didNotRun'],
+    });
+  });
+});
