--- a/packages/daemon/src/membership/membership.ts
+++ b/packages/daemon/src/membership/membership.ts
@@ -23,6 +23,7 @@
 } from '@dogwoodtrestle/schema';
 
 import {PeerRejectedError} from '../peer/peerErrors.js';
+import {backendViewOf, instanceViewOf} from './membershipViews.js';
 import {type Clock, systemClock} from '../util/clock.js';
 import {type Logger, silentLogger} from '../util/logger.js';
 import {type Metrics, silentMetrics} from '../util/metrics.js';
@@ -242,37 +243,19 @@
 
   /** Instances as operators see them. */
   instances(): InstanceView[] {
-    return this.entries().map(({record, state, ageMilliseconds}) => ({
-      name: record.name,
-      incarnation: record.incarnation,
-      address: record.address,
-      callerPort: record.callerPort,
-      peerPort: record.peerPort,
-      region: record.region,
-      failureDomain: record.failureDomain,
-      roles: record.roles,
-      revision: record.revision,
-      renewedMillisecondsAgo: record.renewedMillisecondsAgo,
-      seenMillisecondsAgo: Math.round(ageMilliseconds),
-      state,
-    }));
+    return this.entries().map(instanceViewOf);
   }
 
   /** Backend servers as operators see them. */
   backends(): BackendView[] {
     const {clock, inFlight, isEjected} = this.options;
-    return this.directory
-      .entries(clock.now())
-      .map(({entry, state, ageMilliseconds}) => {
-        const {announcement} = entry;
-        const {name} = announcement;
-        return {
-          announcement,
-          ageMilliseconds: Math.round(ageMilliseconds),
-          inFlight: inFlight(name),
-          state: state === 'serving' && isEjected(name) ? 'ejected' : state,
-        };
+    return this.directory.entries(clock.now()).map(status => {
+      const {name} = status.entry.announcement;
+      return backendViewOf(status, {
+        inFlight: inFlight(name),
+        isEjected: isEjected(name),
       });
+    });
   }
 
   /** One round of questions; public for tests. */
