--- a/packages/bench/src/system/streamsBench.ts
+++ b/packages/bench/src/system/streamsBench.ts
@@ -2,6 +2,8 @@
  * @fileoverview Processor time and memory that streams cost a router that
  * holds no ledger replica: by tokens in an answer, and by open streams.
  */
+import {setMaxListeners} from 'node:events';
+
 import {type Cluster} from '@dogwoodtrestle/testkit';
 import {Agent} from 'undici';
 
@@ -86,6 +88,7 @@
   });
   const agent = new Agent({connections: Math.max(...options.openStreams)});
   const closed = new AbortController();
+  setMaxListeners(0, closed.signal); // one for each stream
   try {
     const pid = cluster.daemon(router).process?.pid ?? 0;
     const rows: Row[] = [];
