--- a/packages/bench/src/system/streamsBench.ts
+++ b/packages/bench/src/system/streamsBench.ts
@@ -94,10 +94,11 @@
     const rows: Row[] = [];
     let open = 0;
     for (const wanted of options.openStreams) {
-      while (open < wanted) {
-        await openStream(cluster, agent, closed.signal);
-        open++;
-      }
+      const missing = Array.from({length: wanted - open});
+      await Promise.all(
+        missing.map(() => openStream(cluster, agent, closed.signal)),
+      );
+      open = wanted;
       await pause(settleMilliseconds);
       rows.push({
         'open streams': open,
