--- a/scripts/measurements.mjs
+++ b/scripts/measurements.mjs
@@ -82,7 +82,7 @@
   'docs/MEASUREMENTS.md',
   [
     '# Measurements',
-    'One run of each on one machine with 10 cores and a local disk, 2026-12-03, written from docs/measurements by `node scripts/measurements.mjs`. `overhead`, `records`, `control` and `changes` ran with nothing else on the machine but an editor's shell; `streams`, `open-streams`, `consensus`, `ledger`, `routing-decision` and `gossip` ran while the scenarios of a CI run used the machine (load 3.4 to 3.9). A second run may differ by some tens of percent. The routing policy has its tables in [decisions/routing-policy.md](decisions/routing-policy.md).',
+    'One run of each on one machine with 10 cores and a local disk, 2026-12-03, written from docs/measurements by `node scripts/measurements.mjs`. `overhead`, `records`, `control` and `changes` ran with nothing else on the machine; `streams`, `open-streams`, `consensus`, `ledger`, `routing-decision` and `gossip` ran while the scenarios of a CI run used the machine (load 3.4 to 3.9). A second run may differ by some tens of percent. The routing policy has its tables in [decisions/routing-policy.md](decisions/routing-policy.md).',
     ...sections,
   ]
     .filter(part => part !== '')
