--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -25,6 +25,7 @@
       parserOptions: {
         project: [
           './packages/*/tsconfig.json',
+          './platform/tsconfig.json',
           './features/tsconfig.json',
           './tsconfig.tests.json',
         ],
--- a/packages/consensus/src/errors.ts
+++ b/packages/consensus/src/errors.ts
@@ -52,3 +52,6 @@
 export const ProtocolBreach: ErrorClass = BaseError.subclass(
   'ProtocolBreachError',
 );
+
+/** The group can't be founded as its settings say. */
+export const FoundingError: ErrorClass = BaseError.subclass('FoundingError');
--- a/packages/consensus/src/fileStorage/fileStorage.ts
+++ b/packages/consensus/src/fileStorage/fileStorage.ts
@@ -26,11 +26,17 @@
 export interface FileStorageOptions {
   /** Size at which a log segment is sealed, in bytes. */
   segmentBytes: number;
+  /**
+   * Whether entries before the snapshot stay readable. Without them the files
+   * stay within a bound.
+   */
+  keepsHistory: boolean;
 }
 
 /** Sizes for small disks. */
 export const defaultFileStorageOptions: FileStorageOptions = {
   segmentBytes: 4 * 1024 * 1024,
+  keepsHistory: true,
 };
 
 /** Keeps the state of one replica in files under a folder. */
@@ -51,8 +57,11 @@
   ): Promise<FileStorage> {
     await mkdir(folder, {recursive: true});
     await syncFolder(path.dirname(path.resolve(folder)));
-    const {segmentBytes} = {...defaultFileStorageOptions, ...options};
-    const log = await SegmentedLog.open(folder, segmentBytes);
+    const {segmentBytes, keepsHistory} = {
+      ...defaultFileStorageOptions,
+      ...options,
+    };
+    const log = await SegmentedLog.open(folder, segmentBytes, keepsHistory);
     try {
       const identity = await openIdentity(folder, log.isEmpty);
       return new FileStorage(identity, folder, log);
--- a/packages/consensus/src/fileStorage/segmentedLog.ts
+++ b/packages/consensus/src/fileStorage/segmentedLog.ts
@@ -40,14 +40,16 @@
   private constructor(
     private readonly folder: string,
     private readonly segmentBytes: number,
+    private readonly keepsHistory: boolean,
   ) {}
 
   /** Opens the log and cuts a torn tail. */
   static async open(
     folder: string,
     segmentBytes: number,
+    keepsHistory: boolean,
   ): Promise<SegmentedLog> {
-    const log = new SegmentedLog(folder, segmentBytes);
+    const log = new SegmentedLog(folder, segmentBytes, keepsHistory);
     await mkdir(log.historyFolder, {recursive: true});
     await syncFolder(folder);
     await log.openHistory();
@@ -105,6 +107,7 @@
 
   /** Returns the first range of indexes up to a last one that no file holds. */
   firstGap(lastIndex: number): HistoryGap | undefined {
+    if (!this.keepsHistory) return undefined;
     const segments = [...this.sealed, ...this.live].sort(
       (a, b) => a.firstIndex - b.firstIndex,
     );
@@ -235,6 +238,10 @@
   // Each step is durable before the next, oldest first, so that a crash never
   // leaves a gap between live segments.
   private async seal(segment: Segment): Promise<void> {
+    if (!this.keepsHistory) {
+      await this.remove(segment);
+      return;
+    }
     const file = path.join(this.historyFolder, sealedName(segment));
     await rename(segment.file, file);
     await syncFolder(this.historyFolder);
--- a/packages/daemon/src/ledgerHost/founding.ts
+++ b/packages/consensus/src/founding.ts
@@ -9,10 +9,7 @@
  */
 import {type PeerIdentity, type Member} from '@dogwoodtrestle/schema';
 
-import {BaseError, type ErrorClass} from '../util/baseError.js';
-
-/** The cluster can't be founded as its settings say. */
-export const FoundingError: ErrorClass = BaseError.subclass('FoundingError');
+import {FoundingError} from './errors.js';
 
 /** What founding needs. */
 export interface FoundingOptions {
--- a/packages/consensus/src/index.ts
+++ b/packages/consensus/src/index.ts
@@ -10,6 +10,7 @@
 export {
   ConsensusError,
   CorruptFile,
+  FoundingError,
   IdentityMismatch,
   MembershipRefused,
   NotLeader,
@@ -23,6 +24,11 @@
   FileStorage,
   type FileStorageOptions,
 } from './fileStorage/fileStorage.js';
+export {
+  foundCluster,
+  type FoundingOptions,
+  type FoundingOutcome,
+} from './founding.js';
 export {
   decideRepair,
   defaultRepairOptions,
--- a/packages/consensus/src/repair.ts
+++ b/packages/consensus/src/repair.ts
@@ -20,6 +20,8 @@
   candidates: readonly RepairCandidate[];
   /** Failure domain of each member's instance, where it is known. */
   failureDomains: ReadonlyMap<string, string>;
+  /** Members whose disk is known to be gone; they never come back. */
+  gone?: ReadonlySet<string>;
 }
 
 /** Bounds of the decision. */
@@ -83,13 +85,14 @@
 }
 
 function surveyMembers(
-  {status}: RepairInput,
+  {status, gone}: RepairInput,
   {lostAfterMilliseconds}: RepairOptions,
 ): Survey {
   const peers = new Map(status.peers.map(peer => [peer.id, peer]));
   const isLost = ({id}: Member) =>
     id !== status.id &&
-    (peers.get(id)?.lastContactMs ?? 0) > lostAfterMilliseconds;
+    (gone?.has(id) === true ||
+      (peers.get(id)?.lastContactMs ?? 0) > lostAfterMilliseconds);
   const voters = status.members.filter(({role}) => role === 'voter');
   const learners = status.members.filter(({role}) => role === 'learner');
   return {
--- /dev/null
+++ b/packages/control/src/announcementSpreader.ts
@@ -0,0 +1,110 @@
+/**
+ * @fileoverview Spreads announcements of backend servers among the control
+ * processes, so that a new leader knows the servers at once.
+ */
+import {type Logger, type PeerCalls} from '@dogwoodtrestle/runtime';
+import {type BackendServerRecord} from '@dogwoodtrestle/schema';
+
+import {type ControlGroup} from './controlGroup.js';
+import {type ControlOptions} from './controlOptions.js';
+import {type AnnounceResult, type Departure} from './controlService.js';
+
+/** News of one server. */
+export type Announcement =
+  | {kind: 'announced'; record: BackendServerRecord}
+  | {kind: 'left'; departure: Departure};
+
+/** News of servers, as processes tell them to each other. */
+export interface AnnouncementBatch {
+  announcements: Announcement[];
+}
+
+/** Announcements that are kept for one call at the most. */
+const maxBatch = 500;
+
+/** Gathers announcements and sends them to all other members. */
+export class AnnouncementSpreader {
+  private pending: Announcement[] = [];
+  private isScheduled = false;
+
+  constructor(
+    private readonly options: Pick<
+      ControlOptions,
+      'clock' | 'announcementBatchMilliseconds' | 'peerTimeoutMilliseconds'
+    > & {logger: Logger},
+    private readonly calls: PeerCalls,
+    private readonly group: ControlGroup,
+  ) {}
+
+  add(announcement: Announcement): void {
+    if (this.pending.length < maxBatch) this.pending.push(announcement);
+    if (this.isScheduled) return;
+    this.isScheduled = true;
+    const {clock, announcementBatchMilliseconds} = this.options;
+    clock.setTimer(announcementBatchMilliseconds, () => {
+      this.isScheduled = false;
+      void this.flush(this.group.otherAddresses);
+    });
+  }
+
+  /** Sends everything now; succeeds once the leader has it. */
+  async flushToLeader(): Promise<AnnounceResult> {
+    const {isLeader, leaderAddress, otherAddresses} = this.group;
+    if (!isLeader && leaderAddress === undefined) {
+      return {kind: 'unavailable', reason: 'no leader is known'};
+    }
+    if (isLeader && !(await this.confirmsLeadership())) {
+      return {kind: 'unavailable', reason: 'leadership is not confirmed'};
+    }
+    const reached = await this.flush(otherAddresses);
+    if (isLeader || reached.has(leaderAddress ?? '')) {
+      return {kind: 'acknowledged'};
+    }
+    return {kind: 'unavailable', reason: 'the leader did not answer'};
+  }
+
+  private async confirmsLeadership(): Promise<boolean> {
+    const {clock, peerTimeoutMilliseconds} = this.options;
+    const limit = new Promise<boolean>(resolve => {
+      clock.setTimer(peerTimeoutMilliseconds, () => resolve(false));
+    });
+    const confirmed = this.group.replica.barrier().then(
+      () => true,
+      () => false,
+    );
+    return Promise.race([confirmed, limit]);
+  }
+
+  /** Returns the addresses that answered, the leader's at the latest. */
+  private async flush(addresses: string[]): Promise<Set<string>> {
+    const batch: AnnouncementBatch = {announcements: this.pending};
+    this.pending = [];
+    const reached = new Set<string>();
+    const leader = this.group.leaderAddress;
+    if (batch.announcements.length === 0) return reached;
+    const sends = addresses.map(async address => {
+      if (await this.send(address, batch)) reached.add(address);
+    });
+    const leaderSend = sends[addresses.indexOf(leader ?? '')];
+    await (leaderSend ?? Promise.all(sends));
+    return reached;
+  }
+
+  private async send(
+    address: string,
+    batch: AnnouncementBatch,
+  ): Promise<boolean> {
+    try {
+      await this.calls.call(address, 'announcements', batch, {
+        timeoutMilliseconds: this.options.peerTimeoutMilliseconds,
+      });
+      return true;
+    } catch (error) {
+      this.options.logger.debug(
+        {err: error, address, count: batch.announcements.length},
+        'announcements were not passed on',
+      );
+      return false;
+    }
+  }
+}
--- /dev/null
+++ b/packages/control/src/controlNode.ts
@@ -0,0 +1,151 @@
+/**
+ * @fileoverview A control process: a replica of the fleet's state, the
+ * directory of backend servers, and the calls of routers.
+ */
+import {randomUUID} from 'node:crypto';
+
+import {FileStorage} from '@dogwoodtrestle/consensus';
+import {FleetState, ServerDirectory} from '@dogwoodtrestle/fleet';
+import {
+  type CallHandlers,
+  PeerCalls,
+  PeerListener,
+  PeriodicTask,
+} from '@dogwoodtrestle/runtime';
+import {
+  type ConsensusMessage,
+  type FleetConfiguration,
+  type JoinRequest,
+  type Member,
+  type UsageReport,
+  type WatchRequest,
+} from '@dogwoodtrestle/schema';
+
+import {
+  type AnnouncementBatch,
+  AnnouncementSpreader,
+} from './announcementSpreader.js';
+import {ControlGroup} from './controlGroup.js';
+import {
+  type ControlInput,
+  type ControlOptions,
+  defaultControlOptions,
+} from './controlOptions.js';
+import {ControlService} from './controlService.js';
+import {GrantDesk} from './grantDesk.js';
+import {WatchDesk} from './watchDesk.js';
+
+/** Interval at which servers that fell silent are looked for. */
+const expiryIntervalMilliseconds = 500;
+
+/** One control process. */
+export class ControlNode {
+  private constructor(
+    readonly service: ControlService,
+    private readonly group: ControlGroup,
+    private readonly listener: PeerListener,
+    private readonly calls: PeerCalls,
+    private readonly expiry: PeriodicTask,
+  ) {}
+
+  /** Opens the data folder, and listens for calls of other processes. */
+  static async start(input: ControlInput): Promise<ControlNode> {
+    const options: ControlOptions = {...defaultControlOptions, ...input};
+    const {logger, clock, metrics} = options;
+    const calls = new PeerCalls();
+    const storage = await FileStorage.open(options.dataFolder, {
+      keepsHistory: false,
+    });
+    let desk: WatchDesk | undefined;
+    let restored: FleetConfiguration | undefined;
+    const state = new FleetState(configuration => {
+      logger.info(
+        {version: configuration.version, routes: configuration.routes.length},
+        'configuration in force',
+      );
+      restored = configuration;
+      desk?.putConfiguration(configuration);
+    });
+    const group = await ControlGroup.open(options, calls, storage, state);
+    const directory = new ServerDirectory(randomUUID(), {}, record => {
+      logger.info({server: record}, 'backend server changed');
+      desk?.wake();
+    });
+    desk = new WatchDesk(options, group, directory);
+    if (restored !== undefined) desk.putConfiguration(restored);
+    const grants = new GrantDesk(options, group, state);
+    const spreader = new AnnouncementSpreader(options, calls, group);
+    const service = new ControlService(
+      options,
+      calls,
+      group,
+      state,
+      directory,
+      spreader,
+    );
+    const watches = desk;
+    const received = metrics.counter(
+      'dogwoodtrestle_calls_total',
+      'Calls of other processes.',
+    );
+    const handlers: CallHandlers = {
+      consensus: (message: ConsensusMessage) => group.receive(message),
+      identity: async () => group.identity(),
+      found: ({members}: {members: Member[]}) => group.found(members),
+      join: async (request: JoinRequest) => group.apply(request),
+      watch: (request: WatchRequest) => {
+        received.add({call: 'watch'});
+        return watches.watch(request);
+      },
+      usage: (report: UsageReport) => {
+        received.add({call: 'usage'});
+        return grants.report(report);
+      },
+      announcements: async ({announcements}: AnnouncementBatch) => {
+        for (const announcement of announcements) {
+          if (announcement.kind === 'announced') {
+            directory.announce(announcement.record, clock.now());
+          } else {
+            const {id, startedAt} = announcement.departure;
+            directory.leave(id, clock.now(), startedAt);
+          }
+        }
+        return {};
+      },
+      putConfiguration: ({
+        configuration,
+        source,
+      }: {
+        configuration: FleetConfiguration;
+        source: string;
+      }) => service.proposeConfiguration(configuration, source),
+      readConfiguration: () => service.readLocally(),
+    };
+    const [host = '', port = '0'] = options.peerAddress.split(':');
+    const listener = new PeerListener({
+      host,
+      port: Number(port),
+      handlers,
+      logger,
+    });
+    await listener.listen();
+    const expiry = new PeriodicTask({
+      name: 'silent servers',
+      clock,
+      logger,
+      intervalMilliseconds: expiryIntervalMilliseconds,
+      run: async () => directory.expire(clock.now()),
+    });
+    group.start();
+    expiry.start();
+    return new ControlNode(service, group, listener, calls, expiry);
+  }
+
+  /** Hands leadership over and closes the data folder. */
+  async stop(): Promise<void> {
+    await this.expiry.stop();
+    await this.group.stop();
+    await this.listener.close();
+    await this.calls.close();
+  }
+}
--- /dev/null
+++ b/packages/control/src/grantDesk.ts
@@ -0,0 +1,168 @@
+/**
+ * @fileoverview Grants routers tokens of the prepaid totals, while this process
+ * leads. Demand is soft state of the leader; what was granted is replicated.
+ */
+import {
+  type FleetState,
+  grantTarget,
+  type RouterTotals,
+  ungranted,
+  type UsageOutcome,
+} from '@dogwoodtrestle/fleet';
+import {type Logger} from '@dogwoodtrestle/runtime';
+import {
+  type GrantOffer,
+  type RecordUsage,
+  type UsageEntry,
+  type UsageReply,
+  type UsageReport,
+  type WorkspaceUsage,
+} from '@dogwoodtrestle/schema';
+
+import {type ControlGroup} from './controlGroup.js';
+import {type ControlOptions} from './controlOptions.js';
+
+/** What a router reported of a workspace last. */
+interface Demand {
+  usage: WorkspaceUsage;
+  heardAt: number;
+}
+
+/** A plan for one usage of a report. */
+interface Plan {
+  usage: WorkspaceUsage;
+  target: number;
+  grantUpTo: number;
+}
+
+/** Part of its target that a grant must lack before it is topped up. */
+const topUpShare = 0.1;
+
+/** Answers the routers' reports of what they spent. */
+export class GrantDesk {
+  /** Demand by workspace and router. */
+  private readonly demands = new Map<string, Map<string, Demand>>();
+
+  constructor(
+    private readonly options: Pick<
+      ControlOptions,
+      'clock' | 'routerLostAfterMilliseconds'
+    > & {logger: Logger},
+    private readonly group: ControlGroup,
+    private readonly state: FleetState,
+  ) {}
+
+  async report({router, usages}: UsageReport): Promise<UsageReply> {
+    if (!this.group.isLeader) return this.group.hint();
+    const now = this.options.clock.now();
+    for (const usage of usages) this.note(router, usage, now);
+    const plans = usages.map(usage => this.plan(usage, now));
+    const entries = plans
+      .filter(plan => this.isDue(router, plan))
+      .map(({usage, grantUpTo}): UsageEntry => {
+        const {workspace, spent, returned} = usage;
+        return {workspace, spent, returned, grantUpTo};
+      });
+    if (entries.length > 0) await this.record(router, entries);
+    const offers = plans.map(plan => this.offer(router, plan));
+    return {kind: 'grants', offers};
+  }
+
+  private async record(router: string, entries: UsageEntry[]): Promise<void> {
+    const command: RecordUsage = {kind: 'recordUsage', router, entries};
+    const [outcomes] = await this.group.replica.propose([command]);
+    for (const {workspace, granted} of outcomes as UsageOutcome[]) {
+      const asked = entries.find(entry => entry.workspace === workspace);
+      if (asked === undefined || granted >= asked.grantUpTo) continue;
+      this.options.logger.info(
+        {workspace, router, granted, asked: asked.grantUpTo},
+        'the prepaid total does not cover the grant',
+      );
+    }
+  }
+
+  private note(router: string, usage: WorkspaceUsage, now: number): void {
+    let routers = this.demands.get(usage.workspace);
+    if (routers === undefined) {
+      routers = new Map();
+      this.demands.set(usage.workspace, routers);
+    }
+    routers.set(router, {usage, heardAt: now});
+    const oldest = now - this.options.routerLostAfterMilliseconds;
+    for (const [name, {heardAt}] of routers) {
+      if (heardAt < oldest) routers.delete(name);
+    }
+  }
+
+  private plan(usage: WorkspaceUsage, now: number): Plan {
+    const routers = this.demands.get(usage.workspace);
+    const target = grantTarget({
+      rate: usage.rate,
+      totalRate: [...(routers?.values() ?? [])].reduce(
+        (sum, demand) => sum + demand.usage.rate,
+        0,
+      ),
+      routers: this.liveRouters(now),
+      ungranted: this.ungranted(usage.workspace),
+      held: this.heldOf(usage.workspace),
+    });
+    const needed = usage.wanted > 0 ? usage.reserved + usage.wanted : 0;
+    const unspent = Math.max(target, needed);
+    const grantUpTo = Math.ceil(usage.spent + usage.returned + unspent);
+    return {usage, target, grantUpTo};
+  }
+
+  private liveRouters(now: number): number {
+    const oldest = now - this.options.routerLostAfterMilliseconds;
+    const live = new Set<string>();
+    for (const routers of this.demands.values()) {
+      for (const [router, {heardAt}] of routers) {
+        if (heardAt >= oldest) live.add(router);
+      }
+    }
+    return live.size;
+  }
+
+  /** Whether a plan is worth an entry of the replicated log. */
+  private isDue(router: string, {usage, target, grantUpTo}: Plan): boolean {
+    const totals = this.totalsOf(router, usage.workspace);
+    if (totals === undefined) return grantUpTo > 0;
+    if (usage.returned > totals.returned) return true;
+    const lack = grantUpTo - totals.granted;
+    return lack > (usage.wanted > 0 ? 0 : target * topUpShare);
+  }
+
+  private offer(router: string, {usage, target}: Plan): GrantOffer {
+    const {workspace} = usage;
+    const remaining = this.ungranted(workspace) + this.heldOf(workspace);
+    return {
+      workspace,
+      granted: this.totalsOf(router, workspace)?.granted ?? 0,
+      target,
+      remaining: Math.min(remaining, Number.MAX_SAFE_INTEGER),
+    };
+  }
+
+  private ungranted(workspace: string): number {
+    return ungranted(
+      this.state.prepaidAccounts[workspace],
+      this.state.prepaidOf(workspace),
+    );
+  }
+
+  /** Unspent tokens that live routers hold. */
+  private heldOf(workspace: string): number {
+    let held = 0;
+    for (const [router, {usage}] of this.demands.get(workspace) ?? []) {
+      const totals = this.totalsOf(router, workspace);
+      if (totals === undefined) continue;
+      const spent = Math.max(totals.spent, usage.spent);
+      held += Math.max(0, totals.granted - totals.returned - spent);
+    }
+    return held;
+  }
+
+  private totalsOf(router: string, workspace: string): RouterTotals | undefined {
+    return this.state.prepaidAccounts[workspace]?.routers[router];
+  }
+}
--- a/packages/daemon/src/control/context.ts
+++ b/packages/daemon/src/control/context.ts
@@ -19,8 +19,8 @@
   type PeerCredentials,
 } from '../peer/peerAuthentication.js';
 import {PeerClient} from '../peer/peerClient.js';
-import {type Clock, systemClock} from '../util/clock.js';
-import {type Logger, silentLogger} from '../util/logger.js';
+import {type Clock, systemClock} from '@dogwoodtrestle/runtime';
+import {type Logger, silentLogger} from '@dogwoodtrestle/runtime';
 import {type Metrics, silentMetrics} from '../util/metrics.js';
 
 /** Keys, as read from their files. */
--- a/packages/daemon/src/grants/grantKeeper.ts
+++ b/packages/daemon/src/grants/grantKeeper.ts
@@ -12,8 +12,8 @@
 
 import {type LedgerClient} from '../ledgerClient/ledgerClient.js';
 import {QuorumUnreachableError} from '../ledgerClient/quorumUnreachableError.js';
-import {type Clock} from '../util/clock.js';
-import {type Logger} from '../util/logger.js';
+import {type Clock} from '@dogwoodtrestle/runtime';
+import {type Logger} from '@dogwoodtrestle/runtime';
 import {type Metrics} from '../util/metrics.js';
 import {DemandMeter} from './demandMeter.js';
 import {mergeRecords, returnGrant} from './grantAccounts.js';
--- a/packages/daemon/src/grants/grants.ts
+++ b/packages/daemon/src/grants/grants.ts
@@ -9,10 +9,10 @@
   type RecallReply,
 } from '@dogwoodtrestle/schema';
 
-import {type Clock, systemClock} from '../util/clock.js';
-import {type Logger, silentLogger} from '../util/logger.js';
+import {type Clock, systemClock} from '@dogwoodtrestle/runtime';
+import {type Logger, silentLogger} from '@dogwoodtrestle/runtime';
 import {type Metrics, silentMetrics} from '../util/metrics.js';
-import {PeriodicTask} from '../util/periodicTask.js';
+import {PeriodicTask} from '@dogwoodtrestle/runtime';
 import {GrantKeeper, type GrantKeeperOptions} from './grantKeeper.js';
 import {type GrantOpening, type HeldGrant} from './heldGrant.js';
 
--- a/packages/daemon/src/grants/heldGrant.ts
+++ b/packages/daemon/src/grants/heldGrant.ts
@@ -10,7 +10,7 @@
   type WorkspaceAllowance,
 } from '@dogwoodtrestle/schema';
 
-import {type Clock} from '../util/clock.js';
+import {type Clock} from '@dogwoodtrestle/runtime';
 import {type JournalPlace} from './journal.js';
 import {Stopwatch} from '../util/stopwatch.js';
 
--- a/packages/daemon/src/grants/journalRecovery.ts
+++ b/packages/daemon/src/grants/journalRecovery.ts
@@ -10,9 +10,9 @@
 import {type JournalHeader} from '@dogwoodtrestle/schema';
 
 import {type LedgerClient} from '../ledgerClient/ledgerClient.js';
-import {type Clock, systemClock} from '../util/clock.js';
-import {type Logger, silentLogger} from '../util/logger.js';
-import {PeriodicTask} from '../util/periodicTask.js';
+import {type Clock, systemClock} from '@dogwoodtrestle/runtime';
+import {type Logger, silentLogger} from '@dogwoodtrestle/runtime';
+import {PeriodicTask} from '@dogwoodtrestle/runtime';
 import {returnGrant} from './grantAccounts.js';
 import {type JournalStore} from './journalStore.js';
 
--- a/packages/daemon/src/grants/journalStore.ts
+++ b/packages/daemon/src/grants/journalStore.ts
@@ -11,7 +11,7 @@
   type JournalRecord,
 } from '@dogwoodtrestle/schema';
 
-import {type Logger, silentLogger} from '../util/logger.js';
+import {type Logger, silentLogger} from '@dogwoodtrestle/runtime';
 import {JournalClosedError} from './journalErrors.js';
 import {JournalFile} from './journalFile.js';
 
--- a/packages/daemon/src/ledgerClient/ledgerClient.ts
+++ b/packages/daemon/src/ledgerClient/ledgerClient.ts
@@ -19,8 +19,8 @@
   type SubmitRequest,
 } from '@dogwoodtrestle/schema';
 
-import {type Clock, sleep, systemClock} from '../util/clock.js';
-import {type Logger, silentLogger} from '../util/logger.js';
+import {type Clock, sleep, systemClock} from '@dogwoodtrestle/runtime';
+import {type Logger, silentLogger} from '@dogwoodtrestle/runtime';
 import {type Metrics, silentMetrics} from '../util/metrics.js';
 import {LeaderFinder} from './leaderFinder.js';
 import {OpenTracker} from './openTracker.js';
--- a/packages/daemon/src/ledgerHost/abandonedRequests.ts
+++ b/packages/daemon/src/ledgerHost/abandonedRequests.ts
@@ -14,10 +14,10 @@
   type Usage,
 } from '@dogwoodtrestle/schema';
 
-import {type Clock, systemClock} from '../util/clock.js';
-import {type Logger, silentLogger} from '../util/logger.js';
+import {type Clock, systemClock} from '@dogwoodtrestle/runtime';
+import {type Logger, silentLogger} from '@dogwoodtrestle/runtime';
 import {type Metrics, silentMetrics} from '../util/metrics.js';
-import {PeriodicTask} from '../util/periodicTask.js';
+import {PeriodicTask} from '@dogwoodtrestle/runtime';
 
 /** What backend servers tell of a request; cost in micros. */
 export type BackendOutcome =
--- a/packages/daemon/src/ledgerHost/backendOutcomes.ts
+++ b/packages/daemon/src/ledgerHost/backendOutcomes.ts
@@ -10,7 +10,7 @@
 import {type Target} from '@dogwoodtrestle/schema';
 import {request as sendRequest} from 'undici';
 
-import {type Clock} from '../util/clock.js';
+import {type Clock} from '@dogwoodtrestle/runtime';
 import {type BackendOutcome} from './abandonedRequests.js';
 
 /** What asking needs. */
--- a/packages/daemon/src/ledgerHost/founder.ts
+++ b/packages/daemon/src/ledgerHost/founder.ts
@@ -1,9 +1,9 @@
 /**
  * @fileoverview Tries to found the cluster until that is done.
  */
-import {type Clock, sleep} from '../util/clock.js';
-import {type Logger} from '../util/logger.js';
-import {foundCluster, type FoundingOptions} from './founding.js';
+import {type Clock, sleep} from '@dogwoodtrestle/runtime';
+import {type Logger} from '@dogwoodtrestle/runtime';
+import {foundCluster, type FoundingOptions} from '@dogwoodtrestle/consensus';
 
 /** What the founder needs. */
 export interface FounderOptions extends FoundingOptions {
--- a/packages/daemon/src/ledgerHost/ledgerHost.ts
+++ b/packages/daemon/src/ledgerHost/ledgerHost.ts
@@ -33,10 +33,10 @@
 } from '@dogwoodtrestle/schema';
 
 import {type ReplicaCalls} from '../peer/peerApi.js';
-import {type Clock, systemClock} from '../util/clock.js';
-import {type Logger, silentLogger} from '../util/logger.js';
+import {type Clock, systemClock} from '@dogwoodtrestle/runtime';
+import {type Logger, silentLogger} from '@dogwoodtrestle/runtime';
 import {type Metrics, silentMetrics} from '../util/metrics.js';
-import {PeriodicTask} from '../util/periodicTask.js';
+import {PeriodicTask} from '@dogwoodtrestle/runtime';
 import {BarrierQueue} from './barrierQueue.js';
 import {BillArchive, type BillGap} from './billArchive.js';
 import {answerQuery} from './ledgerQueries.js';
--- a/packages/daemon/src/ledgerHost/ledgerStateMachine.ts
+++ b/packages/daemon/src/ledgerHost/ledgerStateMachine.ts
@@ -10,7 +10,7 @@
   type Result,
 } from '@dogwoodtrestle/schema';
 
-import {type Clock} from '../util/clock.js';
+import {type Clock} from '@dogwoodtrestle/runtime';
 
 /** Snapshot of the ledger with its position in the log. */
 export interface LedgerSnapshotFile {
--- a/packages/daemon/src/ledgerHost/orderIssuer.ts
+++ b/packages/daemon/src/ledgerHost/orderIssuer.ts
@@ -19,10 +19,10 @@
 import {request as sendRequest} from 'undici';
 
 import {Stopwatch} from '../util/stopwatch.js';
-import {type Clock, systemClock} from '../util/clock.js';
-import {type Logger, silentLogger} from '../util/logger.js';
+import {type Clock, systemClock} from '@dogwoodtrestle/runtime';
+import {type Logger, silentLogger} from '@dogwoodtrestle/runtime';
 import {type Metrics, silentMetrics} from '../util/metrics.js';
-import {PeriodicTask} from '../util/periodicTask.js';
+import {PeriodicTask} from '@dogwoodtrestle/runtime';
 
 /** What the issuer needs. */
 export interface OrderIssuerOptions {
--- a/packages/daemon/src/ledgerHost/quorumAge.ts
+++ b/packages/daemon/src/ledgerHost/quorumAge.ts
@@ -7,7 +7,7 @@
   type ConsensusReply,
 } from '@dogwoodtrestle/schema';
 
-import {type Clock} from '../util/clock.js';
+import {type Clock} from '@dogwoodtrestle/runtime';
 
 /** Age that stands for "never", since JSON has no infinity. */
 export const neverMilliseconds = 1_000_000_000;
--- a/packages/daemon/src/ledgerHost/replicaRepair.ts
+++ b/packages/daemon/src/ledgerHost/replicaRepair.ts
@@ -11,10 +11,10 @@
 import {type InstanceRecord, peerAddressOf} from '@dogwoodtrestle/routing';
 import {type PeerIdentity} from '@dogwoodtrestle/schema';
 
-import {type Clock, systemClock} from '../util/clock.js';
-import {type Logger, silentLogger} from '../util/logger.js';
+import {type Clock, systemClock} from '@dogwoodtrestle/runtime';
+import {type Logger, silentLogger} from '@dogwoodtrestle/runtime';
 import {type Metrics, silentMetrics} from '../util/metrics.js';
-import {PeriodicTask} from '../util/periodicTask.js';
+import {PeriodicTask} from '@dogwoodtrestle/runtime';
 
 /** What the repair needs. */
 export interface ReplicaRepairOptions {
--- a/packages/daemon/src/membership/announcementRoutes.ts
+++ b/packages/daemon/src/membership/announcementRoutes.ts
@@ -7,7 +7,7 @@
 import {operatorErrorHandler} from '../operators/operatorErrors.js';
 import {BearerKey} from '../util/bearerKey.js';
 import {httpError} from '../util/httpError.js';
-import {type Logger, silentLogger} from '../util/logger.js';
+import {type Logger, silentLogger} from '@dogwoodtrestle/runtime';
 import {type Metrics, silentMetrics} from '../util/metrics.js';
 import {type Membership} from './membership.js';
 
--- a/packages/daemon/src/membership/gossipExchange.ts
+++ b/packages/daemon/src/membership/gossipExchange.ts
@@ -18,7 +18,7 @@
   type GossipRequest,
 } from '@dogwoodtrestle/schema';
 
-import {type Clock} from '../util/clock.js';
+import {type Clock} from '@dogwoodtrestle/runtime';
 import {briefDigestOf, expandDigest} from './briefDigest.js';
 import {OfferChanges} from './offerChanges.js';
 import {
--- a/packages/daemon/src/membership/membership.ts
+++ b/packages/daemon/src/membership/membership.ts
@@ -24,10 +24,10 @@
 
 import {PeerRejectedError} from '../peer/peerErrors.js';
 import {backendViewOf, instanceViewOf} from './membershipViews.js';
-import {type Clock, systemClock} from '../util/clock.js';
-import {type Logger, silentLogger} from '../util/logger.js';
+import {type Clock, systemClock} from '@dogwoodtrestle/runtime';
+import {type Logger, silentLogger} from '@dogwoodtrestle/runtime';
 import {type Metrics, silentMetrics} from '../util/metrics.js';
-import {PeriodicTask} from '../util/periodicTask.js';
+import {PeriodicTask} from '@dogwoodtrestle/runtime';
 import {GossipExchange} from './gossipExchange.js';
 
 /** The parts of the own record that change. */
--- a/packages/daemon/src/operators/operatorErrors.ts
+++ b/packages/daemon/src/operators/operatorErrors.ts
@@ -5,7 +5,7 @@
 
 import {QuorumUnreachableError} from '../ledgerClient/quorumUnreachableError.js';
 import {HttpError, httpError} from '../util/httpError.js';
-import {type Logger} from '../util/logger.js';
+import {type Logger} from '@dogwoodtrestle/runtime';
 
 /** Codes of Fastify's own errors, by the code that callers see. */
 const bodyErrors: Record<string, string> = {
--- a/packages/daemon/src/operators/operatorRoutes.ts
+++ b/packages/daemon/src/operators/operatorRoutes.ts
@@ -21,7 +21,7 @@
 import {type LedgerClient} from '../ledgerClient/ledgerClient.js';
 import {BearerKey} from '../util/bearerKey.js';
 import {httpError} from '../util/httpError.js';
-import {type Logger, silentLogger} from '../util/logger.js';
+import {type Logger, silentLogger} from '@dogwoodtrestle/runtime';
 import {operatorErrorHandler} from './operatorErrors.js';
 import {bodyOf, invalid, pageOf} from './operatorInput.js';
 
--- a/packages/daemon/src/peer/instanceCalls.ts
+++ b/packages/daemon/src/peer/instanceCalls.ts
@@ -35,7 +35,7 @@
 import {type ReplicaCalls} from './peerApi.js';
 import {type PeerClient} from './peerClient.js';
 import {PeerRejectedError, PeerUnreachableError} from './peerErrors.js';
-import {type Clock} from '../util/clock.js';
+import {type Clock} from '@dogwoodtrestle/runtime';
 import {withTimeout} from '../util/withTimeout.js';
 
 /** Bounds of calls, in milliseconds. */
--- a/packages/daemon/src/peer/peerClient.ts
+++ b/packages/daemon/src/peer/peerClient.ts
@@ -9,7 +9,7 @@
 } from '@trpc/client';
 import {Agent} from 'undici';
 
-import {type Clock, systemClock} from '../util/clock.js';
+import {type Clock, systemClock} from '@dogwoodtrestle/runtime';
 import {type Metrics, silentMetrics} from '../util/metrics.js';
 import {type PeerApi} from './peerApi.js';
 import {type PeerCredentials} from './peerAuthentication.js';
--- a/packages/daemon/src/peer/peerServer.ts
+++ b/packages/daemon/src/peer/peerServer.ts
@@ -7,8 +7,8 @@
 } from '@trpc/server/adapters/fastify';
 import {fastify, type FastifyInstance, type FastifyRequest} from 'fastify';
 
-import {type Clock, systemClock} from '../util/clock.js';
-import {type Logger, silentLogger} from '../util/logger.js';
+import {type Clock, systemClock} from '@dogwoodtrestle/runtime';
+import {type Logger, silentLogger} from '@dogwoodtrestle/runtime';
 import {type Metrics, silentMetrics} from '../util/metrics.js';
 import {type PeerApi} from './peerApi.js';
 import {
--- a/packages/daemon/src/peer/peerTransport.ts
+++ b/packages/daemon/src/peer/peerTransport.ts
@@ -3,7 +3,7 @@
  */
 import {type Dispatcher, request as sendRequest} from 'undici';
 
-import {type Clock} from '../util/clock.js';
+import {type Clock} from '@dogwoodtrestle/runtime';
 import {type Metrics} from '../util/metrics.js';
 import {
   peerHeader,
--- a/packages/daemon/src/requests/serviceCallRun.ts
+++ b/packages/daemon/src/requests/serviceCallRun.ts
@@ -9,7 +9,7 @@
 import {type DuplicateResult, type StoredAnswer} from '@dogwoodtrestle/schema';
 
 import {Stopwatch} from '../util/stopwatch.js';
-import {systemClock} from '../util/clock.js';
+import {systemClock} from '@dogwoodtrestle/runtime';
 import {type Limiter} from './limiter.js';
 import {type OpenedRequest, type Opener, type Opening} from './opener.js';
 import {refusal} from './refusal.js';
--- a/packages/daemon/src/util/stopwatch.ts
+++ b/packages/daemon/src/util/stopwatch.ts
@@ -2,7 +2,7 @@
  * @fileoverview Time that has passed, counted so that a process which was
  * frozen or suspended never takes it for shorter than it was.
  */
-import {type Clock} from './clock.js';
+import {type Clock} from '@dogwoodtrestle/runtime';
 
 /**
  * Counts by the larger of the monotonic and the wall time: the monotonic clock
--- a/packages/daemon/src/util/withTimeout.ts
+++ b/packages/daemon/src/util/withTimeout.ts
@@ -2,7 +2,7 @@
  * @fileoverview Bounds the time that a promise is waited for.
  */
 import {BaseError, type ErrorClass} from './baseError.js';
-import {type Clock} from './clock.js';
+import {type Clock} from '@dogwoodtrestle/runtime';
 
 /** A promise wasn't settled in time. */
 export const TimeoutError: ErrorClass = BaseError.subclass('TimeoutError');
--- a/packages/daemon/tests/abandonedRequests.test.ts
+++ b/packages/daemon/tests/abandonedRequests.test.ts
@@ -10,7 +10,7 @@
   type BackendOutcome,
 } from '../src/ledgerHost/abandonedRequests.js';
 import {BackendOutcomes} from '../src/ledgerHost/backendOutcomes.js';
-import {systemClock} from '../src/util/clock.js';
+import {systemClock} from '@dogwoodtrestle/runtime';
 import {CleanUps} from './fixtures.js';
 
 const cleanUps = new CleanUps();
--- a/packages/daemon/tests/grants.test.ts
+++ b/packages/daemon/tests/grants.test.ts
@@ -13,7 +13,7 @@
 import {JournalRecovery} from '../src/grants/journalRecovery.js';
 import {JournalStore} from '../src/grants/journalStore.js';
 import {QuorumUnreachableError} from '../src/ledgerClient/quorumUnreachableError.js';
-import {type Clock} from '../src/util/clock.js';
+import {type Clock} from '@dogwoodtrestle/runtime';
 import {CleanUps, contractOf, temporaryFolder} from './fixtures.js';
 
 const cleanUps = new CleanUps();
--- a/packages/daemon/tests/ledgerHost.test.ts
+++ b/packages/daemon/tests/ledgerHost.test.ts
@@ -7,7 +7,7 @@
 import {BarrierQueue} from '../src/ledgerHost/barrierQueue.js';
 import {BillArchive} from '../src/ledgerHost/billArchive.js';
 import {BillFetcher} from '../src/ledgerHost/billFetcher.js';
-import {foundCluster} from '../src/ledgerHost/founding.js';
+import {foundCluster} from '@dogwoodtrestle/consensus';
 import {CleanUps, temporaryFolder} from './fixtures.js';
 
 const cleanUps = new CleanUps();
--- a/packages/daemon/tests/peer.test.ts
+++ b/packages/daemon/tests/peer.test.ts
@@ -9,7 +9,7 @@
 } from '../src/peer/peerAuthentication.js';
 import {PeerClient} from '../src/peer/peerClient.js';
 import {PeerServer} from '../src/peer/peerServer.js';
-import {systemClock} from '../src/util/clock.js';
+import {systemClock} from '@dogwoodtrestle/runtime';
 
 const closers: Array<() => Promise<void>> = [];
 
--- /dev/null
+++ b/packages/edge/src/attempt.ts
@@ -0,0 +1,193 @@
+/**
+ * @fileoverview One send of a request to one backend server.
+ *
+ * The outcome says what is known of the request at the server, so that a reply
+ * that promises "not run" can only be made from an outcome that allows it.
+ */
+import {type CallerRequest, type WireCodec} from './wireCodec.js';
+import {type AnswerHead} from './wireCodec.js';
+import {type ServerConnection} from './serverConnections.js';
+import {type PooledServer} from './serverPool.js';
+
+/** Why an attempt ended without the server's whole answer. */
+export type AttemptFailure =
+  /** No byte was sent. */
+  | {kind: 'notSent'; reason: string}
+  /** The server said that it did not run the request. */
+  | {kind: 'notExecuted'; status: number; retryAfterSeconds?: number}
+  /** It may have run. */
+  | {kind: 'unknown'; reason: string};
+
+/** Hears what comes of an attempt; `onFailed` or `onEnd` comes last. */
+export interface AttemptListener {
+  /** The head of the server's answer, checked. */
+  onHead(status: number, head: AnswerHead): void;
+  /** Bytes of its body; false pauses the connection. */
+  onData(chunk: Buffer): boolean;
+  /** The answer is whole. */
+  onEnd(): void;
+  onFailed(failure: AttemptFailure): void;
+}
+
+/** What is sent. */
+export interface AttemptInput {
+  request: CallerRequest;
+  body: Buffer;
+  headers: string[];
+  server: PooledServer;
+  codec: WireCodec;
+  now: () => number;
+}
+
+/** Statuses by which a server states that a request did not run. */
+const refusalStatuses: ReadonlySet<number> = new Set([400, 421, 429, 503]);
+
+/** A send in progress. */
+export class Attempt {
+  private readonly connection: ServerConnection;
+  private isSent = false;
+  private isOver = false;
+  private head?: AnswerHead;
+  private refusal?: AttemptFailure;
+  private resumeBody?: () => void;
+  private abortRequest?: (reason: Error) => void;
+
+  constructor(
+    private readonly input: AttemptInput,
+    private readonly listener: AttemptListener,
+  ) {
+    this.connection = input.server.connections.acquire();
+    this.send();
+  }
+
+  /** Whether bytes of the request may have reached the server. */
+  get mayHaveBeenSent(): boolean {
+    return this.isSent;
+  }
+
+  /** Goes on after `onData` returned false. */
+  resume(): void {
+    this.resumeBody?.();
+  }
+
+  /** Ends the attempt at once, and closes its connection. */
+  abort(): void {
+    if (this.isOver) return;
+    this.isOver = true;
+    this.abortRequest?.(new Error('aborted'));
+    this.input.server.connections.drop(this.connection);
+  }
+
+  private send(): void {
+    const {request, body, headers} = this.input;
+    this.connection.client.dispatch(
+      {
+        method: request.method as 'GET',
+        path: request.target,
+        headers,
+        body: body.length > 0 ? body : null,
+      },
+      {
+        onRequestStart: controller => {
+          this.isSent = true;
+          this.abortRequest = reason => controller.abort(reason);
+          this.resumeBody = () => controller.resume();
+          if (this.isOver) controller.abort(new Error('aborted'));
+        },
+        onResponseStart: (controller, status) => {
+          if (status < 200 || this.isOver) return;
+          this.receiveHead(status, rawHeaderText(controller.rawHeaders));
+        },
+        onResponseData: (controller, chunk) => {
+          if (this.isOver || this.refusal !== undefined) return;
+          this.input.server.lastByteAt = this.input.now();
+          if (!this.listener.onData(chunk)) controller.pause();
+        },
+        onResponseEnd: () => this.end(),
+        onResponseError: (_, error) => this.fail(error),
+      },
+    );
+  }
+
+  private receiveHead(status: number, rawHeaders: string[]): void {
+    const {codec, request, server, now} = this.input;
+    server.lastByteAt = now();
+    const head = codec.decodeAnswer(rawHeaders);
+    // Another instance answers without the id of a request that it refuses.
+    const isForeign =
+      head.attemptId !== undefined && head.attemptId !== request.attemptId;
+    if (isForeign) {
+      this.giveUp({kind: 'unknown', reason: 'answer to another request'});
+      return;
+    }
+    if (status === 421 || (head.isNotExecuted && refusalStatuses.has(status))) {
+      const seconds = retryAfterSeconds(rawHeaders);
+      this.refusal = {kind: 'notExecuted', status, retryAfterSeconds: seconds};
+      return;
+    }
+    const isSuccess = status < 300;
+    if (head.attemptId === undefined || (isSuccess && !head.isSigned)) {
+      this.giveUp({kind: 'unknown', reason: 'answer without its marks'});
+      return;
+    }
+    if (head.isEncoded) {
+      this.giveUp({kind: 'unknown', reason: 'answer with an encoding'});
+      return;
+    }
+    this.head = head;
+    this.listener.onHead(status, head);
+  }
+
+  private end(): void {
+    if (this.isOver) return;
+    if (this.refusal !== undefined) {
+      this.finish(this.refusal);
+      return;
+    }
+    if (this.head === undefined || this.connection.wasReset) {
+      this.giveUp({kind: 'unknown', reason: 'connection was reset'});
+      return;
+    }
+    this.isOver = true;
+    this.input.server.connections.release(this.connection);
+    this.listener.onEnd();
+  }
+
+  private finish(failure: AttemptFailure): void {
+    this.isOver = true;
+    this.input.server.connections.release(this.connection);
+    this.listener.onFailed(failure);
+  }
+
+  private fail(error: Error): void {
+    if (this.isOver) return;
+    if (this.refusal !== undefined) {
+      this.giveUp(this.refusal);
+      return;
+    }
+    const reason = error.message;
+    this.giveUp(
+      this.isSent ? {kind: 'unknown', reason} : {kind: 'notSent', reason},
+    );
+  }
+
+  private giveUp(failure: AttemptFailure): void {
+    this.isOver = true;
+    this.abortRequest?.(new Error('aborted'));
+    this.input.server.connections.drop(this.connection);
+    this.listener.onFailed(failure);
+  }
+}
+
+function rawHeaderText(rawHeaders: unknown): string[] {
+  return (rawHeaders as Buffer[]).map(value => value.toString('latin1'));
+}
+
+function retryAfterSeconds(rawHeaders: readonly string[]): number | undefined {
+  const position = rawHeaders.findIndex(
+    (name, index) => index % 2 === 0 && name.toLowerCase() === 'retry-after',
+  );
+  if (position < 0) return undefined;
+  const seconds = Number(rawHeaders[position + 1]);
+  return Number.isFinite(seconds) ? seconds : undefined;
+}
--- /dev/null
+++ b/packages/edge/src/callerExchange.ts
@@ -0,0 +1,101 @@
+/**
+ * @fileoverview The caller's side of one request: its answer, written once.
+ */
+import {type IncomingMessage, type ServerResponse} from 'node:http';
+
+import {refusals, type RefusalReason} from './refusal.js';
+
+/** Writes the answer to one request. */
+export class CallerExchange {
+  private isAnswered = false;
+  private goneListener?: () => void;
+
+  /** @param closesConnection Whether the connection ends with the answer. */
+  constructor(
+    private readonly request: IncomingMessage,
+    private readonly response: ServerResponse,
+    private readonly closesConnection: () => boolean,
+  ) {
+    response.on('close', () => {
+      if (response.writableFinished) return;
+      this.isAnswered = true;
+      this.goneListener?.();
+    });
+  }
+
+  /** Whether the head of a server's answer was written. */
+  get isStarted(): boolean {
+    return this.response.headersSent;
+  }
+
+  /** Calls back when the caller closes its connection before the end. */
+  onGone(listener: () => void): void {
+    this.goneListener = listener;
+  }
+
+  /** Begins an answer whose body follows. */
+  start(status: number, headers: readonly string[]): void {
+    this.writeHead(status, headers);
+    this.response.flushHeaders();
+  }
+
+  /** Writes a part of the body; false until `onDrain` is called. */
+  write(data: Buffer, onDrain: () => void): boolean {
+    if (this.response.write(data)) return true;
+    this.response.once('drain', onDrain);
+    return false;
+  }
+
+  end(): void {
+    this.isAnswered = true;
+    this.response.end();
+  }
+
+  /** Writes a whole answer of a server. */
+  answer(status: number, headers: readonly string[], body: Buffer): void {
+    this.isAnswered = true;
+    this.writeHead(status, withoutLength(headers), body.length);
+    this.response.end(this.request.method === 'HEAD' ? undefined : body);
+  }
+
+  /** Writes an answer of the router's own. */
+  refuse(reason: RefusalReason): void {
+    if (this.isAnswered) return;
+    this.isAnswered = true;
+    const {status, message, retryAfterSeconds} = refusals[reason];
+    const body = Buffer.from(`${JSON.stringify({error: reason, message})}\n`);
+    const headers = ['content-type', 'application/json'];
+    if (retryAfterSeconds !== undefined) {
+      headers.push('retry-after', String(retryAfterSeconds));
+    }
+    this.writeHead(status, headers, body.length);
+    this.response.end(body);
+  }
+
+  /** Ends an answer in the middle, so that it can't be taken for whole. */
+  breakOff(): void {
+    this.isAnswered = true;
+    this.request.socket.destroy();
+  }
+
+  private writeHead(
+    status: number,
+    headers: readonly string[],
+    length?: number,
+  ): void {
+    const all = [...headers];
+    if (length !== undefined) all.push('content-length', String(length));
+    if (this.closesConnection()) all.push('connection', 'close');
+    this.response.writeHead(status, all);
+  }
+}
+
+function withoutLength(headers: readonly string[]): string[] {
+  const rest: string[] = [];
+  for (let index = 0; index + 1 < headers.length; index += 2) {
+    const name = headers[index] ?? '';
+    if (name.toLowerCase() === 'content-length') continue;
+    rest.push(name, headers[index + 1] ?? '');
+  }
+  return rest;
+}
--- /dev/null
+++ b/packages/edge/src/controlLink.ts
@@ -0,0 +1,234 @@
+/**
+ * @fileoverview The router's link to the control processes: it follows the
+ * leader, hears of changes, and reports what was spent.
+ */
+import {
+  applyChanges,
+  type HeldGrants,
+  RouteTable,
+} from '@dogwoodtrestle/fleet';
+import {type PeerCalls, sleep} from '@dogwoodtrestle/runtime';
+import {
+  type BackendServerRecord,
+  type FleetConfiguration,
+  type LeaderHint,
+  type UsageReply,
+  type WatchReply,
+  type WatchUpdate,
+} from '@dogwoodtrestle/schema';
+
+import {type EdgeOptions} from './edgeOptions.js';
+
+/** Pause before another control process is asked. */
+const retryMilliseconds = 60;
+
+/** Reports in a row that name all workspaces, not only the changed ones. */
+const completeReportEvery = 10;
+
+/** Silence after which the link counts as lost. */
+const lostAfterMilliseconds = 2_500;
+
+/** What the rest of the router hears. */
+export interface ControlListener {
+  onServers(records: BackendServerRecord[]): void;
+}
+
+/** Follows the leader of the control processes. */
+export class ControlLink {
+  private configuration?: FleetConfiguration;
+  private routeTable?: RouteTable;
+  private epoch = '';
+  private revision = -1;
+  private replicas: string[] = [];
+  private leader?: string;
+  private nextAddress = 0;
+  private contactAt = -Infinity;
+  private isLost = true;
+  private mostRouters = 1;
+  private isStopped = false;
+  private reports = 0;
+  private isReporting = false;
+  private reportWaiters: Array<() => void> = [];
+
+  constructor(
+    private readonly options: EdgeOptions,
+    private readonly calls: PeerCalls,
+    /** Drawn at each start, so that totals of an earlier life don't mix. */
+    private readonly routerId: string,
+    private readonly grants: HeldGrants,
+    private readonly listener: ControlListener,
+  ) {}
+
+  /** Lookups of the configuration in force; undefined before the first. */
+  get routes(): RouteTable | undefined {
+    return this.routeTable;
+  }
+
+  /** Most routers that were ever told to be live at once. */
+  get routerCount(): number {
+    return this.mostRouters;
+  }
+
+  /** Whether a leader answered lately. */
+  get isConnected(): boolean {
+    return (
+      this.leader !== undefined &&
+      this.contactAgeMilliseconds < lostAfterMilliseconds
+    );
+  }
+
+  /** Milliseconds since a leader answered. */
+  get contactAgeMilliseconds(): number {
+    return this.options.clock.now() - this.contactAt;
+  }
+
+  start(): void {
+    void this.watch();
+    void this.reportAtIntervals();
+  }
+
+  stop(): void {
+    this.isStopped = true;
+  }
+
+  /** Reports now; resolves once a leader answered, or the report failed. */
+  async report(): Promise<void> {
+    if (this.isReporting) {
+      return new Promise(resolve => this.reportWaiters.push(resolve));
+    }
+    this.isReporting = true;
+    try {
+      await this.sendReport();
+    } finally {
+      this.isReporting = false;
+      const waiters = this.reportWaiters;
+      this.reportWaiters = [];
+      if (waiters.length > 0) {
+        void this.report().finally(() => {
+          for (const resolve of waiters) resolve();
+        });
+      }
+    }
+  }
+
+  private async watch(): Promise<void> {
+    while (!this.isStopped) {
+      const address = this.leader ?? this.someAddress();
+      try {
+        const reply = await this.calls.call<WatchReply>(
+          address,
+          'watch',
+          {
+            router: this.routerId,
+            configurationVersion: this.configuration?.version ?? 0,
+            epoch: this.epoch,
+            revision: this.revision,
+          },
+          {timeoutMilliseconds: this.options.watchTimeoutMilliseconds},
+        );
+        if (reply.kind === 'update') {
+          this.accept(reply, address);
+          continue;
+        }
+        this.follow(reply, address);
+      } catch (error) {
+        this.options.logger.debug({err: error, address}, 'watch failed');
+        if (this.leader === address) this.leader = undefined;
+      }
+      this.noteLoss();
+      await sleep(this.options.clock, retryMilliseconds);
+    }
+  }
+
+  private accept(update: WatchUpdate, address: string): void {
+    const {clock, logger} = this.options;
+    this.leader = address;
+    this.contactAt = clock.now();
+    if (this.isLost) {
+      this.isLost = false;
+      logger.info({leader: address}, 'control processes are reached');
+    }
+    this.replicas = update.replicas;
+    this.mostRouters = Math.max(this.mostRouters, update.routers);
+    if (update.directory !== undefined) {
+      const {epoch, revision, records} = update.directory;
+      this.epoch = epoch;
+      this.revision = revision;
+      this.listener.onServers(records);
+    }
+    if (update.configuration === undefined) return;
+    const next = applyChanges(this.configuration, update.configuration);
+    if (next === undefined) return;
+    if (next.version <= (this.configuration?.version ?? 0)) return;
+    logger.info(
+      {
+        version: next.version,
+        previous: this.configuration?.version,
+        routes: next.routes.length,
+      },
+      'configuration in force',
+    );
+    this.configuration = next;
+    this.routeTable = new RouteTable(next);
+  }
+
+  private follow({leader, replicas}: LeaderHint, asked: string): void {
+    if (replicas.length > 0) this.replicas = replicas;
+    this.leader = leader === asked ? undefined : leader;
+  }
+
+  private noteLoss(): void {
+    if (this.isLost || this.contactAgeMilliseconds < lostAfterMilliseconds) {
+      return;
+    }
+    this.isLost = true;
+    this.options.logger.warn(
+      {
+        contactAgeMilliseconds: Math.round(this.contactAgeMilliseconds),
+        version: this.configuration?.version,
+      },
+      'control processes are out of reach',
+    );
+  }
+
+  /** The known control processes by turns. */
+  private someAddress(): string {
+    const addresses = [...new Set([...this.replicas, ...this.options.seeds()])];
+    return addresses[this.nextAddress++ % addresses.length] ?? '';
+  }
+
+  private async reportAtIntervals(): Promise<void> {
+    const {clock, usageIntervalMilliseconds} = this.options;
+    while (!this.isStopped) {
+      await sleep(clock, usageIntervalMilliseconds);
+      await this.report();
+    }
+  }
+
+  private async sendReport(): Promise<void> {
+    const {clock, logger, usageTimeoutMilliseconds} = this.options;
+    const {leader} = this;
+    if (leader === undefined) return;
+    const isComplete = this.reports++ % completeReportEvery === 0;
+    const usages = this.grants.usages(isComplete, clock.now());
+    if (usages.length === 0) return;
+    try {
+      const reply = await this.calls.call<UsageReply>(
+        leader,
+        'usage',
+        {router: this.routerId, usages},
+        {timeoutMilliseconds: usageTimeoutMilliseconds},
+      );
+      if (reply.kind === 'grants') {
+        for (const offer of reply.offers) {
+          this.grants.accept(offer, clock.now());
+        }
+        return;
+      }
+      this.follow(reply, leader);
+    } catch (error) {
+      logger.debug({err: error, leader}, 'usage report failed');
+    }
+    this.reports = 0;
+  }
+}
--- /dev/null
+++ b/packages/edge/src/edgeNode.ts
@@ -0,0 +1,260 @@
+/**
+ * @fileoverview A router without a disk: callers on one side, backend servers
+ * on the other, and the control processes that it follows.
+ */
+import {randomUUID} from 'node:crypto';
+import {
+  createServer,
+  type IncomingMessage,
+  type Server,
+  type ServerResponse,
+} from 'node:http';
+
+import {
+  HeldGrants,
+  RouteTable,
+  WindowedRetryBudget,
+} from '@dogwoodtrestle/fleet';
+import {PeerCalls, sleep} from '@dogwoodtrestle/runtime';
+
+import {CallerExchange} from './callerExchange.js';
+import {ControlLink} from './controlLink.js';
+import {type EdgeContext} from './edgeContext.js';
+import {
+  defaultEdgeOptions,
+  type EdgeInput,
+  type EdgeOptions,
+} from './edgeOptions.js';
+import {type RefusalReason} from './refusal.js';
+import {RequestRun} from './requestRun.js';
+import {ServerPool} from './serverPool.js';
+import {type CallerRequest} from './wireCodec.js';
+
+/** Bytes of headers that are read at the most, whatever the settings say. */
+const maxHeaderBytes = 64 * 1024;
+
+/** Body limit before the first configuration. */
+const defaultBodyBytes = 4 * 1024 * 1024;
+
+/** Idle time of caller connections before the first configuration. */
+const defaultIdleMilliseconds = 15_000;
+
+/** Time beyond the configured idle time, so that callers close first. */
+const idleMarginMilliseconds = 2_000;
+
+/** Interval at which a stopping router looks for open requests. */
+const drainCheckMilliseconds = 50;
+
+/** One router. */
+export class EdgeNode {
+  private readonly context: EdgeContext;
+  private readonly calls = new PeerCalls();
+  private readonly server: Server;
+  private readonly runs = new Set<RequestRun>();
+  private isStopping = false;
+
+  private constructor(private readonly options: EdgeOptions) {
+    const {clock, logger, metrics} = options;
+    const grants = new HeldGrants();
+    const connections = metrics.counter(
+      'dogwoodtrestle_server_connections_total',
+      'Connections made to backend servers.',
+    );
+    const pool = new ServerPool({
+      logger,
+      connectTimeoutMilliseconds: options.connectTimeoutMilliseconds,
+      suspectAfterMilliseconds: options.suspectAfterMilliseconds,
+      onConnect: () => connections.add(),
+    });
+    const link = new ControlLink(options, this.calls, randomUUID(), grants, {
+      onServers: records => {
+        for (const server of records) {
+          logger.info({server}, 'backend server changed');
+        }
+        pool.update(records);
+      },
+    });
+    this.context = {
+      options,
+      clock,
+      logger,
+      grants,
+      pool,
+      link,
+      retryBudget: new WindowedRetryBudget(options.retryBudget),
+      metrics: {
+        requests: metrics.counter(
+          'dogwoodtrestle_requests_total',
+          'Requests of callers, by route and outcome.',
+        ),
+        repeats: metrics.counter(
+          'dogwoodtrestle_repeats_total',
+          'Further attempts of requests, by service.',
+        ),
+        durations: metrics.histogram(
+          'dogwoodtrestle_request_milliseconds',
+          'Time to the end of the answer.',
+        ),
+      },
+      routes: () => link.routes,
+    };
+    this.server = createServer(
+      {maxHeaderSize: maxHeaderBytes, keepAliveTimeout: defaultIdleMilliseconds},
+      (request, response) => {
+        void this.receive(request, response);
+      },
+    );
+    this.server.requestTimeout = 0;
+  }
+
+  /** Listens for callers, and follows the control processes. */
+  static async start(input: EdgeInput): Promise<EdgeNode> {
+    const node = new EdgeNode({...defaultEdgeOptions, ...input});
+    await node.listen();
+    node.context.link.start();
+    return node;
+  }
+
+  /** Whether new connections should be sent here. */
+  get isReady(): boolean {
+    return !this.isStopping && this.context.link.routes !== undefined;
+  }
+
+  /** Answers what was read, then closes all connections. */
+  async stop(): Promise<void> {
+    const {clock, logger, link, pool} = this.context;
+    const {lingerMilliseconds, drainMilliseconds} = this.options;
+    const startedAt = clock.now();
+    this.isStopping = true;
+    logger.info({open: this.runs.size}, 'stopping; no new connections');
+    await sleep(clock, lingerMilliseconds);
+    this.server.close();
+    this.server.closeIdleConnections();
+    while (
+      this.runs.size > 0 &&
+      clock.now() - startedAt < drainMilliseconds
+    ) {
+      await sleep(clock, drainCheckMilliseconds);
+      this.server.closeIdleConnections();
+    }
+    logger.info({brokenOff: this.runs.size}, 'stopped');
+    for (const run of this.runs) run.breakOff();
+    await link.report();
+    link.stop();
+    pool.close();
+    this.server.closeAllConnections();
+    await this.calls.close();
+  }
+
+  private async listen(): Promise<void> {
+    const [host = '', port = '0'] = this.options.callerAddress.split(':');
+    await new Promise<void>((resolve, reject) => {
+      this.server.once('error', reject);
+      this.server.listen(Number(port), host, 1_024, resolve);
+    });
+  }
+
+  private async receive(
+    message: IncomingMessage,
+    response: ServerResponse,
+  ): Promise<void> {
+    const receivedAt = this.context.clock.now();
+    const exchange = new CallerExchange(
+      message,
+      response,
+      () => this.isStopping,
+    );
+    const routes = this.context.link.routes;
+    const limits = routes?.configuration.limits;
+    this.server.keepAliveTimeout =
+      (limits?.idleTimeoutMilliseconds ?? defaultIdleMilliseconds) +
+      idleMarginMilliseconds;
+    const body = await readBody(message, limits?.bodyBytes ?? defaultBodyBytes);
+    if (body === 'gone') return;
+    const {method = 'GET', url = '/', rawHeaders} = message;
+    const request = this.options.codec.decodeRequest(method, url, rawHeaders);
+    const refuse = (reason: RefusalReason) => {
+      this.refuse(exchange, request, reason);
+    };
+    if (body === 'tooLarge') return refuse('bodyTooLarge');
+    if (request === undefined) return refuse('malformed');
+    // Read again: a newer version may have come with the body.
+    const current = this.context.link.routes;
+    if (current === undefined) return refuse('noConfiguration');
+    this.dispatch(request, body, current, exchange, receivedAt, refuse);
+  }
+
+  private dispatch(
+    request: CallerRequest,
+    body: Buffer,
+    routes: RouteTable,
+    exchange: CallerExchange,
+    receivedAt: number,
+    refuse: (reason: RefusalReason) => void,
+  ): void {
+    const route = routes.route(request.host, request.path);
+    if (route === undefined) return refuse('unknownRoute');
+    const workspace =
+      request.key === undefined ? undefined : routes.workspace(request.key);
+    if (routes.requiresKeys && !route.isPublic && workspace === undefined) {
+      return refuse('unknownKey');
+    }
+    const service = RouteTable.serviceOf(route, this.options.random());
+    const run = new RequestRun(
+      this.context,
+      {
+        request,
+        body,
+        route,
+        service,
+        workspace,
+        configurationVersion: routes.version,
+        receivedAt,
+      },
+      exchange,
+      () => this.runs.delete(run),
+    );
+    this.runs.add(run);
+    void run.start();
+  }
+
+  private refuse(
+    exchange: CallerExchange,
+    request: CallerRequest | undefined,
+    reason: RefusalReason,
+  ): void {
+    const {logger, metrics, link} = this.context;
+    metrics.requests.add({route: '', outcome: reason});
+    logger.info(
+      {
+        request: request?.attemptId,
+        reason,
+        host: request?.host,
+        target: request?.target,
+        configurationVersion: link.routes?.version,
+        controlAgeMilliseconds: Math.round(link.contactAgeMilliseconds),
+      },
+      'request refused',
+    );
+    exchange.refuse(reason);
+  }
+}
+
+/** Reads a whole body within a limit. */
+async function readBody(
+  message: IncomingMessage,
+  limit: number,
+): Promise<Buffer | 'tooLarge' | 'gone'> {
+  return new Promise(resolve => {
+    const chunks: Buffer[] = [];
+    let bytes = 0;
+    message.on('data', (chunk: Buffer) => {
+      bytes += chunk.length;
+      if (bytes <= limit) chunks.push(chunk);
+      else resolve('tooLarge');
+    });
+    message.on('end', () => resolve(Buffer.concat(chunks)));
+    message.on('error', () => resolve('gone'));
+    message.on('close', () => resolve('gone'));
+  });
+}
--- /dev/null
+++ b/packages/edge/src/eventScanner.ts
@@ -0,0 +1,82 @@
+/**
+ * @fileoverview Splits a stream of server-sent events into whole events, so
+ * that an event that was cut is never passed on.
+ */
+
+const newline = 0x0a;
+
+/** Whole events of one chunk, and what is known of them. */
+export interface EventBatch {
+  /** Bytes of the whole events, in order. */
+  data: Buffer;
+  count: number;
+}
+
+/** Scans the bytes of one stream. */
+export class EventScanner {
+  private rest: Buffer = Buffer.alloc(0);
+  private lastId?: string;
+
+  /**
+   * @param skipUpTo Id of the last event that the caller has; events up to it
+   *     are dropped.
+   */
+  constructor(private readonly skipUpTo?: number) {}
+
+  /** Id of the newest whole event. */
+  get lastEventId(): string | undefined {
+    return this.lastId;
+  }
+
+  /** Whether bytes of an incomplete event are held. */
+  get isInsideEvent(): boolean {
+    return this.rest.length > 0;
+  }
+
+  /** Adds a chunk and returns the events that it completes. */
+  push(chunk: Buffer): EventBatch {
+    const bytes =
+      this.rest.length === 0 ? chunk : Buffer.concat([this.rest, chunk]);
+    const kept: Buffer[] = [];
+    let start = 0;
+    for (let end = boundary(bytes, start); end > 0; end = boundary(bytes, end)) {
+      const event = bytes.subarray(start, end);
+      start = end;
+      const id = eventId(event);
+      if (id !== undefined) this.lastId = id;
+      if (!this.isKnown(id)) kept.push(event);
+    }
+    this.rest = bytes.subarray(start);
+    return {
+      data: kept.length === 1 ? kept[0]! : Buffer.concat(kept),
+      count: kept.length,
+    };
+  }
+
+  private isKnown(id: string | undefined): boolean {
+    if (this.skipUpTo === undefined || id === undefined) return false;
+    return Number(id) <= this.skipUpTo;
+  }
+}
+
+/** Position after the blank line that ends the next event, or -1. */
+function boundary(bytes: Buffer, from: number): number {
+  let position = bytes.indexOf(newline, from);
+  while (position >= 0) {
+    const next = bytes[position + 1];
+    if (next === newline) return position + 2;
+    if (next === 0x0d && bytes[position + 2] === newline) return position + 3;
+    position = bytes.indexOf(newline, position + 1);
+  }
+  return -1;
+}
+
+function eventId(event: Buffer): string | undefined {
+  const position = event.indexOf('id:');
+  if (position < 0) return undefined;
+  if (position > 0 && event[position - 1] !== newline) return undefined;
+  const end = event.indexOf(newline, position);
+  return event
+    .toString('latin1', position + 3, end < 0 ? undefined : end)
+    .trim();
+}
--- /dev/null
+++ b/packages/edge/src/refusal.ts
@@ -0,0 +1,73 @@
+/**
+ * @fileoverview The router's own final answers. A status that promises "not
+ * run" is only made for requests that no server can have run.
+ */
+
+/** Why the router answers by itself. */
+export type RefusalReason =
+  | 'noConfiguration'
+  | 'malformed'
+  | 'unknownRoute'
+  | 'unknownKey'
+  | 'bodyTooLarge'
+  | 'prepaidExhausted'
+  | 'grantUnavailable'
+  | 'noServer'
+  | 'serversRefused'
+  | 'outOfTime'
+  | 'outcomeUnknown'
+  | 'timedOut';
+
+/** What the caller gets. */
+export interface Refusal {
+  status: number;
+  message: string;
+  /** When to come back; the request has not run. */
+  retryAfterSeconds?: number;
+}
+
+/** The answer for each reason. Times suit the cause: see each line. */
+export const refusals: Readonly<Record<RefusalReason, Refusal>> = {
+  noConfiguration: {
+    status: 503,
+    message: 'The router has no configuration yet.',
+    // A router starts within a second; others are ready.
+    retryAfterSeconds: 0.5,
+  },
+  malformed: {status: 400, message: 'The request lacks its attempt id.'},
+  unknownRoute: {status: 404, message: 'No route matches the request.'},
+  unknownKey: {status: 401, message: 'The key is missing or unknown.'},
+  bodyTooLarge: {status: 413, message: 'The body is too large.'},
+  prepaidExhausted: {
+    status: 402,
+    message: 'The prepaid total does not cover the request at its most.',
+  },
+  grantUnavailable: {
+    status: 503,
+    message: 'This router can not cover the request now; it has not run.',
+    // Another router may hold tokens; this one gets more once it is connected.
+    retryAfterSeconds: 0.3,
+  },
+  noServer: {
+    status: 503,
+    message: 'No server can take the request now; it has not run.',
+    retryAfterSeconds: 0.5,
+  },
+  serversRefused: {
+    status: 503,
+    message: 'The servers are full; the request has not run.',
+    retryAfterSeconds: 0.4,
+  },
+  outOfTime: {
+    status: 503,
+    message: 'No time is left for the request; it has not run.',
+  },
+  outcomeUnknown: {
+    status: 502,
+    message: 'The server did not answer; the request may have run.',
+  },
+  timedOut: {
+    status: 504,
+    message: 'The request took too long; it may have run.',
+  },
+};
--- /dev/null
+++ b/packages/edge/src/serverConnections.ts
@@ -0,0 +1,127 @@
+/**
+ * @fileoverview Connections to one backend server. A connection carries one
+ * request at a time and is dropped at any doubt about what comes next on it.
+ */
+import {connect, type Socket} from 'node:net';
+
+import {Client} from 'undici';
+
+export interface ServerConnectionsOptions {
+  connectTimeoutMilliseconds: number;
+  /** Called when a new connection is made. */
+  onConnect: () => void;
+}
+
+/** Idle time after which a connection is closed, unless the server says. */
+const idleMilliseconds = 10_000;
+
+/** Margin before the idle time that a server states. */
+const idleMarginMilliseconds = 1_000;
+
+/** Interval of TCP probes that find connections gone silent. */
+const keepAliveProbeMilliseconds = 2_000;
+
+const maxAnswerHeaderBytes = 32 * 1024;
+
+/** One connection. */
+export interface ServerConnection {
+  client: Client;
+  /** The peer reset it, so an answer that ends with it isn't whole. */
+  wasReset: boolean;
+  isClosed: boolean;
+}
+
+/** Connections to one server. */
+export class ServerConnections {
+  /** Connections that are open or being made. */
+  open = 0;
+  private readonly idle: ServerConnection[] = [];
+
+  constructor(
+    private readonly address: string,
+    private readonly options: ServerConnectionsOptions,
+  ) {}
+
+  /** Takes the connection that was used last, or makes a new one. */
+  acquire(): ServerConnection {
+    return this.idle.pop() ?? this.create();
+  }
+
+  /** Gives a connection back after a whole answer. */
+  release(connection: ServerConnection): void {
+    if (connection.isClosed || connection.wasReset) this.drop(connection);
+    else this.idle.push(connection);
+  }
+
+  /** Closes a connection whose next bytes are in doubt. */
+  drop(connection: ServerConnection): void {
+    this.markClosed(connection);
+    void connection.client.destroy().catch(() => undefined);
+  }
+
+  closeIdle(): void {
+    for (const connection of this.idle.splice(0)) this.drop(connection);
+  }
+
+  close(): void {
+    this.closeIdle();
+  }
+
+  private create(): ServerConnection {
+    this.open++;
+    const connection: ServerConnection = {
+      client: new Client(`http://${this.address}`, {
+        pipelining: 1,
+        headersTimeout: 0,
+        bodyTimeout: 0,
+        keepAliveTimeout: idleMilliseconds,
+        keepAliveTimeoutThreshold: idleMarginMilliseconds,
+        maxHeaderSize: maxAnswerHeaderBytes,
+        connect: (_, callback) => this.connect(connection, callback),
+      }),
+      wasReset: false,
+      isClosed: false,
+    };
+    connection.client.on('disconnect', () => this.markClosed(connection));
+    return connection;
+  }
+
+  private connect(
+    connection: ServerConnection,
+    callback: (...args: [null, Socket] | [Error, null]) => void,
+  ): void {
+    const [host = '', port = '0'] = this.address.split(':');
+    this.options.onConnect();
+    const socket = connect({
+      host,
+      port: Number(port),
+      noDelay: true,
+      keepAlive: true,
+      keepAliveInitialDelay: keepAliveProbeMilliseconds,
+    });
+    const {connectTimeoutMilliseconds} = this.options;
+    const timer = setTimeout(() => {
+      socket.destroy(new Error('connecting took too long'));
+    }, connectTimeoutMilliseconds);
+    let isConnected = false;
+    socket.on('error', error => {
+      connection.wasReset = true;
+      if (isConnected) return;
+      clearTimeout(timer);
+      callback(error, null);
+    });
+    socket.once('connect', () => {
+      isConnected = true;
+      clearTimeout(timer);
+      callback(null, socket);
+    });
+  }
+
+  private markClosed(connection: ServerConnection): void {
+    if (connection.isClosed) return;
+    connection.isClosed = true;
+    this.open--;
+    const position = this.idle.indexOf(connection);
+    if (position >= 0) this.idle.splice(position, 1);
+  }
+}
--- /dev/null
+++ b/packages/edge/src/serverPool.ts
@@ -0,0 +1,224 @@
+/**
+ * @fileoverview Backend servers as this router sees them: their records, their
+ * connections, and how they did lately.
+ */
+import {
+  defaultServerDirectoryOptions,
+  type ServerCandidate,
+} from '@dogwoodtrestle/fleet';
+import {OutlierDetector} from '@dogwoodtrestle/routing';
+import {type Logger} from '@dogwoodtrestle/runtime';
+import {type BackendServerRecord} from '@dogwoodtrestle/schema';
+
+import {ServerConnections} from './serverConnections.js';
+
+/** Time for which a server gets no work after a connection failed. */
+const unreachableMilliseconds = 1_000;
+
+/** Time for which a part that was sent to a server counts as cached there. */
+const partMemoryMilliseconds = 10_000;
+
+/** Parts that are remembered for one server at the most. */
+const maxParts = 2_000;
+
+/** Success of a silent server within which it still counts as sound. */
+const recentSuccessMilliseconds = 2_000;
+
+/** One incarnation of a backend server. */
+export class PooledServer {
+  openRequests = 0;
+  unreadTokens = 0;
+  lastByteAt = -Infinity;
+  /** Start of the oldest silence with open requests. */
+  waitingSince = Infinity;
+  unreachableUntil = -Infinity;
+  readonly parts = new Map<string, number>();
+
+  constructor(
+    public record: BackendServerRecord,
+    readonly connections: ServerConnections,
+  ) {}
+
+  notePart(id: string, now: number): void {
+    this.parts.delete(id);
+    this.parts.set(id, now);
+    if (this.parts.size <= maxParts) return;
+    const [oldest] = this.parts.keys();
+    if (oldest !== undefined) this.parts.delete(oldest);
+  }
+
+  hasPart(id: string, now: number): boolean {
+    return now - (this.parts.get(id) ?? -Infinity) < partMemoryMilliseconds;
+  }
+
+  /** Whether it has open requests and sent nothing for a time. */
+  isSilent(now: number, milliseconds: number): boolean {
+    if (this.openRequests === 0) return false;
+    return now - Math.max(this.lastByteAt, this.waitingSince) > milliseconds;
+  }
+}
+
+export interface ServerPoolOptions {
+  logger: Logger;
+  connectTimeoutMilliseconds: number;
+  suspectAfterMilliseconds: number;
+  onConnect: () => void;
+}
+
+/** All backend servers that this router heard of. */
+export class ServerPool {
+  private readonly servers = new Map<string, PooledServer>();
+  private readonly outliers = new OutlierDetector({
+    // Detects a server that fails half of its work within a few requests.
+    minimumRequests: 6,
+    minimumSuccessRate: 0.65,
+    windowMilliseconds: 4_000,
+    baseEjectionMilliseconds: 2_000,
+    maximumEjectionMilliseconds: 8_000,
+    maximumEjectedShare: 0.5,
+  });
+
+  constructor(private readonly options: ServerPoolOptions) {}
+
+  /** Takes records over; a newer incarnation replaces an older one. */
+  update(records: readonly BackendServerRecord[]): void {
+    for (const record of records) this.updateOne(record);
+  }
+
+  /** Servers of a service that may get work, without some. */
+  candidates(
+    service: string,
+    except: ReadonlySet<string>,
+    maxConnections: number,
+    now: number,
+  ): PooledServer[] {
+    return [...this.servers.values()].filter(
+      server =>
+        server.record.service === service &&
+        !except.has(server.record.id) &&
+        isOffered(server, now) &&
+        server.connections.open < maxConnections &&
+        server.unreachableUntil <= now,
+    );
+  }
+
+  /** What the choice of a server looks at. */
+  candidateOf(
+    server: PooledServer,
+    partId: string | undefined,
+    now: number,
+  ): ServerCandidate {
+    const {record, openRequests, unreadTokens} = server;
+    return {
+      id: record.id,
+      failureDomain: record.failureDomain,
+      openRequests,
+      unreadTokens,
+      slots: record.slots,
+      isSuspect:
+        server.isSilent(now, this.options.suspectAfterMilliseconds) ||
+        this.outliers.ejected(record.id, now),
+      hasPart: partId !== undefined && server.hasPart(partId, now),
+    };
+  }
+
+  /** Records how an attempt went for the server. */
+  record(
+    server: PooledServer,
+    outcome: 'success' | 'failure' | 'unreachable',
+    now: number,
+  ): void {
+    const {id, service} = server.record;
+    if (outcome === 'unreachable') {
+      server.unreachableUntil = now + unreachableMilliseconds;
+      this.options.logger.info(
+        {server: id, service, until: unreachableMilliseconds},
+        'backend server is unreachable',
+      );
+      return;
+    }
+    const wasEjected = this.outliers.ejected(id, now);
+    const count = this.count(service);
+    this.outliers.record(id, outcome, count, now);
+    if (wasEjected || !this.outliers.ejected(id, now)) return;
+    this.options.logger.info(
+      {server: id, service},
+      'backend server fails much of its work and gets less',
+    );
+  }
+
+  /** A server of another incarnation answered at the address. */
+  replaced(server: PooledServer): void {
+    server.record = {...server.record, state: 'left'};
+    server.connections.closeIdle();
+  }
+
+  close(): void {
+    for (const server of this.servers.values()) server.connections.close();
+  }
+
+  private count(service: string): number {
+    let count = 0;
+    for (const {record} of this.servers.values()) {
+      if (record.service === service && record.state === 'ready') count++;
+    }
+    return count;
+  }
+
+  private updateOne(record: BackendServerRecord): void {
+    const known = this.servers.get(record.id);
+    if (known === undefined) {
+      if (record.state !== 'left') this.add(record);
+      return;
+    }
+    if (record.startedAt < known.record.startedAt) return;
+    const isSameRun =
+      record.startedAt === known.record.startedAt &&
+      record.address === known.record.address;
+    if (record.state === 'left') {
+      known.record = {...known.record, state: 'left'};
+      known.connections.closeIdle();
+    } else if (isSameRun) {
+      // Control processes may hear of news in another order.
+      if (record.sequence < known.record.sequence) return;
+      known.record = record;
+    } else {
+      known.connections.closeIdle();
+      this.outliers.forget(record.id);
+      this.add(record);
+    }
+    this.forget();
+  }
+
+  private add(record: BackendServerRecord): void {
+    const {connectTimeoutMilliseconds, onConnect} = this.options;
+    const connections = new ServerConnections(record.address, {
+      connectTimeoutMilliseconds,
+      onConnect,
+    });
+    this.servers.set(record.id, new PooledServer(record, connections));
+  }
+
+  /** Drops servers that left and have no open requests. */
+  private forget(): void {
+    const gone = [...this.servers.values()].filter(
+      ({record, openRequests}) => record.state === 'left' && openRequests === 0,
+    );
+    const excess = gone.length - maxGoneServers;
+    for (const {record} of gone.slice(0, Math.max(0, excess))) {
+      this.servers.delete(record.id);
+      this.outliers.forget(record.id);
+    }
+  }
+}
+
+/** Servers that left are remembered, as late news may name them again. */
+const maxGoneServers = 200;
+
+function isOffered({record, lastByteAt}: PooledServer, now: number): boolean {
+  if (record.state === 'ready') return true;
+  if (record.state !== 'silent') return false;
+  // Cut off from the control processes, but perhaps not from this router.
+  const {silentAfterMilliseconds} = defaultServerDirectoryOptions;
+  return now - lastByteAt < recentSuccessMilliseconds + silentAfterMilliseconds;
+}
--- /dev/null
+++ b/packages/fleet/src/serverChoice.ts
@@ -0,0 +1,136 @@
+/**
+ * @fileoverview Chooses the backend server of an attempt.
+ *
+ * Prompts that share a part go to the server that rendezvous hashing ranks
+ * first for that part, so that all routers agree without talking and a part is
+ * read once. Where that server has work queued that would take longer than
+ * reading the part again, the next one in the rank gets the request.
+ */
+
+/** A server that may get the attempt. */
+export interface ServerCandidate {
+  id: string;
+  failureDomain?: string;
+  /** Own requests that are open at the server. */
+  openRequests: number;
+  /** Prompt tokens of own requests that have no first event yet. */
+  unreadTokens: number;
+  slots: number;
+  /** A server that failed or fell silent lately is a last resort. */
+  isSuspect: boolean;
+  /** Whether this router sent the shared part there lately. */
+  hasPart: boolean;
+}
+
+/** The work to be placed. */
+export interface ServerDemand {
+  /** Part of the prompt that other requests share, where there is one. */
+  affinityKey?: string;
+  /** Prompt tokens up to the end of that part. */
+  sharedTokens: number;
+  failureDomain: string;
+}
+
+export interface ServerChoiceOptions {
+  /**
+   * Unread tokens that weigh as much as one open request: tokens that an
+   * engine reads while it makes one step for a batch.
+   */
+  tokensPerOpenRequest: number;
+  /** Weight of own queued work, as other routers queue there as well. */
+  queueWeight: number;
+  /** Tokens by which a rank further down the list costs more. */
+  tokensPerRank: number;
+}
+
+export const defaultServerChoiceOptions: ServerChoiceOptions = {
+  tokensPerOpenRequest: 150,
+  queueWeight: 1.5,
+  tokensPerRank: 200,
+};
+
+/** Returns the best server, or undefined where there is none. */
+export function chooseServer(
+  candidates: readonly ServerCandidate[],
+  demand: ServerDemand,
+  random: () => number,
+  options: Partial<ServerChoiceOptions> = {},
+): ServerCandidate | undefined {
+  const tuning = {...defaultServerChoiceOptions, ...options};
+  const sound = candidates.filter(({isSuspect}) => !isSuspect);
+  const pool = sound.length > 0 ? sound : candidates;
+  return demand.affinityKey === undefined
+    ? leastLoaded(pool, demand, random)
+    : cheapest(pool, demand, demand.affinityKey, tuning);
+}
+
+/** The one with the fewest open requests for its slots, near ones first. */
+function leastLoaded(
+  pool: readonly ServerCandidate[],
+  {failureDomain}: ServerDemand,
+  random: () => number,
+): ServerCandidate | undefined {
+  const costOf = (candidate: ServerCandidate) =>
+    candidate.openRequests / Math.max(1, candidate.slots) +
+    (candidate.failureDomain === failureDomain ? 0 : distantLoad) +
+    random() * tieBreak;
+  return minimumBy(pool, costOf);
+}
+
+/** Part of its slots by which a server in another failure domain is dearer. */
+const distantLoad = 0.1;
+/** Spread among servers with equal load. */
+const tieBreak = 0.05;
+
+function cheapest(
+  pool: readonly ServerCandidate[],
+  {sharedTokens}: ServerDemand,
+  key: string,
+  {tokensPerOpenRequest, queueWeight, tokensPerRank}: ServerChoiceOptions,
+): ServerCandidate | undefined {
+  const ranked = pool
+    .map(candidate => ({
+      candidate,
+      weight: hash(`${key}/${candidate.id}`),
+    }))
+    .sort((a, b) => b.weight - a.weight);
+  const costs = new Map(
+    ranked.map(({candidate}, rank) => {
+      const queue =
+        candidate.unreadTokens + candidate.openRequests * tokensPerOpenRequest;
+      const isCached = rank === 0 || candidate.hasPart;
+      const reading = isCached ? 0 : sharedTokens;
+      return [
+        candidate,
+        queue * queueWeight + reading + rank * tokensPerRank,
+      ] as const;
+    }),
+  );
+  return minimumBy(pool, candidate => costs.get(candidate) ?? Infinity);
+}
+
+function minimumBy<T>(
+  items: readonly T[],
+  costOf: (item: T) => number,
+): T | undefined {
+  let best: T | undefined;
+  let bestCost = Infinity;
+  for (const item of items) {
+    const cost = costOf(item);
+    if (best !== undefined && cost >= bestCost) continue;
+    best = item;
+    bestCost = cost;
+  }
+  return best;
+}
+
+/** FNV-1a with a final mix, since its low bits barely depend on the end. */
+function hash(text: string): number {
+  let value = 0x811c9dc5;
+  for (let index = 0; index < text.length; index++) {
+    value = Math.imul(value ^ text.charCodeAt(index), 0x01000193);
+  }
+  value = Math.imul(value ^ (value >>> 16), 0x85ebca6b);
+  value = Math.imul(value ^ (value >>> 13), 0xc2b2ae35);
+  return (value ^ (value >>> 16)) >>> 0;
+}
--- /dev/null
+++ b/packages/runtime/src/peerListener.ts
@@ -0,0 +1,86 @@
+/**
+ * @fileoverview Answers calls of other processes of the fleet.
+ */
+import {
+  createServer,
+  type IncomingMessage,
+  type Server,
+  type ServerResponse,
+} from 'node:http';
+
+import {type Logger} from './logger.js';
+
+/** Answers one kind of call; a rejection becomes a reply with status 500. */
+export type CallHandler = (message: never) => Promise<unknown>;
+
+/** Handlers by the name of their call. */
+export type CallHandlers = Readonly<Record<string, CallHandler>>;
+
+/** What the listener needs. */
+export interface PeerListenerOptions {
+  host: string;
+  port: number;
+  handlers: CallHandlers;
+  logger: Logger;
+}
+
+/** Server side of the calls between processes. */
+export class PeerListener {
+  private readonly server: Server;
+
+  constructor(private readonly options: PeerListenerOptions) {
+    this.server = createServer((request, response) => {
+      void this.answer(request, response);
+    });
+    this.server.keepAliveTimeout = 60_000;
+    this.server.on('connection', socket => socket.setNoDelay(true));
+  }
+
+  async listen(): Promise<void> {
+    const {host, port} = this.options;
+    await new Promise<void>((resolve, reject) => {
+      this.server.once('error', reject);
+      this.server.listen(port, host, 1_024, resolve);
+    });
+  }
+
+  async close(): Promise<void> {
+    this.server.closeAllConnections();
+    await new Promise<void>(resolve => this.server.close(() => resolve()));
+  }
+
+  private async answer(
+    request: IncomingMessage,
+    response: ServerResponse,
+  ): Promise<void> {
+    const method = (request.url ?? '').slice(1);
+    try {
+      const handler = this.options.handlers[method];
+      if (handler === undefined) {
+        reply(response, 404, {error: `unknown call ${method}`});
+        return;
+      }
+      const message = JSON.parse(await readText(request)) as never;
+      reply(response, 200, await handler(message));
+    } catch (error) {
+      this.options.logger.debug({err: error, call: method}, 'call failed');
+      reply(response, 500, {error: String(error)});
+    }
+  }
+}
+
+async function readText(request: IncomingMessage): Promise<string> {
+  const chunks: Buffer[] = [];
+  for await (const chunk of request) chunks.push(chunk as Buffer);
+  return Buffer.concat(chunks).toString('utf8');
+}
+
+function reply(response: ServerResponse, status: number, body: unknown): void {
+  if (response.destroyed) return;
+  const text = JSON.stringify(body ?? {});
+  response.writeHead(status, {
+    'content-type': 'application/json',
+    'content-length': Buffer.byteLength(text),
+  });
+  response.end(text);
+}
--- a/vitest.config.ts
+++ b/vitest.config.ts
@@ -3,7 +3,7 @@
 
 export const config = defineConfig({
   test: {
-    include: ['packages/*/tests/**/*.test.ts'],
+    include: ['packages/*/tests/**/*.test.ts', 'platform/tests/**/*.test.ts'],
     testTimeout: 20_000,
     maxWorkers: 4,
     minWorkers: 1,
