--- a/packages/control/src/grantDesk.ts
+++ b/packages/control/src/grantDesk.ts
@@ -52,11 +52,15 @@
     private readonly state: FleetState,
   ) {}
 
-  async report({router, usages}: UsageReport): Promise<UsageReply> {
+  async report({
+    router,
+    isStopping,
+    usages,
+  }: UsageReport): Promise<UsageReply> {
     if (!this.group.isLeader) return this.group.hint();
     const now = this.options.clock.now();
     for (const usage of usages) this.note(router, usage, now);
-    const plans = usages.map(usage => this.plan(usage, now));
+    const plans = usages.map(usage => this.plan(usage, isStopping, now));
     const entries = plans
       .filter(plan => this.isDue(router, plan))
       .map(({usage, grantUpTo}): UsageEntry => {
@@ -75,7 +79,13 @@
       const asked = entries.find(entry => entry.workspace === workspace);
       if (asked === undefined || granted >= asked.grantUpTo) continue;
       this.options.logger.info(
-        {workspace, router, granted, asked: asked.grantUpTo},
+        {
+          workspace,
+          router,
+          granted,
+          asked: asked.grantUpTo,
+          ...this.summaryOf(workspace),
+        },
         'the prepaid total does not cover the grant',
       );
     }
@@ -94,9 +104,9 @@
     }
   }
 
-  private plan(usage: WorkspaceUsage, now: number): Plan {
+  private plan(usage: WorkspaceUsage, isStopping: boolean, now: number): Plan {
     const routers = this.demands.get(usage.workspace);
-    const target = grantTarget({
+    const demand = {
       rate: usage.rate,
       totalRate: [...(routers?.values() ?? [])].reduce(
         (sum, demand) => sum + demand.usage.rate,
@@ -105,7 +115,8 @@
       routers: this.liveRouters(now),
       ungranted: this.ungranted(usage.workspace),
       held: this.heldOf(usage.workspace),
-    });
+    };
+    const target = isStopping ? 0 : grantTarget(demand);
     const needed = usage.wanted > 0 ? usage.reserved + usage.wanted : 0;
     const unspent = Math.max(target, needed);
     const grantUpTo = Math.ceil(usage.spent + usage.returned + unspent);
@@ -162,6 +173,28 @@
     return held;
   }
 
+  /** Where the tokens of a workspace are. */
+  private summaryOf(workspace: string): object {
+    const account = this.state.prepaidAccounts[workspace];
+    const routers = Object.entries(account?.routers ?? {});
+    const live = this.demands.get(workspace);
+    let spent = 0;
+    let unaccounted = 0;
+    for (const [router, totals] of routers) {
+      spent += totals.spent;
+      if (live?.has(router) === true) continue;
+      unaccounted += totals.granted - totals.returned - totals.spent;
+    }
+    return {
+      prepaid: this.state.prepaidOf(workspace),
+      committed: account?.committed ?? 0,
+      held: this.heldOf(workspace),
+      spent,
+      /** Unspent grants of routers that are gone or out of reach. */
+      unaccounted,
+    };
+  }
+
   private totalsOf(router: string, workspace: string): RouterTotals | undefined {
     return this.state.prepaidAccounts[workspace]?.routers[router];
   }
--- a/packages/edge/src/controlLink.ts
+++ b/packages/edge/src/controlLink.ts
@@ -216,7 +216,11 @@
       const reply = await this.calls.call<UsageReply>(
         leader,
         'usage',
-        {router: this.routerId, usages},
+        {
+          router: this.routerId,
+          isStopping: this.grants.isClosed,
+          usages,
+        },
         {timeoutMilliseconds: usageTimeoutMilliseconds},
       );
       if (reply.kind === 'grants') {
--- a/packages/edge/src/edgeNode.ts
+++ b/packages/edge/src/edgeNode.ts
@@ -127,6 +127,8 @@
     const startedAt = clock.now();
     this.isStopping = true;
     logger.info({open: this.runs.size}, 'stopping; no new connections');
+    this.context.grants.close();
+    void link.report();
     await sleep(clock, lingerMilliseconds);
     this.server.close();
     this.server.closeIdleConnections();
@@ -140,6 +142,7 @@
     logger.info({brokenOff: this.runs.size}, 'stopped');
     for (const run of this.runs) run.breakOff();
     await link.report();
+    await link.report(); // In case the leader changed just before.
     link.stop();
     pool.close();
     this.server.closeAllConnections();
--- a/packages/fleet/src/heldGrants.ts
+++ b/packages/fleet/src/heldGrants.ts
@@ -39,6 +39,17 @@
 /** All grants of one life of a router. */
 export class HeldGrants {
   private readonly grants = new Map<string, Grant>();
+  private isClosing = false;
+
+  /** Gives back all that is not reserved, now and as requests end. */
+  close(): void {
+    this.isClosing = true;
+    for (const grant of this.grants.values()) this.returnSurplus(grant, 0);
+  }
+
+  get isClosed(): boolean {
+    return this.isClosing;
+  }
 
   /** Reserves tokens, or returns undefined where the grant is too small. */
   reserve(
@@ -63,6 +74,7 @@
     grant.reserved -= reservation.tokens;
     grant.spent += Math.min(Math.ceil(used), reservation.tokens);
     grant.isChanged = true;
+    if (this.isClosing) this.returnSurplus(grant, 0);
   }
 
   /** Counts tokens that a request waits for; negative once it gave up. */
@@ -110,9 +122,13 @@
     grant.granted = Math.max(grant.granted, granted);
     grant.remaining = remaining;
     grant.toldAt = now;
-    const keep = Math.ceil(target * keepFactor);
+    this.returnSurplus(grant, this.isClosing ? 0 : target * keepFactor);
+  }
+
+  /** Returns what a workspace holds beyond some tokens, unless it lacks any. */
+  private returnSurplus(grant: Grant, keep: number): void {
     const unspent = grant.granted - grant.spent - grant.returned;
-    const surplus = Math.min(unspent - keep, available(grant));
+    const surplus = Math.min(unspent - Math.ceil(keep), available(grant));
     if (surplus <= 0 || grant.wanted > 0) return;
     grant.returned += Math.floor(surplus);
     grant.isChanged = true;
