fix(edge): an answer without a length is passed on without one

Ruled out: a reset that was overlooked (traced: readable, end, no error; resets are seen in a local test of the client library).

--- a/packages/edge/src/callerExchange.ts
+++ b/packages/edge/src/callerExchange.ts
@@ -4,10 +4,12 @@
 import {type IncomingMessage, type ServerResponse} from 'node:http';
 
 import {refusals, type RefusalReason} from './refusal.js';
+import {type AnswerHead} from './wireCodec.js';
 
 /** Writes the answer to one request. */
 export class CallerExchange {
   private isAnswered = false;
+  private isUnframed = false;
   private goneListener?: () => void;
 
   /** @param closesConnection Whether the connection ends with the answer. */
@@ -33,8 +35,17 @@
     this.goneListener = listener;
   }
 
-  /** Begins an answer whose body follows. */
-  start(status: number, headers: readonly string[]): void {
+  /** Whether the answer's end isn't marked other than by its connection. */
+  get isStartedUnframed(): boolean {
+    return this.isUnframed;
+  }
+
+  /**
+   * Begins an answer whose body follows. One that a server sent without a
+   * length is passed on without one, since its end may not be its own.
+   */
+  start({headers, isUnframed}: AnswerHead, status: number): void {
+    this.isUnframed = isUnframed;
     this.writeHead(status, headers);
     this.response.flushHeaders();
   }
@@ -52,9 +63,11 @@
   }
 
   /** Writes a whole answer of a server. */
-  answer(status: number, headers: readonly string[], body: Buffer): void {
+  answer({headers, isUnframed}: AnswerHead, status: number, body: Buffer): void {
     this.isAnswered = true;
-    this.writeHead(status, withoutLength(headers), body.length);
+    this.isUnframed = isUnframed;
+    const length = isUnframed ? undefined : body.length;
+    this.writeHead(status, withoutLength(headers), length);
     this.response.end(this.request.method === 'HEAD' ? undefined : body);
   }
 
@@ -75,7 +88,7 @@
   /** Ends an answer in the middle, so that it can't be taken for whole. */
   breakOff(): void {
     this.isAnswered = true;
-    this.request.socket.destroy();
+    this.request.socket.resetAndDestroy();
   }
 
   private writeHead(
@@ -85,7 +98,10 @@
   ): void {
     const all = [...headers];
     if (length !== undefined) all.push('content-length', String(length));
-    if (this.closesConnection()) all.push('connection', 'close');
+    if (this.isUnframed) this.response.removeHeader('transfer-encoding');
+    if (this.isUnframed || this.closesConnection()) {
+      all.push('connection', 'close');
+    }
     this.response.writeHead(status, all);
   }
 }
--- a/packages/edge/src/requestRun.ts
+++ b/packages/edge/src/requestRun.ts
@@ -276,7 +276,7 @@
       known === undefined ? undefined : Number(known),
     );
     if (!this.exchange.isStarted) {
-      this.exchange.start(status, head.headers);
+      this.exchange.start(head, status);
     }
   }
 
@@ -290,7 +290,7 @@
     progress.held.push(chunk);
     progress.heldBytes += chunk.length;
     if (progress.heldBytes <= maxHeldBytes) return true;
-    this.exchange.start(progress.status, progress.head?.headers ?? []);
+    this.exchange.start(progress.head ?? emptyHead, progress.status);
     const held = Buffer.concat(progress.held);
     progress.held = [];
     return this.write(progress, held);
@@ -331,6 +331,11 @@
         this.afterUnknown('server failed to resume the stream');
         return;
       }
+      if (head?.isUnframed === true && !this.exchange.isStartedUnframed) {
+        // Whether the resumed stream is whole can't be known.
+        this.fail('outcomeUnknown');
+        return;
+      }
       this.conclude('delivered', status);
       this.exchange.end();
       return;
@@ -447,7 +452,7 @@
 
   private deliver({status, head, body}: FailedAnswer): void {
     this.conclude('delivered', status);
-    this.exchange.answer(status, head.headers, body);
+    this.exchange.answer(head, status, body);
   }
 
   /** Gives up with the best answer that is true. */
@@ -584,5 +589,6 @@
   isNotExecuted: false,
   isSigned: false,
   isEncoded: false,
+  isUnframed: false,
   headers: [],
 };
--- a/packages/edge/src/wireCodec.ts
+++ b/packages/edge/src/wireCodec.ts
@@ -55,6 +55,8 @@
   isNotExecuted: boolean;
   isSigned: boolean;
   isEncoded: boolean;
+  /** The body has no length and ends with the connection. */
+  isUnframed: boolean;
   /** Headers to be passed on, names and values by turns. */
   headers: string[];
 }
