feat(fleet): a pace of spending bounds what a router that died forfeits

When another life starts on the same instance, the time on the steady clock bounds what was spent unreported; the rest goes back. Cause: kills left whole grants unaccounted. Floors of 60,000 tokens at six routers were 15% of a total; they are 20,000 now, and reports go every 400 ms.

--- a/packages/control/src/controlOptions.ts
+++ b/packages/control/src/controlOptions.ts
@@ -80,6 +80,7 @@
   joinIntervalMilliseconds: 300,
   announcementBatchMilliseconds: 50,
   consensus: {
+    heartbeatIntervalMilliseconds: 150,
     electionTimeoutMilliseconds: 700,
     messageTimeoutMilliseconds: 400,
     // Bounds the files: a snapshot ends the segments before it.
--- a/packages/control/src/grantDesk.ts
+++ b/packages/control/src/grantDesk.ts
@@ -35,9 +35,6 @@
   grantUpTo: number;
 }
 
-/** Part of its target that a grant must lack before it is topped up. */
-const topUpShare = 0.1;
-
 /** Answers the routers' reports of what they spent. */
 export class GrantDesk {
   /** Demand by workspace and router. */
@@ -52,28 +49,28 @@
     private readonly state: FleetState,
   ) {}
 
-  async report({
-    router,
-    isStopping,
-    usages,
-  }: UsageReport): Promise<UsageReply> {
+  async report(report: UsageReport): Promise<UsageReply> {
+    const {router, isStopping, usages} = report;
     if (!this.group.isLeader) return this.group.hint();
     const now = this.options.clock.now();
     for (const usage of usages) this.note(router, usage, now);
     const plans = usages.map(usage => this.plan(usage, isStopping, now));
-    const entries = plans
-      .filter(plan => this.isDue(router, plan))
-      .map(({usage, grantUpTo}): UsageEntry => {
-        const {workspace, spent, returned} = usage;
-        return {workspace, spent, returned, grantUpTo};
-      });
-    if (entries.length > 0) await this.record(router, entries);
+    await this.record(report, plans.map(entryOf));
     const offers = plans.map(plan => this.offer(router, plan));
-    return {kind: 'grants', offers};
+    return {kind: 'grants', reportedAt: report.reportedAt, offers};
   }
 
-  private async record(router: string, entries: UsageEntry[]): Promise<void> {
-    const command: RecordUsage = {kind: 'recordUsage', router, entries};
+  private async record(
+    {router, life, reportedAt}: UsageReport,
+    entries: UsageEntry[],
+  ): Promise<void> {
+    const command: RecordUsage = {
+      kind: 'recordUsage',
+      router,
+      life,
+      reportedAt,
+      entries,
+    };
     const [outcomes] = await this.group.replica.propose([command]);
     for (const {workspace, granted} of outcomes as UsageOutcome[]) {
       const asked = entries.find(entry => entry.workspace === workspace);
@@ -134,15 +131,6 @@
     return live.size;
   }
 
-  /** Whether a plan is worth an entry of the replicated log. */
-  private isDue(router: string, {usage, target, grantUpTo}: Plan): boolean {
-    const totals = this.totalsOf(router, usage.workspace);
-    if (totals === undefined) return grantUpTo > 0;
-    if (usage.returned > totals.returned) return true;
-    const lack = grantUpTo - totals.granted;
-    return lack > (usage.wanted > 0 ? 0 : target * topUpShare);
-  }
-
   private offer(router: string, {usage, target}: Plan): GrantOffer {
     const {workspace} = usage;
     const remaining = this.ungranted(workspace) + this.heldOf(workspace);
@@ -156,7 +144,7 @@
 
   private ungranted(workspace: string): number {
     return ungranted(
-      this.state.prepaidAccounts[workspace],
+      this.state.prepaid.accounts[workspace],
       this.state.prepaidOf(workspace),
     );
   }
@@ -175,7 +163,7 @@
 
   /** Where the tokens of a workspace are. */
   private summaryOf(workspace: string): object {
-    const account = this.state.prepaidAccounts[workspace];
+    const account = this.state.prepaid.accounts[workspace];
     const routers = Object.entries(account?.routers ?? {});
     const live = this.demands.get(workspace);
     let spent = 0;
@@ -196,6 +184,12 @@
   }
 
   private totalsOf(router: string, workspace: string): RouterTotals | undefined {
-    return this.state.prepaidAccounts[workspace]?.routers[router];
+    return this.state.prepaid.accounts[workspace]?.routers[router];
   }
 }
+
+function entryOf({usage, grantUpTo}: Plan): UsageEntry {
+  const {workspace, spent, returned, reserved, wanted, cover} = usage;
+  const committed = spent + reserved + wanted;
+  return {workspace, spent, returned, committed, cover, grantUpTo};
+}
--- a/packages/edge/src/controlLink.ts
+++ b/packages/edge/src/controlLink.ts
@@ -12,6 +12,7 @@
   type BackendServerRecord,
   type FleetConfiguration,
   type LeaderHint,
+  type RouterLife,
   type UsageReply,
   type WatchReply,
   type WatchUpdate,
@@ -23,7 +24,7 @@
 const retryMilliseconds = 60;
 
 /** Reports in a row that name all workspaces, not only the changed ones. */
-const completeReportEvery = 10;
+const completeReportEvery = 5;
 
 /** Silence after which the link counts as lost. */
 const lostAfterMilliseconds = 2_500;
@@ -55,6 +56,7 @@
     private readonly calls: PeerCalls,
     /** Drawn at each start, so that totals of an earlier life don't mix. */
     private readonly routerId: string,
+    private readonly life: RouterLife,
     private readonly grants: HeldGrants,
     private readonly listener: ControlListener,
   ) {}
@@ -210,20 +212,22 @@
     const {leader} = this;
     if (leader === undefined) return;
     const isComplete = this.reports++ % completeReportEvery === 0;
-    const usages = this.grants.usages(isComplete, clock.now());
-    if (usages.length === 0) return;
+    const {usages, reportedAt} = this.grants.report(isComplete, clock.now());
     try {
       const reply = await this.calls.call<UsageReply>(
         leader,
         'usage',
         {
           router: this.routerId,
+          life: this.life,
           isStopping: this.grants.isClosed,
+          reportedAt,
           usages,
         },
         {timeoutMilliseconds: usageTimeoutMilliseconds},
       );
       if (reply.kind === 'grants') {
+        this.grants.confirm(reply.reportedAt);
         for (const offer of reply.offers) {
           this.grants.accept(offer, clock.now());
         }
--- a/packages/edge/src/edgeNode.ts
+++ b/packages/edge/src/edgeNode.ts
@@ -16,6 +16,7 @@
   WindowedRetryBudget,
 } from '@dogwoodtrestle/fleet';
 import {PeerCalls, sleep} from '@dogwoodtrestle/runtime';
+import {type BackendServerRecord} from '@dogwoodtrestle/schema';
 
 import {CallerExchange} from './callerExchange.js';
 import {ControlLink} from './controlLink.js';
@@ -28,6 +29,7 @@
 import {type RefusalReason} from './refusal.js';
 import {RequestRun} from './requestRun.js';
 import {ServerPool} from './serverPool.js';
+import {steadyClockName} from './steadyClockName.js';
 import {type CallerRequest} from './wireCodec.js';
 
 /** Bytes of headers that are read at the most, whatever the settings say. */
@@ -66,14 +68,25 @@
       suspectAfterMilliseconds: options.suspectAfterMilliseconds,
       onConnect: () => connections.add(),
     });
-    const link = new ControlLink(options, this.calls, randomUUID(), grants, {
-      onServers: records => {
-        for (const server of records) {
-          logger.info({server}, 'backend server changed');
-        }
-        pool.update(records);
-      },
-    });
+    const life = {
+      instance: options.instance,
+      clock: steadyClockName(),
+      startedAt: Math.floor(clock.now()),
+    };
+    const onServers = (records: BackendServerRecord[]) => {
+      for (const server of records) {
+        logger.info({server}, 'backend server changed');
+      }
+      pool.update(records);
+    };
+    const link = new ControlLink(
+      options,
+      this.calls,
+      randomUUID(),
+      life,
+      grants,
+      {onServers},
+    );
     this.context = {
       options,
       clock,
--- a/packages/edge/src/edgeOptions.ts
+++ b/packages/edge/src/edgeOptions.ts
@@ -35,6 +35,8 @@
 
 /** What a router needs. */
 export interface EdgeOptions extends EdgeTuning {
+  /** Name of this instance. */
+  instance: string;
   failureDomain: string;
   /** Address for callers, `host:port`. */
   callerAddress: string;
@@ -51,14 +53,14 @@
 export type EdgeInput = Partial<EdgeOptions> &
   Pick<
     EdgeOptions,
-    'failureDomain' | 'callerAddress' | 'seeds' | 'codec' | 'metrics'
+    'instance' | 'failureDomain' | 'callerAddress' | 'seeds' | 'codec' | 'metrics'
   >;
 
 export const defaultEdgeOptions = {
   retryBudget: {},
   watchTimeoutMilliseconds: 1_600,
   usageTimeoutMilliseconds: 700,
-  usageIntervalMilliseconds: 200,
+  usageIntervalMilliseconds: 400,
   grantWaitMilliseconds: 250,
   connectTimeoutMilliseconds: 400,
   suspectAfterMilliseconds: 900,
--- a/packages/fleet/src/fleetState.ts
+++ b/packages/fleet/src/fleetState.ts
@@ -7,15 +7,9 @@
   type FleetCommand,
   type FleetConfiguration,
   type PutConfiguration,
-  type RecordUsage,
 } from '@dogwoodtrestle/schema';
 
-import {
-  forgetOldRouters,
-  type PrepaidAccounts,
-  recordUsage,
-  type UsageOutcome,
-} from './prepaidAccounts.js';
+import {emptyBook, type PrepaidBook, recordUsage} from './prepaidAccounts.js';
 
 /** What came of a new configuration. */
 export interface PutOutcome {
@@ -32,7 +26,7 @@
 
 interface Snapshot {
   held?: HeldConfiguration;
-  accounts: PrepaidAccounts;
+  book: PrepaidBook;
 }
 
 type CommandHandlers = {
@@ -45,10 +39,11 @@
 /** Deterministic state machine that all replicas drive by the same entries. */
 export class FleetState {
   private held?: HeldConfiguration;
-  private accounts: PrepaidAccounts = {};
+  private book = emptyBook();
   private readonly handlers: CommandHandlers = {
     putConfiguration: command => this.putConfiguration(command),
-    recordUsage: (command, now) => this.recordUsage(command, now),
+    recordUsage: (command, now) =>
+      recordUsage(this.book, command, name => this.prepaidOf(name), now),
   };
 
   /** @param onConfiguration Called when another configuration is in force. */
@@ -62,8 +57,8 @@
     return this.held;
   }
 
-  get prepaidAccounts(): Readonly<PrepaidAccounts> {
-    return this.accounts;
+  get prepaid(): Readonly<PrepaidBook> {
+    return this.book;
   }
 
   /** Prepaid total of a workspace; Infinity where there is no bound. */
@@ -87,13 +82,13 @@
   }
 
   snapshot(): unknown {
-    return {held: this.held, accounts: this.accounts} satisfies Snapshot;
+    return {held: this.held, book: this.book} satisfies Snapshot;
   }
 
   restore(snapshot: unknown): void {
-    const {held, accounts} = structuredClone(snapshot) as Snapshot;
+    const {held, book} = structuredClone(snapshot) as Snapshot;
     this.held = held;
-    this.accounts = accounts;
+    this.book = book;
     if (held !== undefined) this.onConfiguration(held.configuration);
   }
 
@@ -109,20 +104,4 @@
     this.onConfiguration(configuration);
     return {kind: 'accepted', version: configuration.version};
   }
-
-  private recordUsage(
-    {router, entries}: RecordUsage,
-    now: number,
-  ): UsageOutcome[] {
-    forgetOldRouters(this.accounts, now);
-    return entries.map(entry =>
-      recordUsage(
-        this.accounts,
-        router,
-        entry,
-        this.prepaidOf(entry.workspace),
-        now,
-      ),
-    );
-  }
 }
--- a/packages/fleet/src/grantSizing.ts
+++ b/packages/fleet/src/grantSizing.ts
@@ -33,11 +33,11 @@
 }
 
 export const defaultGrantSizingOptions: GrantSizingOptions = {
-  // Longest partition that is to be borne, and a rise of the demand in it.
-  horizonSeconds: 14,
-  // A prompt and an answer at the 99.9th percentile of the users' sheets.
-  floorTokens: 60_000,
-  floorShare: 0.3,
+  // Longest partition of the users' days, 9 s, and a rise of the demand in it.
+  horizonSeconds: 12,
+  // A long prompt and its answer on the users' sheets, one and a half times.
+  floorTokens: 20_000,
+  floorShare: 0.25,
   dividedShare: 0.9,
 };
 
--- a/packages/fleet/src/heldGrants.ts
+++ b/packages/fleet/src/heldGrants.ts
@@ -2,11 +2,13 @@
  * @fileoverview Tokens that a router may spend without asking, in memory.
  *
  * A request reserves the most that it can cost before it is sent, and settles
- * what it used. All totals only rise; see `prepaidAccounts`.
+ * what it used. All totals only rise; see `prepaidAccounts`. What is committed
+ * stays within the pace that was promised; see `spendingPace`.
  */
 import {type GrantOffer, type WorkspaceUsage} from '@dogwoodtrestle/schema';
 
 import {DecayingRate} from './decayingRate.js';
+import {paceLimit, type PacePromise} from './spendingPace.js';
 
 /** Totals of one workspace. */
 interface Grant {
@@ -20,7 +22,12 @@
   remaining: number;
   toldAt: number;
   rate: DecayingRate;
+  /** Whether it changed since the newest recorded promise. */
   isChanged: boolean;
+  /** The newest promise that is known to be recorded. */
+  confirmed?: PacePromise;
+  /** A later promise that may be recorded or not. */
+  pending?: PacePromise;
 }
 
 /** Time constant of the demand that grants are sized by. */
@@ -36,10 +43,19 @@
   isSettled: boolean;
 }
 
-/** All grants of one life of a router. */
+/** What a router reports. */
+export interface GrantReport {
+  usages: WorkspaceUsage[];
+  /** Start of a new promise; missing while the last one isn't confirmed. */
+  reportedAt?: number;
+}
+
+/** All grants of one life of a router. Times are of its steady clock. */
 export class HeldGrants {
   private readonly grants = new Map<string, Grant>();
   private isClosing = false;
+  /** Time of a promise that may or may not be recorded. */
+  private unconfirmedAt?: number;
 
   /** Gives back all that is not reserved, now and as requests end. */
   close(): void {
@@ -61,7 +77,9 @@
     const grant = this.grantOf(workspace);
     if (!isRepeat) grant.rate.add(tokens, now);
     grant.isChanged = true;
+    const committed = grant.spent + grant.reserved + tokens;
     if (available(grant) < tokens) return undefined;
+    if (committed > limitOf(grant, now)) return undefined;
     grant.reserved += tokens;
     return {workspace, tokens, isSettled: false};
   }
@@ -84,33 +102,53 @@
     grant.isChanged = true;
   }
 
-  /** Tokens that may be reserved now. */
-  available(workspace: string): number {
-    return available(this.grantOf(workspace));
-  }
-
   /** Unspent tokens of a workspace over all routers, and when it was told. */
   remaining(workspace: string): {tokens: number; toldAt: number} {
     const {remaining, toldAt} = this.grantOf(workspace);
     return {tokens: remaining, toldAt};
   }
 
-  /** Usage that the replicated ledger wasn't told yet, or of all workspaces. */
-  usages(isComplete: boolean, now: number): WorkspaceUsage[] {
+  /** Begins a report: the workspaces that changed, or all of them. */
+  report(isComplete: boolean, now: number): GrantReport {
+    const isPromise = this.unconfirmedAt === undefined;
+    const reportedAt = Math.floor(now);
     const usages: WorkspaceUsage[] = [];
     for (const [workspace, grant] of this.grants) {
       const rate = grant.rate.value(now);
-      if (!isComplete && !grant.isChanged && rate < 1) continue;
-      grant.isChanged = false;
       const {spent, returned, reserved, wanted} = grant;
-      usages.push({workspace, spent, returned, reserved, wanted, rate});
+      const cover = Math.max(0, available(grant));
+      const isListed = isComplete || grant.isChanged;
+      if (isListed) {
+        const totals = {spent, returned, reserved, wanted};
+        usages.push({workspace, ...totals, cover, rate});
+      }
+      if (!isPromise) continue;
+      const committed = spent + reserved + wanted;
+      // What isn't listed stays promised as it was, from now on.
+      grant.pending = isListed
+        ? {at: reportedAt, committed, cover}
+        : grant.confirmed && {...grant.confirmed, at: reportedAt};
+      if (isListed) grant.isChanged = false;
     }
-    return usages;
+    if (!isPromise) return {usages};
+    this.unconfirmedAt = reportedAt;
+    return {usages, reportedAt};
   }
 
-  /** Names of workspaces whose requests wait for tokens. */
-  get isWanting(): boolean {
-    return [...this.grants.values()].some(({wanted}) => wanted > 0);
+  /** A report was recorded. */
+  confirm(reportedAt: number | undefined): void {
+    if (reportedAt === undefined) {
+      // The leader is heard again; what it missed is reported anew.
+      for (const grant of this.grants.values()) grant.isChanged = true;
+      this.unconfirmedAt = undefined;
+      return;
+    }
+    this.unconfirmedAt = undefined;
+    for (const grant of this.grants.values()) {
+      if (grant.pending?.at !== reportedAt) continue;
+      grant.confirmed = grant.pending;
+      grant.pending = undefined;
+    }
   }
 
   /** Takes over what was granted, and returns what is too much. */
@@ -119,6 +157,7 @@
     now: number,
   ): void {
     const grant = this.grantOf(workspace);
+    grant.isChanged ||= granted > grant.granted;
     grant.granted = Math.max(grant.granted, granted);
     grant.remaining = remaining;
     grant.toldAt = now;
@@ -154,6 +193,15 @@
   }
 }
 
+/** Unspent tokens that are not reserved. */
 function available({granted, spent, returned, reserved}: Grant): number {
   return granted - spent - returned - reserved;
 }
+
+/** Most that may be committed now, whichever promise is recorded. */
+function limitOf({confirmed, pending}: Grant, now: number): number {
+  if (confirmed === undefined) return 0;
+  const limit = paceLimit(confirmed, now);
+  if (pending === undefined) return limit;
+  return Math.min(limit, paceLimit(pending, now));
+}
--- a/packages/fleet/src/index.ts
+++ b/packages/fleet/src/index.ts
@@ -9,4 +9,5 @@
 export * from './routeTable.js';
 export * from './serverChoice.js';
 export * from './serverDirectory.js';
+export * from './spendingPace.js';
 export * from './windowedRetryBudget.js';
--- a/packages/fleet/src/prepaidAccounts.ts
+++ b/packages/fleet/src/prepaidAccounts.ts
@@ -4,16 +4,36 @@
  *
  * All amounts of a router are totals of one life of its process and only rise,
  * so that messages may be repeated, lost and overtake each other. What was
- * granted and not returned counts as spent, so a router that dies or is cut
- * off can't cause an overspend.
+ * granted and not returned counts as spent, so a router that is cut off can't
+ * cause an overspend. Once another life starts on its instance, what the
+ * earlier one can't have spent goes back; see `spendingPace`.
  */
-import {type UsageEntry} from '@dogwoodtrestle/schema';
+import {
+  type RecordUsage,
+  type RouterLife,
+  type UsageEntry,
+} from '@dogwoodtrestle/schema';
 
-/** Totals of one router's life. */
+import {paceLimit} from './spendingPace.js';
+
+/** Totals of one router's life in one workspace. */
 export interface RouterTotals {
   granted: number;
   spent: number;
   returned: number;
+  /** Spent, reserved and wanted tokens by the newest recorded promise. */
+  committed: number;
+  /** Unspent tokens that the pace of that promise follows. */
+  cover: number;
+}
+
+/** One life of a router. */
+export interface RouterRecord {
+  life: RouterLife;
+  /** Time of its steady clock at its newest recorded promise. */
+  promisedAt: number;
+  /** Another life has started on its instance. */
+  isOver: boolean;
   /** Time of the newest change, in milliseconds of the replicated log. */
   changedAt: number;
 }
@@ -25,40 +45,86 @@
   routers: Record<string, RouterTotals>;
 }
 
+/** All accounts and routers; a JSON value. */
+export interface PrepaidBook {
+  accounts: Record<string, PrepaidAccount>;
+  routers: Record<string, RouterRecord>;
+}
+
 /** What came of a usage entry. */
 export interface UsageOutcome {
   workspace: string;
   granted: number;
 }
 
-/** Routers whose totals are older than this are folded into `committed`. */
-const forgetRouterAfterMilliseconds = 3_600_000;
+/** Lives that ended this long ago are forgotten. */
+const forgetLifeAfterMilliseconds = 3_600_000;
 
-/** Accounts by workspace; a JSON value. */
-export type PrepaidAccounts = Record<string, PrepaidAccount>;
+/** Difference of two readings of a steady clock that is no time at all. */
+const clockMarginMilliseconds = 20;
+
+/** Opens an empty book. */
+export function emptyBook(): PrepaidBook {
+  return {accounts: {}, routers: {}};
+}
 
 /**
  * Records the totals of a router and grants it more, as far as the prepaid
- * total allows.
+ * totals allow.
  *
- * @param prepaid Total of the workspace; Infinity for no bound.
+ * @param prepaidOf Total of a workspace; Infinity for no bound.
  * @param now Time in milliseconds of the replicated log.
  */
 export function recordUsage(
-  accounts: PrepaidAccounts,
-  router: string,
-  entry: UsageEntry,
-  prepaid: number,
+  book: PrepaidBook,
+  {router, life, reportedAt, entries}: RecordUsage,
+  prepaidOf: (workspace: string) => number,
   now: number,
-): UsageOutcome {
-  const account = (accounts[entry.workspace] ??= {committed: 0, routers: {}});
-  const totals = (account.routers[router] ??= {
-    granted: 0,
-    spent: 0,
-    returned: 0,
-    changedAt: now,
+): UsageOutcome[] {
+  const record = openLife(book, router, life, now);
+  record.changedAt = now;
+  const isPromise =
+    !record.isOver &&
+    reportedAt !== undefined &&
+    reportedAt >= record.promisedAt;
+  if (isPromise) record.promisedAt = reportedAt;
+  return entries.map(entry => {
+    const account = (book.accounts[entry.workspace] ??= {
+      committed: 0,
+      routers: {},
+    });
+    const totals = (account.routers[router] ??= {
+      granted: 0,
+      spent: 0,
+      returned: 0,
+      committed: 0,
+      cover: 0,
+    });
+    if (!record.isOver) {
+      if (isPromise) {
+        totals.committed = entry.committed;
+        totals.cover = entry.cover;
+      }
+      update(account, totals, entry, prepaidOf(entry.workspace));
+    }
+    return {workspace: entry.workspace, granted: totals.granted};
   });
-  totals.changedAt = now;
+}
+
+/** Tokens of a workspace that no router holds. */
+export function ungranted(
+  account: PrepaidAccount | undefined,
+  prepaid: number,
+): number {
+  return Math.max(0, prepaid - (account?.committed ?? 0));
+}
+
+function update(
+  account: PrepaidAccount,
+  totals: RouterTotals,
+  entry: UsageEntry,
+  prepaid: number,
+): void {
   totals.spent = Math.max(totals.spent, entry.spent);
   const returned = Math.min(
     Math.max(totals.returned, entry.returned),
@@ -71,24 +137,65 @@
   const granted = Math.floor(Math.min(asked, free));
   totals.granted += granted;
   account.committed += granted;
-  return {workspace: entry.workspace, granted: totals.granted};
 }
 
-/** Tokens of a workspace that no router holds. */
-export function ungranted(
-  account: PrepaidAccount | undefined,
-  prepaid: number,
-): number {
-  return Math.max(0, prepaid - (account?.committed ?? 0));
+/** Returns a life's record; a new one ends the others of its instance. */
+function openLife(
+  book: PrepaidBook,
+  router: string,
+  life: RouterLife,
+  now: number,
+): RouterRecord {
+  const known = book.routers[router];
+  if (known !== undefined) return known;
+  for (const [other, record] of Object.entries(book.routers)) {
+    if (record.life.instance === life.instance && !record.isOver) {
+      endLife(book, other, record, life);
+    }
+    const age = now - record.changedAt;
+    if (record.isOver && age > forgetLifeAfterMilliseconds) {
+      forgetLife(book, other);
+    }
+  }
+  const record: RouterRecord = {
+    life,
+    promisedAt: life.startedAt,
+    isOver: false,
+    changedAt: now,
+  };
+  book.routers[router] = record;
+  return record;
 }
 
-/** Forgets the totals of routers that have been silent for long. */
-export function forgetOldRouters(accounts: PrepaidAccounts, now: number): void {
-  for (const account of Object.values(accounts)) {
-    for (const [router, {changedAt}] of Object.entries(account.routers)) {
-      if (now - changedAt > forgetRouterAfterMilliseconds) {
-        delete account.routers[router];
-      }
-    }
+/** Takes back what a life can't have spent before its successor started. */
+function endLife(
+  book: PrepaidBook,
+  router: string,
+  record: RouterRecord,
+  successor: RouterLife,
+): void {
+  record.isOver = true;
+  const isSameClock =
+    record.life.clock === successor.clock &&
+    successor.startedAt >= record.promisedAt;
+  if (!isSameClock) return;
+  const endedBy = successor.startedAt + clockMarginMilliseconds;
+  for (const account of Object.values(book.accounts)) {
+    const totals = account.routers[router];
+    if (totals === undefined) continue;
+    const {committed, cover, granted, returned} = totals;
+    const promise = {at: record.promisedAt, committed, cover};
+    const mostSpent = Math.max(totals.spent, paceLimit(promise, endedBy));
+    const unspent = granted - returned - mostSpent;
+    if (unspent <= 0) continue;
+    totals.returned += unspent;
+    account.committed -= unspent;
+  }
+}
+
+function forgetLife(book: PrepaidBook, router: string): void {
+  delete book.routers[router];
+  for (const account of Object.values(book.accounts)) {
+    delete account.routers[router];
   }
 }
--- a/packages/runtime/src/clock.ts
+++ b/packages/runtime/src/clock.ts
@@ -4,7 +4,10 @@
 
 /** Monotonic time, wall time and timers. */
 export interface Clock {
-  /** Monotonic time in milliseconds. */
+  /**
+   * Monotonic time in milliseconds. It goes on when a process starts again on
+   * the same machine.
+   */
   now(): number;
   /** Wall time in milliseconds since the epoch. */
   wallNow(): number;
@@ -12,9 +15,11 @@
   setTimer(milliseconds: number, callback: () => void): () => void;
 }
 
+const nanosecondsPerMillisecond = 1e6;
+
 /** Clock of the process. Its timers don't keep the process alive. */
 export const systemClock: Clock = {
-  now: () => performance.now(),
+  now: () => Number(process.hrtime.bigint()) / nanosecondsPerMillisecond,
   wallNow: () => Date.now(),
   setTimer: (milliseconds, callback) => {
     const timer = setTimeout(callback, milliseconds);
