--- /dev/null
+++ b/packages/fleet/tests/configuration.test.ts
@@ -0,0 +1,168 @@
+import {
+  type FleetConfiguration,
+  type FleetRoute,
+} from '@dogwoodtrestle/schema';
+import {describe, expect, it} from 'vitest';
+
+import {
+  applyChanges,
+  changesBetween,
+  checkConfiguration,
+  FleetState,
+  RouteTable,
+} from '../src/index.js';
+
+function createRoute(fields: Partial<FleetRoute> = {}): FleetRoute {
+  return {
+    name: 'r',
+    host: 'a.example',
+    pathPrefix: '/p/',
+    kind: 'idempotent',
+    timeoutMilliseconds: 1_000,
+    latencyGoalMilliseconds: 100,
+    priority: 0,
+    targets: [{service: 's', weight: 1}],
+    maxAttempts: 1,
+    isPublic: false,
+    isResumable: false,
+    ...fields,
+  };
+}
+
+function createConfiguration(
+  fields: Partial<FleetConfiguration> = {},
+): FleetConfiguration {
+  return {
+    version: 1,
+    routes: [createRoute()],
+    services: [{name: 's', maxConnections: 10}],
+    limits: {
+      headerBytes: 1,
+      bodyBytes: 1,
+      headerTimeoutMilliseconds: 1,
+      idleTimeoutMilliseconds: 1,
+    },
+    workspaces: [{name: 'w', keys: ['k']}],
+    ...fields,
+  };
+}
+
+describe('checkConfiguration', () => {
+  const invalid: Array<[string, Partial<FleetConfiguration>]> = [
+    [
+      'an unknown service',
+      {routes: [createRoute({targets: [{service: 'x', weight: 1}]})]},
+    ],
+    [
+      'two routes at one place',
+      {routes: [createRoute(), createRoute({name: 'q', host: 'A.example'})]},
+    ],
+    [
+      'weights that add up to 0',
+      {routes: [createRoute({targets: [{service: 's', weight: 0}]})]},
+    ],
+    ['a timeout of 0', {routes: [createRoute({timeoutMilliseconds: 0})]}],
+    [
+      'a key of two workspaces',
+      {
+        workspaces: [
+          {name: 'w', keys: ['k']},
+          {name: 'v', keys: ['k']},
+        ],
+      },
+    ],
+    ['a prefix without a slash', {routes: [createRoute({pathPrefix: '/p'})]}],
+  ];
+  it.each(invalid)('finds %s', (_, fields) => {
+    expect(checkConfiguration(createConfiguration(fields))).not.toEqual([]);
+  });
+
+  it('finds nothing in a valid one', () => {
+    expect(checkConfiguration(createConfiguration())).toEqual([]);
+  });
+});
+
+describe('changes of a configuration', () => {
+  it('lead from one version to another', () => {
+    const from = createConfiguration({
+      routes: [createRoute(), createRoute({name: 'q', pathPrefix: '/q/'})],
+    });
+    const to = createConfiguration({
+      version: 2,
+      routes: [
+        createRoute({timeoutMilliseconds: 2_000}),
+        createRoute({name: 'n', pathPrefix: '/n/'}),
+      ],
+      workspaces: [{name: 'w', keys: ['l']}],
+    });
+    const update = changesBetween(from, to);
+    expect(applyChanges(from, update)).toEqual(to);
+    expect(applyChanges(undefined, changesBetween(undefined, to))).toEqual(to);
+  });
+
+  it('are not applied to another version', () => {
+    const from = createConfiguration();
+    const update = changesBetween(from, createConfiguration({version: 2}));
+    expect(applyChanges(createConfiguration({version: 3}), update)).toBe(
+      undefined,
+    );
+  });
+});
+
+describe('RouteTable', () => {
+  it('takes the longest prefix of the host', () => {
+    const table = new RouteTable(
+      createConfiguration({
+        routes: [
+          createRoute({name: 'short', pathPrefix: '/'}),
+          createRoute({name: 'long', pathPrefix: '/p/q/'}),
+        ],
+      }),
+    );
+    expect(table.route('A.example', '/p/q/r')?.name).toBe('long');
+    expect(table.route('a.example', '/p/q')?.name).toBe('short');
+    expect(table.route('b.example', '/p/q/r')).toBeUndefined();
+  });
+
+  it('draws services by weight', () => {
+    const route = createRoute({
+      targets: [
+        {service: 'x', weight: 1},
+        {service: 's', weight: 3},
+      ],
+    });
+    expect(RouteTable.serviceOf(route, 0.24)).toBe('x');
+    expect(RouteTable.serviceOf(route, 0.26)).toBe('s');
+  });
+});
+
+describe('FleetState', () => {
+  function put(state: FleetState, version: number, source: string): unknown {
+    const configuration = createConfiguration({version});
+    const command = {kind: 'putConfiguration', configuration, source};
+    const [outcome] = state.apply({
+      index: 1,
+      term: 1,
+      timestamp: 0,
+      kind: 'commands',
+      commands: [command as never],
+    });
+    return outcome;
+  }
+
+  it('keeps the highest version, and the first content of a version', () => {
+    const state = new FleetState();
+    expect(put(state, 3, 'a')).toEqual({kind: 'accepted', version: 3});
+    expect(put(state, 3, 'b')).toEqual({kind: 'notNewer', version: 3});
+    expect(put(state, 2, 'c')).toEqual({kind: 'notNewer', version: 3});
+    expect(state.current?.source).toBe('a');
+  });
+
+  it('is restored from its snapshot', () => {
+    const state = new FleetState();
+    put(state, 3, 'a');
+    const copy = new FleetState();
+    copy.restore(JSON.parse(JSON.stringify(state.snapshot())));
+    expect(copy.snapshot()).toEqual(state.snapshot());
+  });
+});
--- /dev/null
+++ b/packages/fleet/tests/decisions.test.ts
@@ -0,0 +1,137 @@
+import {describe, expect, it} from 'vitest';
+
+import {
+  chooseServer,
+  grantTarget,
+  type ServerCandidate,
+  WindowedRetryBudget,
+} from '../src/index.js';
+
+function createCandidate(
+  fields: Partial<ServerCandidate> = {},
+): ServerCandidate {
+  return {
+    id: 's',
+    openRequests: 0,
+    unreadTokens: 0,
+    slots: 8,
+    isSuspect: false,
+    hasPart: false,
+    ...fields,
+  };
+}
+
+/** Pattern: many prompts share one part (a hot key). */
+describe('choosing a server for a shared part', () => {
+  const servers = ['a', 'b', 'c', 'd'].map(id => createCandidate({id}));
+  const demand = {
+    affinityKey: 'part-7',
+    sharedTokens: 5_000,
+    failureDomain: 'z',
+  };
+
+  it('agrees between routers that know nothing of each other', () => {
+    const choice = chooseServer(servers, demand, () => 0.1);
+    const reversed = chooseServer([...servers].reverse(), demand, () => 0.9);
+    expect(reversed?.id).toBe(choice?.id);
+  });
+
+  it('reads the part elsewhere once the queue costs more', () => {
+    const first = chooseServer(servers, demand, () => 0)?.id;
+    const busy = servers.map(server =>
+      server.id === first ? {...server, unreadTokens: 20_000} : server,
+    );
+    expect(chooseServer(busy, demand, () => 0)?.id).not.toBe(first);
+  });
+
+  it('moves only the parts of a server that is gone', () => {
+    const keys = Array.from({length: 200}, (_, index) => `part-${index}`);
+    const choose = (pool: ServerCandidate[], affinityKey: string) =>
+      chooseServer(pool, {...demand, affinityKey}, () => 0)?.id;
+    const rest = servers.filter(({id}) => id !== 'a');
+    const moved = keys.filter(
+      key => choose(servers, key) !== choose(rest, key),
+    );
+    expect(moved.every(key => choose(servers, key) === 'a')).toBe(true);
+    expect(moved.length).toBeGreaterThan(20);
+    expect(moved.length).toBeLessThan(90);
+  });
+
+  it('takes a suspect server only where there is no other', () => {
+    const first = chooseServer(servers, demand, () => 0)?.id;
+    const suspected = servers.map(server => ({
+      ...server,
+      isSuspect: server.id === first,
+    }));
+    expect(chooseServer(suspected, demand, () => 0)?.id).not.toBe(first);
+    const all = servers.map(server => ({...server, isSuspect: true}));
+    expect(chooseServer(all, demand, () => 0)).toBeDefined();
+  });
+});
+
+describe('choosing a server of a plain service', () => {
+  it('prefers few open requests, then its own failure domain', () => {
+    const pool = [
+      createCandidate({id: 'far', failureDomain: 'y'}),
+      createCandidate({id: 'near', failureDomain: 'z'}),
+      createCandidate({id: 'busy', failureDomain: 'z', openRequests: 6}),
+    ];
+    const demand = {sharedTokens: 0, failureDomain: 'z'};
+    expect(chooseServer(pool, demand, () => 0.5)?.id).toBe('near');
+  });
+});
+
+/** Pattern: all routers are cut off at once, after their demand is known. */
+describe('grantTarget', () => {
+  const demand = {
+    rate: 1_000,
+    totalRate: 6_000,
+    routers: 6,
+    ungranted: 1_000_000,
+    held: 0,
+    wantedElsewhere: 0,
+  };
+
+  it('covers the longest partition of the users at the own rate', () => {
+    expect(grantTarget(demand)).toBeGreaterThan(9 * demand.rate);
+  });
+
+  it('never hands out more than there is, over all routers', () => {
+    const scarce = {...demand, ungranted: 20_000, rate: 1_000};
+    expect(grantTarget(scarce) * 6).toBeLessThanOrEqual(20_000);
+  });
+
+  it('gives tokens up that requests elsewhere wait for', () => {
+    const spent = {...demand, ungranted: 0, held: 60_000};
+    const asked = {...spent, wantedElsewhere: 30_000};
+    expect(grantTarget(asked)).toBeLessThanOrEqual(grantTarget(spent) / 2);
+  });
+});
+
+/** Pattern: routers that may not see each other repeat requests. */
+describe('WindowedRetryBudget', () => {
+  it('keeps the sum of all routers within the bound in every window', () => {
+    const routers = Array.from(
+      {length: 6},
+      () => new WindowedRetryBudget({ratio: 0.2, slack: 52}),
+    );
+    let repeats = 0;
+    let requests = 0;
+    for (let now = 0; now < 10_000; now += 50) {
+      for (const router of routers) {
+        router.recordRequest('s', now);
+        requests++;
+        while (router.takeRepeat('s', 6, now)) repeats++;
+      }
+    }
+    expect(repeats).toBeGreaterThan(0);
+    expect(repeats).toBeLessThanOrEqual(0.2 * requests + 52);
+  });
+
+  it('forgets what is older than the window', () => {
+    const budget = new WindowedRetryBudget({ratio: 0, slack: 4});
+    while (budget.takeRepeat('s', 1, 0));
+    expect(budget.takeRepeat('s', 1, 9_000)).toBe(false);
+    expect(budget.takeRepeat('s', 1, 11_000)).toBe(true);
+  });
+});
--- /dev/null
+++ b/packages/fleet/tests/prepaidAccounts.test.ts
@@ -0,0 +1,184 @@
+import fc from 'fast-check';
+import {describe, expect, it} from 'vitest';
+
+import {
+  emptyBook,
+  HeldGrants,
+  type PrepaidBook,
+  recordUsage,
+  type Reservation,
+  ungranted,
+} from '../src/index.js';
+
+const workspace = 'desk';
+const prepaid = 60_000;
+
+interface RouterFixture {
+  name: string;
+  instance: string;
+  startedAt: number;
+  grants: HeldGrants;
+  open: Reservation[];
+  /** Tokens that requests really used, whatever was reported. */
+  used: number;
+}
+
+function createRouter(instance: string, life: number, now: number) {
+  const router: RouterFixture = {
+    name: `${instance}/${life}`,
+    instance,
+    startedAt: Math.floor(now),
+    grants: new HeldGrants(),
+    open: [],
+    used: 0,
+  };
+  return router;
+}
+
+/** Reports as a router does; the reply may be lost. */
+function report(
+  book: PrepaidBook,
+  router: RouterFixture,
+  now: number,
+  delivery: 'whole' | 'replyLost' | 'requestLost',
+): void {
+  const {usages, reportedAt} = router.grants.report(true, now);
+  if (delivery === 'requestLost') return;
+  const life = {
+    instance: router.instance,
+    clock: 'boot-1',
+    startedAt: router.startedAt,
+  };
+  const entries = usages.map(usage => ({
+    workspace: usage.workspace,
+    spent: usage.spent,
+    returned: usage.returned,
+    committed: usage.spent + usage.reserved + usage.wanted,
+    cover: usage.cover,
+    grantUpTo:
+      usage.spent + usage.returned + usage.reserved + usage.wanted + 20_000,
+  }));
+  const outcomes = recordUsage(
+    book,
+    {kind: 'recordUsage', router: router.name, life, reportedAt, entries},
+    () => prepaid,
+    now,
+  );
+  if (delivery === 'replyLost') return;
+  router.grants.confirm(reportedAt);
+  for (const {granted} of outcomes) {
+    const remaining = ungranted(book.accounts[workspace], prepaid);
+    router.grants.accept(
+      {workspace, granted, target: 20_000, remaining},
+      now,
+    );
+  }
+}
+
+const action = fc.oneof(
+  fc.record({
+    kind: fc.constant('request' as const),
+    router: fc.nat(2),
+    tokens: fc.integer({min: 1, max: 20_000}),
+  }),
+  fc.record({
+    kind: fc.constant('end' as const),
+    router: fc.nat(2),
+    share: fc.double({min: 0, max: 1, noNaN: true}),
+  }),
+  fc.record({
+    kind: fc.constant('report' as const),
+    router: fc.nat(2),
+    delivery: fc.constantFrom(
+      'whole' as const,
+      'whole' as const,
+      'replyLost' as const,
+      'requestLost' as const,
+    ),
+  }),
+  fc.record({kind: fc.constant('kill' as const), router: fc.nat(2)}),
+  fc.record({
+    kind: fc.constant('wait' as const),
+    milliseconds: fc.integer({min: 1, max: 4_000}),
+  }),
+);
+
+describe('prepaid totals', () => {
+  it('are never passed, whatever is lost and whoever dies', () => {
+    fc.assert(
+      fc.property(fc.array(action, {minLength: 40, maxLength: 200}), actions => {
+        const book = emptyBook();
+        let now = 1_000;
+        let life = 0;
+        let used = 0;
+        const routers = ['a', 'b', 'c'].map(name =>
+          createRouter(name, life, now),
+        );
+        const endAll = (router: RouterFixture) => {
+          // Open requests of a dead router may have used all they could.
+          for (const {tokens} of router.open) used += tokens;
+        };
+        for (const step of actions) {
+          now += 1;
+          if (step.kind === 'wait') {
+            now += step.milliseconds;
+            continue;
+          }
+          const router = routers[step.router]!;
+          if (step.kind === 'request') {
+            const reservation = router.grants.reserve(
+              workspace,
+              step.tokens,
+              now,
+            );
+            if (reservation !== undefined) router.open.push(reservation);
+            else router.grants.want(workspace, step.tokens);
+            if (reservation === undefined) {
+              report(book, router, now, 'whole');
+              router.grants.want(workspace, -step.tokens);
+            }
+          } else if (step.kind === 'end') {
+            const reservation = router.open.shift();
+            if (reservation === undefined) continue;
+            const tokens = Math.ceil(reservation.tokens * step.share);
+            used += tokens;
+            router.grants.settle(reservation, tokens);
+          } else if (step.kind === 'report') {
+            report(book, router, now, step.delivery);
+          } else {
+            endAll(router);
+            now += 1;
+            routers[step.router] = createRouter(router.instance, ++life, now);
+            report(book, routers[step.router]!, now, 'whole');
+          }
+        }
+        for (const router of routers) endAll(router);
+        expect(used).toBeLessThanOrEqual(prepaid);
+      }),
+      {numRuns: 400, seed: 20261204},
+    );
+  });
+
+  it('get back what a life that ended at once can not have spent', () => {
+    const book = emptyBook();
+    const router = createRouter('a', 0, 1_000);
+    router.grants.want(workspace, 1_000);
+    report(book, router, 1_000, 'whole');
+    router.grants.want(workspace, -1_000);
+    report(book, router, 1_200, 'whole');
+    const before = ungranted(book.accounts[workspace], prepaid);
+    report(book, createRouter('a', 1, 1_700), 1_700, 'whole');
+    const after = ungranted(book.accounts[workspace], prepaid);
+    expect(after - before).toBeGreaterThan(15_000);
+  });
+
+  it('get nothing back where the steady clock started anew', () => {
+    const book = emptyBook();
+    const router = createRouter('a', 0, 50_000);
+    router.grants.want(workspace, 1_000);
+    report(book, router, 50_000, 'whole');
+    const before = ungranted(book.accounts[workspace], prepaid);
+    report(book, createRouter('a', 1, 300), 300, 'whole');
+    expect(ungranted(book.accounts[workspace], prepaid)).toBe(before);
+  });
+});
--- /dev/null
+++ b/packages/fleet/tests/serverDirectory.test.ts
@@ -0,0 +1,84 @@
+import {type BackendServerRecord} from '@dogwoodtrestle/schema';
+import {describe, expect, it} from 'vitest';
+
+import {ServerDirectory} from '../src/index.js';
+
+function createRecord(
+  fields: Partial<BackendServerRecord> = {},
+): BackendServerRecord {
+  return {
+    id: 's-1',
+    startedAt: 100,
+    sequence: 1,
+    service: 'llm',
+    address: '10.0.0.1:80',
+    state: 'ready',
+    slots: 4,
+    ...fields,
+  };
+}
+
+function statesOf(directory: ServerDirectory): Record<string, string> {
+  const records = directory.changesSince('', -1)?.records ?? [];
+  return Object.fromEntries(records.map(({id, state}) => [id, state]));
+}
+
+describe('ServerDirectory', () => {
+  it('ignores an announcement that was overtaken', () => {
+    const directory = new ServerDirectory('e');
+    directory.announce(createRecord({sequence: 3, state: 'draining'}), 0);
+    expect(directory.announce(createRecord({sequence: 2}), 1)).toBe(false);
+    expect(statesOf(directory)).toEqual({'s-1': 'draining'});
+  });
+
+  it('takes a restart under the same id, whose sequence starts anew', () => {
+    const directory = new ServerDirectory('e');
+    directory.announce(createRecord({sequence: 9, state: 'draining'}), 0);
+    directory.announce(createRecord({startedAt: 200, sequence: 1}), 1);
+    expect(statesOf(directory)).toEqual({'s-1': 'ready'});
+  });
+
+  it('keeps the newest incarnation at a reused address', () => {
+    const directory = new ServerDirectory('e');
+    directory.announce(createRecord({id: 's-2', startedAt: 300}), 0);
+    // Delayed by a partition beyond the end of its sender.
+    expect(directory.announce(createRecord(), 1)).toBe(false);
+    expect(statesOf(directory)).toEqual({'s-2': 'ready'});
+  });
+
+  it('ends the earlier incarnation when a later one takes its address', () => {
+    const directory = new ServerDirectory('e');
+    directory.announce(createRecord(), 0);
+    directory.announce(createRecord({id: 's-2', startedAt: 300}), 1);
+    expect(statesOf(directory)).toEqual({'s-1': 'left', 's-2': 'ready'});
+  });
+
+  it('remembers the end of a server that it never heard of', () => {
+    const directory = new ServerDirectory('e');
+    directory.leave('s-9', 0, 500);
+    expect(directory.announce(createRecord({id: 's-9'}), 1)).toBe(false);
+    expect(statesOf(directory)).toEqual({'s-9': 'left'});
+  });
+
+  it('marks a silent server, and takes it back once it is heard', () => {
+    const directory = new ServerDirectory('e', {silentAfterMilliseconds: 100});
+    directory.announce(createRecord(), 0);
+    directory.expire(101);
+    expect(statesOf(directory)).toEqual({'s-1': 'silent'});
+    directory.announce(createRecord({sequence: 2}), 110);
+    expect(statesOf(directory)).toEqual({'s-1': 'ready'});
+  });
+
+  it('tells only what changed since a revision of its own epoch', () => {
+    const directory = new ServerDirectory('e');
+    directory.announce(createRecord(), 0);
+    const revision = directory.currentRevision;
+    expect(directory.changesSince('e', revision)).toBeUndefined();
+    directory.announce(createRecord({sequence: 2}), 1);
+    expect(directory.changesSince('e', revision)).toBeUndefined();
+    directory.announce(createRecord({id: 's-2', address: '10.0.0.2:80'}), 2);
+    const records = directory.changesSince('e', revision)?.records;
+    expect(records?.map(({id}) => id)).toEqual(['s-2']);
+    expect(directory.changesSince('f', revision)?.records).toHaveLength(2);
+  });
+});
