--- a/packages/edge/src/callerExchange.ts
+++ b/packages/edge/src/callerExchange.ts
@@ -92,7 +92,11 @@
   /** Ends an answer in the middle, so that it can't be taken for whole. */
   breakOff(): void {
     this.isAnswered = true;
-    this.request.socket.resetAndDestroy();
+    const {socket} = this.request;
+    // Only a reset shows that an answer without a length isn't whole; where
+    // its end is marked, what was written is delivered first.
+    if (this.isUnframed) socket.resetAndDestroy();
+    else socket.destroySoon();
   }
 
   private writeHead(
--- a/packages/fleet/src/heldGrants.ts
+++ b/packages/fleet/src/heldGrants.ts
@@ -21,7 +21,9 @@
   /** Unspent tokens of the workspace as last told. */
   remaining: number;
   toldAt: number;
-  rate: DecayingRate;
+  /** Usual demand, and demand of late. */
+  slowRate: DecayingRate;
+  fastRate: DecayingRate;
   /** Whether it changed since the newest recorded promise. */
   isChanged: boolean;
   /** The newest promise that is known to be recorded. */
@@ -30,8 +32,14 @@
   pending?: PacePromise;
 }
 
-/** Time constant of the demand that grants are sized by. */
-const rateWindowMilliseconds = 4_000;
+/** Time constant of the usual demand: long enough for rare large requests. */
+const slowWindowMilliseconds = 12_000;
+
+/** Time constant of demand of late, which follows a workspace that surges. */
+const fastWindowMilliseconds = 3_000;
+
+/** Part of the demand of late that counts, as it varies by chance. */
+const fastShare = 0.7;
 
 /** Surplus over its target that a router keeps, as a factor. */
 const keepFactor = 1.1;
@@ -75,7 +83,10 @@
     isRepeat = false,
   ): Reservation | undefined {
     const grant = this.grantOf(workspace);
-    if (!isRepeat) grant.rate.add(tokens, now);
+    if (!isRepeat) {
+      grant.slowRate.add(tokens, now);
+      grant.fastRate.add(tokens, now);
+    }
     grant.isChanged = true;
     const committed = grant.spent + grant.reserved + tokens;
     if (available(grant) < tokens) return undefined;
@@ -114,7 +125,7 @@
     const reportedAt = Math.floor(now);
     const usages: WorkspaceUsage[] = [];
     for (const [workspace, grant] of this.grants) {
-      const rate = grant.rate.value(now);
+      const rate = demandOf(grant, now);
       const {spent, returned, reserved, wanted} = grant;
       const cover = Math.max(0, available(grant));
       const isListed = isComplete || grant.isChanged;
@@ -184,7 +195,8 @@
         wanted: 0,
         remaining: 0,
         toldAt: -Infinity,
-        rate: new DecayingRate(rateWindowMilliseconds),
+        slowRate: new DecayingRate(slowWindowMilliseconds),
+        fastRate: new DecayingRate(fastWindowMilliseconds),
         isChanged: true,
       };
       this.grants.set(workspace, grant);
@@ -193,6 +205,11 @@
   }
 }
 
+/** Tokens a second by which a grant is sized. */
+function demandOf({slowRate, fastRate}: Grant, now: number): number {
+  return Math.max(slowRate.value(now), fastShare * fastRate.value(now));
+}
+
 /** Unspent tokens that are not reserved. */
 function available({granted, spent, returned, reserved}: Grant): number {
   return granted - spent - returned - reserved;
