perf(fleet): long prompts go to servers of their own; one long prompt may be spent at once

Ruled out: uneven load of the servers (busiest/mean 1.1). Cause of refusals at the start of a cut: the pace allowed less than one long prompt.

--- a/packages/edge/src/requestRun.ts
+++ b/packages/edge/src/requestRun.ts
@@ -199,6 +199,7 @@
       {
         affinityKey: part,
         sharedTokens: shared.reduce((sum, {tokens}) => sum + tokens, 0),
+        promptTokens: this.promptTokens,
         failureDomain: options.failureDomain,
       },
       options.random,
--- a/packages/fleet/src/serverChoice.ts
+++ b/packages/fleet/src/serverChoice.ts
@@ -5,6 +5,9 @@
  * first for that part, so that all routers agree without talking and a part is
  * read once. Where that server has work queued that would take longer than
  * reading the part again, the next one in the rank gets the request.
+ *
+ * Long prompts hold up everything that is read after them, so they go to a few
+ * servers of their own, and other requests avoid these.
  */
 
 /** A server that may get the attempt. */
@@ -28,6 +31,8 @@
   affinityKey?: string;
   /** Prompt tokens up to the end of that part. */
   sharedTokens: number;
+  /** Tokens of the whole prompt. */
+  promptTokens: number;
   failureDomain: string;
 }
 
@@ -41,12 +46,22 @@
   queueWeight: number;
   /** Tokens by which a rank further down the list costs more. */
   tokensPerRank: number;
+  /** Prompt tokens from which a request counts as long. */
+  longPromptTokens: number;
+  /** Part of the servers that long prompts go to. */
+  longShare: number;
+  /** Tokens by which a server of the other kind costs more. */
+  tokensPerOtherKind: number;
 }
 
 export const defaultServerChoiceOptions: ServerChoiceOptions = {
   tokensPerOpenRequest: 150,
   queueWeight: 1.5,
   tokensPerRank: 200,
+  // Two to three times the usual prompt of the users' longest kind.
+  longPromptTokens: 18_000,
+  longShare: 0.25,
+  tokensPerOtherKind: 9_000,
 };
 
 /** Returns the best server, or undefined where there is none. */
@@ -84,10 +99,13 @@
 
 function cheapest(
   pool: readonly ServerCandidate[],
-  {sharedTokens}: ServerDemand,
+  {sharedTokens, promptTokens}: ServerDemand,
   key: string,
-  {tokensPerOpenRequest, queueWeight, tokensPerRank}: ServerChoiceOptions,
+  options: ServerChoiceOptions,
 ): ServerCandidate | undefined {
+  const {tokensPerOpenRequest, queueWeight, tokensPerRank} = options;
+  const isLong = promptTokens >= options.longPromptTokens;
+  const forLong = serversForLong(pool, options.longShare);
   const ranked = pool
     .map(candidate => ({
       candidate,
@@ -100,15 +118,29 @@
         candidate.unreadTokens + candidate.openRequests * tokensPerOpenRequest;
       const isCached = rank === 0 || candidate.hasPart;
       const reading = isCached ? 0 : sharedTokens;
+      const isOther = forLong.has(candidate) !== isLong;
+      const otherKind = isOther ? options.tokensPerOtherKind : 0;
       return [
         candidate,
-        queue * queueWeight + reading + rank * tokensPerRank,
+        queue * queueWeight + reading + otherKind + rank * tokensPerRank,
       ] as const;
     }),
   );
   return minimumBy(pool, candidate => costs.get(candidate) ?? Infinity);
 }
 
+/** The servers for long prompts, the same at all routers; none of a few. */
+function serversForLong(
+  pool: readonly ServerCandidate[],
+  share: number,
+): ReadonlySet<ServerCandidate> {
+  const count = Math.floor(pool.length * share);
+  const ranked = pool
+    .map(candidate => ({candidate, weight: hash(`long/${candidate.id}`)}))
+    .sort((a, b) => b.weight - a.weight);
+  return new Set(ranked.slice(0, count).map(({candidate}) => candidate));
+}
+
 function minimumBy<T>(
   items: readonly T[],
   costOf: (item: T) => number,
--- a/packages/fleet/src/spendingPace.ts
+++ b/packages/fleet/src/spendingPace.ts
@@ -22,13 +22,17 @@
 /** Part of the cover that may be used at once. */
 const immediateShare = 0.15;
 
+/** Tokens that may be used at once in any case: one long prompt. */
+const immediateTokens = 16_000;
+
 /** Time after which the whole cover may be used. */
-const fullAfterMilliseconds = 5_000;
+const fullAfterMilliseconds = 4_500;
 
 /** Most that may have been committed by a time under a promise. */
 export function paceLimit(promise: PacePromise, at: number): number {
   const elapsed = Math.max(0, at - promise.at);
   const growth = (elapsed / fullAfterMilliseconds) ** 2;
   const share = Math.min(1, immediateShare + growth);
-  return promise.committed + Math.floor(promise.cover * share);
+  const allowed = Math.max(promise.cover * share, immediateTokens);
+  return promise.committed + Math.floor(Math.min(promise.cover, allowed));
 }
