--- a/packages/consensus/src/election.ts
+++ b/packages/consensus/src/election.ts
@@ -25,7 +25,11 @@
 
   /** Starts the first time after which the replica stands for election. */
   startTimer(): void {
-    this.setTimer(this.state.options.firstElectionTimeoutMilliseconds);
+    const {firstElectionTimeoutMilliseconds, electionTimeoutMilliseconds} =
+      this.state.options;
+    this.setTimer(
+      firstElectionTimeoutMilliseconds ?? electionTimeoutMilliseconds,
+    );
   }
 
   /** Starts the time after which the replica stands for election. */
--- a/packages/consensus/src/replicaOptions.ts
+++ b/packages/consensus/src/replicaOptions.ts
@@ -18,9 +18,10 @@
   electionTimeoutMilliseconds: number;
   /**
    * The same for the first time after the start, when a group that started as
-   * a whole has no leader. A group that has one refuses the pre-vote.
+   * a whole has no leader. A group that has one refuses the pre-vote. As long
+   * as the others where it is missing.
    */
-  firstElectionTimeoutMilliseconds: number;
+  firstElectionTimeoutMilliseconds?: number;
   /** Time after which a message without a reply counts as lost. */
   messageTimeoutMilliseconds: number;
   /** Entries that one message carries at most. */
@@ -58,7 +59,6 @@
 export const defaultOptions: ReplicaTuning = {
   heartbeatIntervalMilliseconds: 100,
   electionTimeoutMilliseconds: 1_000,
-  firstElectionTimeoutMilliseconds: 1_000,
   messageTimeoutMilliseconds: 500,
   maxMessageEntries: 1_000,
   maxMessageBytes: 512 * 1024,
--- a/packages/control/src/controlNode.ts
+++ b/packages/control/src/controlNode.ts
@@ -61,12 +61,12 @@
     const storage = await FileStorage.open(options.dataFolder, {
       keepsHistory: false,
     });
-    let desk: WatchDesk | undefined;
-    let notes: ServerNotes | undefined;
+    // Opening the group replays the log, before there are routers to tell.
+    const parts: {desk?: WatchDesk; notes?: ServerNotes} = {};
     const directory = new ServerDirectory(randomUUID(), {}, record => {
       logger.info({server: record}, 'backend server changed');
-      desk?.wake();
-      notes?.add(record);
+      parts.desk?.wake();
+      parts.notes?.add(record);
     });
     const state = new FleetState({
       onConfiguration: configuration => {
@@ -74,19 +74,20 @@
           {version: configuration.version, routes: configuration.routes.length},
           'configuration in force',
         );
-        desk?.putConfiguration(configuration);
+        parts.desk?.putConfiguration(configuration);
       },
       onServers: records => {
-        for (const record of records)
-          takeRecord(directory, record, clock.now());
+        const now = clock.now();
+        for (const record of records) takeRecord(directory, record, now);
       },
     });
     const group = await ControlGroup.open(options, calls, storage, state);
-    desk = new WatchDesk(options, group, directory);
+    const desk = new WatchDesk(options, group, directory);
+    const notes = new ServerNotes(options, group);
+    Object.assign(parts, {desk, notes});
     if (state.current !== undefined) {
       desk.putConfiguration(state.current.configuration);
     }
-    notes = new ServerNotes(options, group);
     const grants = new GrantDesk(options, group, state);
     const spreader = new AnnouncementSpreader(options, calls, group, notes);
     const service = new ControlService(
@@ -97,8 +98,6 @@
       directory,
       spreader,
     );
-    const watches = desk;
-    const serverNotes = notes;
     const received = metrics.counter(
       'dogwoodtrestle_calls_total',
       'Calls of other processes.',
@@ -110,20 +109,14 @@
       join: async (request: JoinRequest) => group.apply(request),
       watch: (request: WatchRequest) => {
         received.add({call: 'watch'});
-        return watches.watch(request);
+        return desk.watch(request);
       },
       usage: (report: UsageReport) => {
         received.add({call: 'usage'});
         return grants.report(report);
       },
       announcements: ({announcements}: AnnouncementBatch) =>
-        receiveAnnouncements(
-          announcements,
-          directory,
-          group,
-          serverNotes,
-          clock,
-        ),
+        receiveAnnouncements(announcements, directory, group, notes, clock),
       putConfiguration: ({
         configuration,
         source,
--- a/packages/edge/src/attempt.ts
+++ b/packages/edge/src/attempt.ts
@@ -82,7 +82,7 @@
     const {request, body, headers} = this.input;
     this.connection.client.dispatch(
       {
-        method: request.method as 'GET',
+        method: request.method,
         path: request.target,
         headers,
         body: body.length > 0 ? body : null,
--- a/packages/edge/src/requestRun.ts
+++ b/packages/edge/src/requestRun.ts
@@ -6,7 +6,7 @@
  * another as its kind and the budgets allow, and relays the answer. A request
  * that may run once at most is repeated only while no server can have run it.
  */
-import {chooseServer, type Reservation} from '@dogwoodtrestle/fleet';
+import {type Reservation} from '@dogwoodtrestle/fleet';
 import {type FleetRoute, type FleetWorkspace} from '@dogwoodtrestle/schema';
 
 import {Attempt, type AttemptFailure} from './attempt.js';
@@ -14,7 +14,9 @@
 import {type EdgeContext} from './edgeContext.js';
 import {EventScanner} from './eventScanner.js';
 import {type RefusalReason} from './refusal.js';
+import {coverRequest} from './reservationDesk.js';
 import {type PooledServer} from './serverPool.js';
+import {selectServer} from './serverSelection.js';
 import {type AnswerHead, type CallerRequest} from './wireCodec.js';
 
 /** What a run is made of. */
@@ -119,53 +121,17 @@
     if (workspace?.prepaidTokens === undefined || generation === undefined) {
       return undefined;
     }
-    const {grants, clock} = this.context;
     const tokens = generation.promptTokens + generation.maxOutputTokens;
-    const {name} = workspace;
-    this.reservation = grants.reserve(name, tokens, clock.now());
-    if (this.reservation !== undefined) return undefined;
-    const refusal = await this.awaitGrant(name, tokens);
+    const cover = await coverRequest(
+      this.context,
+      workspace.name,
+      tokens,
+      () => this.isOver,
+    );
+    if ('refusal' in cover) return cover.refusal;
+    this.reservation = cover.reservation;
     if (this.isOver) this.settle();
-    return refusal;
-  }
-
-  private async awaitGrant(
-    workspace: string,
-    tokens: number,
-  ): Promise<RefusalReason | undefined> {
-    const {grants, clock, link, loans, options} = this.context;
-    const askedAt = clock.now();
-    if (!link.isConnected) {
-      const isCovered = await loans.borrow(workspace, tokens);
-      if (!isCovered || this.isOver) return 'grantUnavailable';
-      const now = clock.now();
-      this.reservation = grants.reserve(workspace, tokens, now, true);
-      return this.reservation === undefined ? 'grantUnavailable' : undefined;
-    }
-    grants.want(workspace, tokens);
-    try {
-      const limit = askedAt + options.grantWaitMilliseconds;
-      while (!this.isOver) {
-        await Promise.race([link.report(), this.pause(limit - clock.now())]);
-        const now = clock.now();
-        this.reservation = grants.reserve(workspace, tokens, now, true);
-        if (this.reservation !== undefined) return undefined;
-        const {tokens: remaining, toldAt} = grants.remaining(workspace);
-        const isTold = toldAt >= askedAt;
-        if (isTold && remaining < tokens) return 'prepaidExhausted';
-        if (now >= limit || !link.isConnected) return 'grantUnavailable';
-        await this.pause(Math.min(grantRetryMilliseconds, limit - now));
-      }
-      return undefined;
-    } finally {
-      grants.want(workspace, -tokens);
-    }
-  }
-
-  private pause(milliseconds: number): Promise<void> {
-    return new Promise(resolve => {
-      this.context.clock.setTimer(Math.max(0, milliseconds), resolve);
-    });
+    return undefined;
   }
 
   private sendNext(): void {
@@ -183,37 +149,10 @@
   }
 
   private choose(now: number): PooledServer | undefined {
-    const {pool, options, routes, link} = this.context;
     const {service, request} = this.input;
-    const shape = routes()?.service(service);
-    const perRouter = Math.max(
-      leastConnections,
-      Math.floor(
-        ((shape?.maxConnections ?? leastConnections) * connectionShare) /
-          link.routerCount,
-      ),
-    );
-    const servers = pool.candidates(service, this.tried, perRouter, now);
-    const parts = request.generation?.parts ?? [];
-    const shared = parts.slice(0, -1);
-    const part = shared.at(-1)?.id;
-    const candidates = servers.map(server =>
-      pool.candidateOf(server, part, now),
-    );
-    const chosen = chooseServer(
-      candidates,
-      {
-        affinityKey: part,
-        sharedTokens: shared.reduce((sum, {tokens}) => sum + tokens, 0),
-        promptTokens: this.promptTokens,
-        failureDomain: options.failureDomain,
-      },
-      options.random,
-    );
-    const index = candidates.findIndex(candidate => candidate === chosen);
-    const server = servers[index];
-    if (server !== undefined && part !== undefined) server.notePart(part, now);
-    return server;
+    const {generation} = request;
+    const demand = {service, generation, tried: this.tried};
+    return selectServer(this.context, demand, now);
   }
 
   private sendTo(server: PooledServer, now: number): void {
@@ -246,7 +185,14 @@
     server.unreadTokens += this.promptTokens;
     const isCurrent = () => this.progress === progress && !this.isOver;
     progress.attempt = new Attempt(
-      {request, body, headers, server, codec: options.codec, now: clock.now},
+      {
+        request,
+        body,
+        headers,
+        server,
+        codec: options.codec,
+        now: () => clock.now(),
+      },
       {
         onHead: (status, head) => {
           if (isCurrent()) this.receiveHead(progress, status, head);
@@ -571,15 +517,6 @@
   }
 }
 
-/** Pause before a grant that was too small is tried again. */
-const grantRetryMilliseconds = 30;
-
-/** Part of a server's connections that the routers use together. */
-const connectionShare = 0.9;
-
-/** Connections to one server that every router may open. */
-const leastConnections = 4;
-
 /** Events that a server may have sent beyond those that arrived. */
 const eventsUnderWay = 1;
 
--- /dev/null
+++ b/packages/edge/src/reservationDesk.ts
@@ -0,0 +1,95 @@
+/**
+ * @fileoverview Covers the most that a request can cost before it is sent.
+ */
+import {type Reservation} from '@dogwoodtrestle/fleet';
+
+import {type EdgeContext} from './edgeContext.js';
+import {type RefusalReason} from './refusal.js';
+
+/** Pause before a grant that was too small is tried again. */
+const grantRetryMilliseconds = 30;
+
+/** What came of a try to cover a request. */
+export type Cover = {reservation: Reservation} | {refusal: RefusalReason};
+
+/** What reservations are made of. */
+export type ReservationContext = Pick<
+  EdgeContext,
+  'grants' | 'clock' | 'link' | 'loans' | 'options'
+>;
+
+/**
+ * Reserves tokens of a workspace. Where the grant is too small it asks the
+ * leader for more, or other routers while the leader is out of reach.
+ *
+ * @param isOver Whether the request has ended meanwhile.
+ */
+export async function coverRequest(
+  context: ReservationContext,
+  workspace: string,
+  tokens: number,
+  isOver: () => boolean,
+): Promise<Cover> {
+  const {grants, clock, link} = context;
+  const reservation = grants.reserve(workspace, tokens, clock.now());
+  if (reservation !== undefined) return {reservation};
+  return link.isConnected
+    ? coverFromLeader(context, workspace, tokens, isOver)
+    : coverFromRouters(context, workspace, tokens, isOver);
+}
+
+async function coverFromRouters(
+  {grants, clock, loans}: ReservationContext,
+  workspace: string,
+  tokens: number,
+  isOver: () => boolean,
+): Promise<Cover> {
+  const isCovered = await loans.borrow(workspace, tokens);
+  if (!isCovered || isOver()) return {refusal: 'grantUnavailable'};
+  return retry(grants.reserve(workspace, tokens, clock.now(), true));
+}
+
+function retry(reservation: Reservation | undefined): Cover {
+  return reservation === undefined
+    ? {refusal: 'grantUnavailable'}
+    : {reservation};
+}
+
+async function coverFromLeader(
+  context: ReservationContext,
+  workspace: string,
+  tokens: number,
+  isOver: () => boolean,
+): Promise<Cover> {
+  const {grants, clock, link, options} = context;
+  const askedAt = clock.now();
+  const limit = askedAt + options.grantWaitMilliseconds;
+  grants.want(workspace, tokens);
+  try {
+    while (!isOver()) {
+      const rest = limit - clock.now();
+      await Promise.race([link.report(), pause(context, rest)]);
+      const now = clock.now();
+      const reservation = grants.reserve(workspace, tokens, now, true);
+      if (reservation !== undefined) return {reservation};
+      const {tokens: remaining, toldAt} = grants.remaining(workspace);
+      if (toldAt >= askedAt && remaining < tokens) {
+        return {refusal: 'prepaidExhausted'};
+      }
+      if (now >= limit || !link.isConnected) break;
+      await pause(context, Math.min(grantRetryMilliseconds, limit - now));
+    }
+    return {refusal: 'grantUnavailable'};
+  } finally {
+    grants.want(workspace, -tokens);
+  }
+}
+
+function pause(
+  {clock}: ReservationContext,
+  milliseconds: number,
+): Promise<void> {
+  return new Promise(resolve => {
+    clock.setTimer(Math.max(0, milliseconds), resolve);
+  });
+}
--- a/packages/fleet/src/fleetState.ts
+++ b/packages/fleet/src/fleetState.ts
@@ -81,7 +81,7 @@
 
   apply(entry: Entry): unknown[] {
     return (entry.commands ?? []).map(command => {
-      const {kind} = command as unknown as FleetCommand;
+      const {kind} = command as FleetCommand;
       const handler = this.handlers[kind] as (
         command: unknown,
         now: number,
--- a/packages/fleet/tests/configuration.test.ts
+++ b/packages/fleet/tests/configuration.test.ts
@@ -142,7 +142,7 @@
       term: 1,
       timestamp: 0,
       kind: 'commands',
-      commands: [command as never],
+      commands: [command],
     });
     return outcome;
   }
