--- a/packages/consensus/tests/fileStorage.test.ts
+++ b/packages/consensus/tests/fileStorage.test.ts
@@ -217,3 +217,22 @@
     expect((await next.load()).entries).toEqual([]);
   });
 });
+
+describe('FileStorage without a history', () => {
+  it('removes segments before the snapshot, and loads the rest', async () => {
+    const options = {segmentBytes: 200, keepsHistory: false};
+    const storage = await reopen(options);
+    for (let index = 1; index <= 30; index++) {
+      await storage.append([entry(index)]);
+    }
+    const before = (await readdir(folder)).length;
+    await storage.saveSnapshot(snapshot(28), 25);
+    expect((await readdir(folder)).length).toBeLessThan(before);
+    expect(await readdir(path.join(folder, 'history'))).toEqual([]);
+    expect(await storage.historyGap(28)).toBeUndefined();
+    await storage.close();
+    const loaded = await (await reopen(options)).load();
+    expect(loaded.snapshot?.header.index).toBe(28);
+    expect(loaded.entries.at(-1)?.index).toBe(30);
+  });
+});
--- a/packages/consensus/tests/repair.test.ts
+++ b/packages/consensus/tests/repair.test.ts
@@ -142,6 +142,14 @@
     expect(decideRepair(situation)).toEqual(expected);
   });
 
+  it('replaces at once a replica whose disk is known to be gone', () => {
+    const members = [member('1'), member('2'), member('3')];
+    const situation = input(members, {2: {}, 3: {}}, [candidate('4', 'x')]);
+    const gone = new Set(['3']);
+    expect(decideRepair(situation).kind).toBe('none');
+    expect(decideRepair({...situation, gone}).kind).toBe('addLearner');
+  });
+
   it('waits with a removal that would not survive the next loss', () => {
     const two = input([member('1'), member('2')], {2: lost});
     expect(decideRepair(two, {targetVoters: 1})).toEqual({
--- a/scripts/test.mjs
+++ b/scripts/test.mjs
@@ -63,6 +63,10 @@
 step('format', 'npm', ['run', '--silent', 'format:check']);
 step('types', 'npm', ['run', '--silent', 'build']);
 step('lint', 'npm', ['run', '--silent', 'lint']);
+step('names of the platform stay in its adapter', 'node', [
+  'scripts/checkPlatformNames.mjs',
+]);
+step('bundle for the platform', 'node', ['platform/build.mjs']);
 step('settings page is up to date', 'node', [
   'scripts/writeSettingsPage.mjs',
   '--check',
