--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -11,6 +11,7 @@
   {
     ignores: [
       '**/dist/**',
+      'target/**',
       '**/node_modules/**',
       'packages/schema/src/generated/**',
     ],
