--- a/packages/control/src/controlNode.ts
+++ b/packages/control/src/controlNode.ts
@@ -88,7 +88,12 @@
     if (state.current !== undefined) {
       desk.putConfiguration(state.current.configuration);
     }
-    const grants = new GrantDesk(options, group, state);
+    const grants = new GrantDesk(
+      options,
+      group,
+      state,
+      () => desk.routerAddresses,
+    );
     const spreader = new AnnouncementSpreader(options, calls, group, notes);
     const service = new ControlService(
       options,
--- a/packages/control/src/grantDesk.ts
+++ b/packages/control/src/grantDesk.ts
@@ -1,12 +1,10 @@
 /**
  * @fileoverview Grants routers tokens of the prepaid totals, while this process
- * leads. Demand is soft state of the leader; what was granted is replicated.
+ * leads.
  */
 import {
   type FleetState,
-  grantTarget,
-  type RouterTotals,
-  ungranted,
+  GrantPlanner,
   type UsageOutcome,
 } from '@dogwoodtrestle/fleet';
 import {type Logger} from '@dogwoodtrestle/runtime';
@@ -16,30 +14,16 @@
   type UsageEntry,
   type UsageReply,
   type UsageReport,
-  type WorkspaceUsage,
 } from '@dogwoodtrestle/schema';
 
 import {type ControlGroup} from './controlGroup.js';
 import {type ControlOptions} from './controlOptions.js';
 
-/** What a router reported of a workspace last. */
-interface Demand {
-  usage: WorkspaceUsage;
-  heardAt: number;
-}
-
-/** A plan for one usage of a report. */
-interface Plan {
-  usage: WorkspaceUsage;
-  target: number;
-  grantUpTo: number;
-}
-
 /** Answers the routers' reports of what they spent. */
 export class GrantDesk {
-  /** Demand by workspace and router. */
-  private readonly demands = new Map<string, Map<string, Demand>>();
+  private readonly planner: GrantPlanner;
 
+  /** @param routers Peer addresses of the routers heard of lately. */
   constructor(
     private readonly options: Pick<
       ControlOptions,
@@ -47,18 +31,35 @@
     > & {logger: Logger},
     private readonly group: ControlGroup,
     private readonly state: FleetState,
-  ) {}
+    routers: () => readonly string[],
+  ) {
+    const {routerLostAfterMilliseconds} = options;
+    this.planner = new GrantPlanner(state, routers, {
+      routerLostAfterMilliseconds,
+    });
+  }
 
   async report(report: UsageReport): Promise<UsageReply> {
-    const {router, isStopping, usages} = report;
+    const {router, address, isStopping, usages} = report;
     if (!this.group.isLeader) return this.group.hint();
-    const now = this.options.clock.now();
-    for (const usage of usages) this.note(router, usage, now);
+    this.planner.note(router, usages, this.options.clock.now());
     const plans = usages.map(usage =>
-      this.plan(router, usage, isStopping, now),
+      this.planner.plan(address, usage, isStopping),
     );
-    await this.record(report, plans.map(entryOf));
-    const offers = plans.map(plan => this.offer(router, plan));
+    await this.record(
+      report,
+      plans.map(({entry}) => entry),
+    );
+    const offers = plans.map(({workspace, target}): GrantOffer => {
+      const remaining = this.planner.remaining(workspace);
+      const account = this.state.prepaid.accounts[workspace];
+      return {
+        workspace,
+        granted: account?.routers[router]?.granted ?? 0,
+        target,
+        remaining: Math.min(remaining, Number.MAX_SAFE_INTEGER),
+      };
+    });
     return {kind: 'grants', reportedAt: report.reportedAt, offers};
   }
 
@@ -83,128 +84,10 @@
           router,
           granted,
           asked: asked.grantUpTo,
-          ...this.summaryOf(workspace),
+          ...this.planner.summaryOf(workspace),
         },
         'the prepaid total does not cover the grant',
       );
     }
   }
-
-  private note(router: string, usage: WorkspaceUsage, now: number): void {
-    let routers = this.demands.get(usage.workspace);
-    if (routers === undefined) {
-      routers = new Map();
-      this.demands.set(usage.workspace, routers);
-    }
-    routers.set(router, {usage, heardAt: now});
-    const oldest = now - this.options.routerLostAfterMilliseconds;
-    for (const [name, {heardAt}] of routers) {
-      if (heardAt < oldest) routers.delete(name);
-    }
-  }
-
-  private plan(
-    router: string,
-    usage: WorkspaceUsage,
-    isStopping: boolean,
-    now: number,
-  ): Plan {
-    const routers = this.demands.get(usage.workspace);
-    const demand = {
-      rate: usage.rate,
-      totalRate: [...(routers?.values() ?? [])].reduce(
-        (sum, demand) => sum + demand.usage.rate,
-        0,
-      ),
-      routers: this.liveRouters(now),
-      ungranted: this.ungranted(usage.workspace),
-      held: this.heldOf(usage.workspace),
-      wantedElsewhere: [...(routers ?? [])].reduce(
-        (sum, [name, demand]) =>
-          name === router ? sum : sum + demand.usage.wanted,
-        0,
-      ),
-    };
-    const target = isStopping ? 0 : grantTarget(demand);
-    const needed = usage.wanted > 0 ? usage.reserved + usage.wanted : 0;
-    const unspent = Math.max(target, needed);
-    const grantUpTo = Math.ceil(usage.spent + usage.returned + unspent);
-    return {usage, target, grantUpTo};
-  }
-
-  private liveRouters(now: number): number {
-    const oldest = now - this.options.routerLostAfterMilliseconds;
-    const live = new Set<string>();
-    for (const routers of this.demands.values()) {
-      for (const [router, {heardAt}] of routers) {
-        if (heardAt >= oldest) live.add(router);
-      }
-    }
-    return live.size;
-  }
-
-  private offer(router: string, {usage, target}: Plan): GrantOffer {
-    const {workspace} = usage;
-    const remaining = this.ungranted(workspace) + this.heldOf(workspace);
-    return {
-      workspace,
-      granted: this.totalsOf(router, workspace)?.granted ?? 0,
-      target,
-      remaining: Math.min(remaining, Number.MAX_SAFE_INTEGER),
-    };
-  }
-
-  private ungranted(workspace: string): number {
-    return ungranted(
-      this.state.prepaid.accounts[workspace],
-      this.state.prepaidOf(workspace),
-    );
-  }
-
-  /** Unspent tokens that live routers hold. */
-  private heldOf(workspace: string): number {
-    let held = 0;
-    for (const [router, {usage}] of this.demands.get(workspace) ?? []) {
-      const totals = this.totalsOf(router, workspace);
-      if (totals === undefined) continue;
-      const spent = Math.max(totals.spent, usage.spent);
-      held += Math.max(0, totals.granted - totals.returned - spent);
-    }
-    return held;
-  }
-
-  /** Where the tokens of a workspace are. */
-  private summaryOf(workspace: string): object {
-    const account = this.state.prepaid.accounts[workspace];
-    const routers = Object.entries(account?.routers ?? {});
-    const live = this.demands.get(workspace);
-    let spent = 0;
-    let unaccounted = 0;
-    for (const [router, totals] of routers) {
-      spent += totals.spent;
-      if (live?.has(router) === true) continue;
-      unaccounted += totals.granted - totals.returned - totals.spent;
-    }
-    return {
-      prepaid: this.state.prepaidOf(workspace),
-      committed: account?.committed ?? 0,
-      held: this.heldOf(workspace),
-      spent,
-      /** Unspent grants of routers that are gone or out of reach. */
-      unaccounted,
-    };
-  }
-
-  private totalsOf(
-    router: string,
-    workspace: string,
-  ): RouterTotals | undefined {
-    return this.state.prepaid.accounts[workspace]?.routers[router];
-  }
-}
-
-function entryOf({usage, grantUpTo}: Plan): UsageEntry {
-  const {workspace, spent, returned, reserved, wanted, cover} = usage;
-  const committed = spent + reserved + wanted;
-  return {workspace, spent, returned, committed, cover, grantUpTo};
 }
--- a/packages/control/src/watchDesk.ts
+++ b/packages/control/src/watchDesk.ts
@@ -19,9 +19,6 @@
 /** Time for which changes are gathered before routers are told. */
 const gatherMilliseconds = 5;
 
-/** Other routers that a router is told of at the most. */
-const maxPeers = 8;
-
 /** A router that asked lately. */
 interface KnownRouter {
   address: string;
@@ -35,6 +32,9 @@
   private readonly waiting = new Set<() => void>();
   private readonly routers = new Map<string, KnownRouter>();
   private isGathering = false;
+  private addresses: string[] = [];
+  /** Changes with the addresses. */
+  private addressesRevision = 0;
 
   constructor(
     private readonly options: Pick<
@@ -45,14 +45,9 @@
     private readonly directory: ServerDirectory,
   ) {}
 
-  /** Routers that asked lately. */
-  get routerCount(): number {
-    const {clock, routerLostAfterMilliseconds} = this.options;
-    const oldest = clock.now() - routerLostAfterMilliseconds;
-    for (const [router, {heardAt}] of this.routers) {
-      if (heardAt < oldest) this.routers.delete(router);
-    }
-    return this.routers.size;
+  /** Peer addresses of the routers that asked lately, in order. */
+  get routerAddresses(): readonly string[] {
+    return this.addresses;
   }
 
   /** Another configuration is in force. */
@@ -87,25 +82,29 @@
       configuration: this.updateFrom(request.configurationVersion),
       directory: this.directory.changesSince(request.epoch, request.revision),
       replicas: this.group.addresses,
-      routers: this.routerCount,
-      peers: this.somePeers(request.address),
+      routers: this.routers.size,
+      peersRevision: this.addressesRevision,
+      peers:
+        request.peersRevision === this.addressesRevision
+          ? undefined
+          : this.addresses,
     };
   }
 
   private note({router, address}: WatchRequest): void {
-    const heardAt = this.options.clock.now();
-    this.routers.set(router, {address, heardAt});
-  }
-
-  /** Addresses of other routers, some of them where there are many. */
-  private somePeers(own: string): string[] {
+    const {clock, routerLostAfterMilliseconds} = this.options;
+    const now = clock.now();
+    let isChanged = this.routers.get(router)?.address !== address;
+    this.routers.set(router, {address, heardAt: now});
+    for (const [name, {heardAt}] of this.routers) {
+      if (now - heardAt <= routerLostAfterMilliseconds) continue;
+      this.routers.delete(name);
+      isChanged = true;
+    }
+    if (!isChanged) return;
     const addresses = [...this.routers.values()].map(({address}) => address);
-    const others = [...new Set(addresses)].filter(address => address !== own);
-    const start = Math.floor(Math.random() * others.length);
-    return [...others.slice(start), ...others.slice(0, start)].slice(
-      0,
-      maxPeers,
-    );
+    this.addresses = [...new Set(addresses)].sort();
+    this.addressesRevision++;
   }
 
   private hasNews(request: WatchRequest): boolean {
--- a/packages/edge/src/controlLink.ts
+++ b/packages/edge/src/controlLink.ts
@@ -42,6 +42,9 @@
   private contactAt = -Infinity;
   private isLost = true;
   private peers: string[] = [];
+  private peersRevision = -1;
+  /** The leader that told the routers; revisions are its own. */
+  private peersFrom?: string;
   private mostRouters = 1;
   private isStopped = false;
   private reports = 0;
@@ -76,8 +79,8 @@
     );
   }
 
-  /** Peer addresses of some other routers. */
-  get otherRouters(): readonly string[] {
+  /** Peer addresses of all routers, this one among them. */
+  get routers(): readonly string[] {
     return this.peers;
   }
 
@@ -119,18 +122,7 @@
     while (!this.isStopped) {
       const address = this.leader ?? this.someAddress();
       try {
-        const reply = await this.calls.call<WatchReply>(
-          address,
-          'watch',
-          {
-            router: this.routerId,
-            address: this.options.peerAddress,
-            configurationVersion: this.configuration?.version ?? 0,
-            epoch: this.epoch,
-            revision: this.revision,
-          },
-          {timeoutMilliseconds: this.options.watchTimeoutMilliseconds},
-        );
+        const reply = await this.ask(address);
         if (reply.kind === 'update') {
           this.accept(reply, address);
           continue;
@@ -145,6 +137,23 @@
     }
   }
 
+  private ask(address: string): Promise<WatchReply> {
+    const {watchTimeoutMilliseconds, peerAddress} = this.options;
+    return this.calls.call<WatchReply>(
+      address,
+      'watch',
+      {
+        router: this.routerId,
+        address: peerAddress,
+        configurationVersion: this.configuration?.version ?? 0,
+        epoch: this.epoch,
+        revision: this.revision,
+        peersRevision: this.peersFrom === address ? this.peersRevision : -1,
+      },
+      {timeoutMilliseconds: watchTimeoutMilliseconds},
+    );
+  }
+
   private accept(update: WatchUpdate, address: string): void {
     const {clock, logger} = this.options;
     this.leader = address;
@@ -154,7 +163,11 @@
       logger.info({leader: address}, 'control processes are reached');
     }
     this.replicas = update.replicas;
-    this.peers = update.peers;
+    if (update.peers !== undefined) {
+      this.peers = update.peers;
+      this.peersRevision = update.peersRevision;
+      this.peersFrom = address;
+    }
     this.mostRouters = Math.max(this.mostRouters, update.routers);
     if (update.directory !== undefined) {
       const {epoch, revision, records} = update.directory;
@@ -223,6 +236,7 @@
         'usage',
         {
           router: this.routerId,
+          address: this.options.peerAddress,
           life: this.life,
           isStopping: this.grants.isClosed,
           reportedAt,
--- a/packages/edge/src/edgeNode.ts
+++ b/packages/edge/src/edgeNode.ts
@@ -92,12 +92,7 @@
       grants,
       {onServers},
     );
-    const loans = new Loans(
-      options,
-      this.calls,
-      grants,
-      () => link.otherRouters,
-    );
+    const loans = new Loans(options, this.calls, grants, () => link.routers);
     const [host = '', port = '0'] = options.peerAddress.split(':');
     this.listener = new PeerListener({
       host,
--- a/packages/edge/src/requestRun.ts
+++ b/packages/edge/src/requestRun.ts
@@ -122,12 +122,12 @@
       return undefined;
     }
     const tokens = generation.promptTokens + generation.maxOutputTokens;
-    const cover = await coverRequest(
-      this.context,
-      workspace.name,
+    const need = {
+      workspace: workspace.name,
       tokens,
-      () => this.isOver,
-    );
+      request: request.attemptId,
+    };
+    const cover = await coverRequest(this.context, need, () => this.isOver);
     if ('refusal' in cover) return cover.refusal;
     this.reservation = cover.reservation;
     if (this.isOver) this.settle();
--- a/packages/edge/src/reservationDesk.ts
+++ b/packages/edge/src/reservationDesk.ts
@@ -4,6 +4,7 @@
 import {type Reservation} from '@dogwoodtrestle/fleet';
 
 import {type EdgeContext} from './edgeContext.js';
+import {type LoanNeed} from './loans.js';
 import {type RefusalReason} from './refusal.js';
 
 /** Pause before a grant that was too small is tried again. */
@@ -19,46 +20,34 @@
 >;
 
 /**
- * Reserves tokens of a workspace. Where the grant is too small it asks the
- * leader for more, or other routers while the leader is out of reach.
+ * Reserves tokens of a workspace. Where the grant is too small it borrows from
+ * the workspace's holders, and asks the leader for more while it is reached.
  *
  * @param isOver Whether the request has ended meanwhile.
  */
 export async function coverRequest(
   context: ReservationContext,
-  workspace: string,
-  tokens: number,
+  need: LoanNeed,
   isOver: () => boolean,
 ): Promise<Cover> {
-  const {grants, clock, link} = context;
+  const {grants, clock, link, loans} = context;
+  const {workspace, tokens} = need;
   const reservation = grants.reserve(workspace, tokens, clock.now());
   if (reservation !== undefined) return {reservation};
+  const hasLoan = await loans.borrow(need, !link.isConnected, isOver);
+  if (isOver()) return {refusal: 'grantUnavailable'};
+  if (hasLoan) {
+    const reservation = grants.reserve(workspace, tokens, clock.now(), true);
+    if (reservation !== undefined) return {reservation};
+  }
   return link.isConnected
-    ? coverFromLeader(context, workspace, tokens, isOver)
-    : coverFromRouters(context, workspace, tokens, isOver);
-}
-
-async function coverFromRouters(
-  {grants, clock, loans}: ReservationContext,
-  workspace: string,
-  tokens: number,
-  isOver: () => boolean,
-): Promise<Cover> {
-  const isCovered = await loans.borrow(workspace, tokens);
-  if (!isCovered || isOver()) return {refusal: 'grantUnavailable'};
-  return retry(grants.reserve(workspace, tokens, clock.now(), true));
-}
-
-function retry(reservation: Reservation | undefined): Cover {
-  return reservation === undefined
-    ? {refusal: 'grantUnavailable'}
-    : {reservation};
+    ? coverFromLeader(context, need, isOver)
+    : {refusal: 'grantUnavailable'};
 }
 
 async function coverFromLeader(
   context: ReservationContext,
-  workspace: string,
-  tokens: number,
+  {workspace, tokens}: LoanNeed,
   isOver: () => boolean,
 ): Promise<Cover> {
   const {grants, clock, link, options} = context;
--- a/packages/fleet/src/grantSizing.ts
+++ b/packages/fleet/src/grantSizing.ts
@@ -1,76 +1,79 @@
 /**
- * @fileoverview Decides how much of a workspace's prepaid total each router
- * holds, so that it can serve through a partition without starving the others.
+ * @fileoverview Decides how many of a workspace's prepaid tokens a router holds
+ * in memory.
  *
- * A router is given what it spends over a horizon, and a floor that covers one
- * large request. Near exhaustion the rest is divided by the routers' rates.
+ * All routers together hold what the workspace uses over the longest partition.
+ * Each has its own demand of a few seconds; the rest is with the workspace's
+ * holders, which lend it. What routers hold is lost with the power of their
+ * instances, so no more than that is granted, and demand is summed over all
+ * routers before it is projected: single routers see too few large requests.
  */
 
-/** What the decision looks at. */
+/** What the decision looks at. Rates are tokens a second. */
 export interface GrantDemand {
-  /** Tokens a second that this router reserved lately. */
+  /** Usual demand at this router. */
   rate: number;
-  /** The same, of all routers of the workspace. */
+  /** Usual demand at all routers of the workspace. */
   totalRate: number;
-  /** Routers heard of lately. */
-  routers: number;
+  /** Demand of the last few seconds at all routers of the workspace. */
+  recentTotalRate: number;
+  /** Whether this router is one of the workspace's holders. */
+  isHolder: boolean;
+  /** Holders that the workspace has. */
+  holders: number;
   /** Unspent tokens that no router holds. */
   ungranted: number;
   /** Unspent tokens that live routers hold. */
   held: number;
-  /** Tokens that requests of other routers wait for. */
-  wantedElsewhere: number;
 }
 
 /** Bounds of the decision. */
 export interface GrantSizingOptions {
-  /** Seconds of its own demand that a router holds. */
+  /** Seconds of all demand that routers hold together. */
   horizonSeconds: number;
-  /** Tokens that every router should hold, for one large request. */
-  floorTokens: number;
-  /** Part of the unspent tokens that floors may take together. */
-  floorShare: number;
+  /** Seconds of its own demand that every router holds. */
+  ownSeconds: number;
+  /** Part of the demand of late that counts, as it varies by chance. */
+  recentShare: number;
   /** Part of the unspent tokens that routers hold together at the most. */
   dividedShare: number;
 }
 
 export const defaultGrantSizingOptions: GrantSizingOptions = {
-  // Longest partition of the users' days, 9 s, with a rise of the demand in it.
-  horizonSeconds: 14,
-  // A long prompt and its answer on the users' sheets.
-  floorTokens: 12_000,
-  floorShare: 0.25,
+  // Longest partition of the users' days, 9 s, with a small rise in it.
+  horizonSeconds: 11,
+  // Until loans are arranged, with room for chance.
+  ownSeconds: 3,
+  recentShare: 0.85,
   dividedShare: 0.97,
 };
 
-/** Most that one router gets, in even shares. */
-const mostShares = 2.5;
-
 /** Returns the unspent tokens that a router should hold. */
 export function grantTarget(
-  {rate, totalRate, routers, ungranted, held, wantedElsewhere}: GrantDemand,
+  {
+    rate,
+    totalRate,
+    recentTotalRate,
+    isHolder,
+    holders,
+    ungranted,
+    held,
+  }: GrantDemand,
   options: Partial<GrantSizingOptions> = {},
 ): number {
-  const {horizonSeconds, floorTokens, floorShare, dividedShare} = {
+  const {horizonSeconds, ownSeconds, recentShare, dividedShare} = {
     ...defaultGrantSizingOptions,
     ...options,
   };
-  const remaining = ungranted + held;
-  const count = Math.max(1, routers);
-  if (remaining === Infinity) return rate * horizonSeconds + floorTokens;
-  const floor = Math.min(floorTokens, (remaining * floorShare) / count);
-  // Of young rates one router may seem to have all the demand.
-  const share = Math.min(
-    totalRate > 0 ? rate / totalRate : 1 / count,
-    mostShares / count,
-  );
-  const byRate = Math.min(
-    rate * horizonSeconds,
-    (remaining * dividedShare - floor * count) * share,
+  const expected = Math.max(totalRate, recentShare * recentTotalRate);
+  const rise = totalRate > 0 ? expected / totalRate : 1;
+  const own = rate * rise * ownSeconds;
+  const pooled = expected * Math.max(0, horizonSeconds - ownSeconds);
+  const target = own + (isHolder ? pooled / Math.max(1, holders) : 0);
+  const wanted = expected * horizonSeconds;
+  const scale = Math.min(
+    1,
+    (dividedShare * (ungranted + held)) / Math.max(1, wanted),
   );
-  const target = floor + byRate;
-  // Others wait for tokens that only routers hold: all give a part.
-  const lack = Math.max(0, wantedElsewhere - ungranted);
-  const kept = lack === 0 ? 1 : Math.max(0, 1 - lack / Math.max(1, held));
-  return Math.floor(target * kept);
+  return Math.floor(target * scale);
 }
--- a/packages/fleet/src/heldGrants.ts
+++ b/packages/fleet/src/heldGrants.ts
@@ -20,6 +20,8 @@
   wanted: number;
   /** Unspent tokens that other routers lent; they are spent in their books. */
   borrowed: number;
+  /** Borrowed tokens that were given back unspent. */
+  handedBack: number;
   /** Unspent tokens of the workspace as last told. */
   remaining: number;
   toldAt: number;
@@ -40,14 +42,14 @@
 /** Time constant of demand of late, which follows a workspace that surges. */
 const fastWindowMilliseconds = 3_000;
 
-/** Part of the demand of late that counts, as it varies by chance. */
-const fastShare = 0.7;
-
 /** Surplus over its target that a router keeps, as a factor. */
 const keepFactor = 1.1;
 
-/** Part of what a router could reserve that it lends at once. */
-const lentShare = 0.35;
+/** Part of what a router could reserve that it lends beyond what is needed. */
+const lentShare = 0.2;
+
+/** Seconds of its own demand that a router borrows beyond what it needs. */
+const borrowedSeconds = 1.5;
 
 /** A reservation; settled once. */
 export interface Reservation {
@@ -94,26 +96,33 @@
       grant.fastRate.add(tokens, now);
     }
     grant.isChanged = true;
-    if (roomOf(grant, now) >= tokens) {
-      grant.reserved += tokens;
-      return {workspace, tokens, isBorrowed: false, isSettled: false};
+    if (grant.borrowed >= tokens) {
+      grant.borrowed -= tokens;
+      return {workspace, tokens, isBorrowed: true, isSettled: false};
     }
-    if (grant.borrowed < tokens) return undefined;
-    grant.borrowed -= tokens;
-    return {workspace, tokens, isBorrowed: true, isSettled: false};
+    if (roomOf(grant, now) < tokens) return undefined;
+    grant.reserved += tokens;
+    return {workspace, tokens, isBorrowed: false, isSettled: false};
+  }
+
+  /** Tokens worth borrowing for a request and others that follow it soon. */
+  wishFor(workspace: string, tokens: number, now: number): number {
+    const rate = this.grantOf(workspace).slowRate.value(now);
+    return Math.ceil(tokens + rate * borrowedSeconds);
   }
 
   /**
-   * Lends tokens to another router that can't reach the leader. They count as
-   * spent here from now on, so that they are in the books once.
+   * Lends at least some tokens to another router, or none. They count as spent
+   * here from now on, so that they are in the books once.
    */
-  lend(workspace: string, tokens: number, now: number): number {
-    const grant = this.grants.get(workspace);
-    if (grant === undefined) return 0;
-    const most = Math.floor(roomOf(grant, now) * lentShare);
-    const lent = Math.max(0, Math.min(tokens, most));
+  lend(workspace: string, tokens: number, wished: number, now: number): number {
+    const grant = this.grantOf(workspace);
+    const room = Math.floor(roomOf(grant, now));
+    if (this.isClosing || room < tokens) return 0;
+    const most = Math.max(tokens, Math.floor(room * lentShare));
+    const lent = Math.min(wished, most);
     grant.spent += lent;
-    grant.isChanged ||= lent > 0;
+    grant.isChanged = true;
     return lent;
   }
 
@@ -130,6 +139,7 @@
     const spent = Math.min(Math.ceil(used), reservation.tokens);
     if (reservation.isBorrowed) {
       grant.borrowed += reservation.tokens - spent;
+      if (this.isClosing) this.returnSurplus(grant, 0);
       return;
     }
     grant.reserved -= reservation.tokens;
@@ -157,13 +167,15 @@
     const reportedAt = Math.floor(now);
     const usages: WorkspaceUsage[] = [];
     for (const [workspace, grant] of this.grants) {
-      const rate = demandOf(grant, now);
-      const {spent, returned, reserved, wanted} = grant;
+      const rate = grant.slowRate.value(now);
+      const recentRate = grant.fastRate.value(now);
+      const {spent, returned, handedBack, reserved, borrowed, wanted} = grant;
       const cover = Math.max(0, available(grant));
       const isListed = isComplete || grant.isChanged;
       if (isListed) {
-        const totals = {spent, returned, reserved, wanted};
-        usages.push({workspace, ...totals, cover, rate});
+        const totals = {spent, returned, handedBack};
+        const open = {reserved, borrowed, wanted, cover};
+        usages.push({workspace, ...totals, ...open, rate, recentRate});
       }
       if (!isPromise) continue;
       const committed = spent + reserved + wanted;
@@ -209,11 +221,16 @@
 
   /** Returns what a workspace holds beyond some tokens, unless it lacks any. */
   private returnSurplus(grant: Grant, keep: number): void {
+    if (grant.wanted > 0) return;
     const unspent = grant.granted - grant.spent - grant.returned;
-    const surplus = Math.min(unspent - Math.ceil(keep), available(grant));
-    if (surplus <= 0 || grant.wanted > 0) return;
-    grant.returned += Math.floor(surplus);
+    let surplus = Math.floor(unspent + grant.borrowed - keep);
+    if (surplus <= 0) return;
     grant.isChanged = true;
+    const handedBack = Math.min(surplus, grant.borrowed);
+    grant.borrowed -= handedBack;
+    grant.handedBack += handedBack;
+    surplus -= handedBack;
+    grant.returned += Math.max(0, Math.min(surplus, available(grant)));
   }
 
   private grantOf(workspace: string): Grant {
@@ -226,6 +243,7 @@
         reserved: 0,
         wanted: 0,
         borrowed: 0,
+        handedBack: 0,
         remaining: 0,
         toldAt: -Infinity,
         slowRate: new DecayingRate(slowWindowMilliseconds),
@@ -238,11 +256,6 @@
   }
 }
 
-/** Tokens a second by which a grant is sized. */
-function demandOf({slowRate, fastRate}: Grant, now: number): number {
-  return Math.max(slowRate.value(now), fastShare * fastRate.value(now));
-}
-
 /** Unspent tokens that are not reserved. */
 function available({granted, spent, returned, reserved}: Grant): number {
   return granted - spent - returned - reserved;
--- a/packages/fleet/src/prepaidAccounts.ts
+++ b/packages/fleet/src/prepaidAccounts.ts
@@ -21,6 +21,8 @@
   granted: number;
   spent: number;
   returned: number;
+  /** Borrowed from other routers and given back unspent. */
+  handedBack: number;
   /** Spent, reserved and wanted tokens by the newest recorded promise. */
   committed: number;
   /** Unspent tokens that the pace of that promise follows. */
@@ -97,6 +99,7 @@
       granted: 0,
       spent: 0,
       returned: 0,
+      handedBack: 0,
       committed: 0,
       cover: 0,
     });
@@ -132,6 +135,10 @@
   );
   account.committed -= returned - totals.returned;
   totals.returned = returned;
+  // Lenders count loans as spent, so what comes back is free again.
+  const handedBack = Math.max(totals.handedBack, entry.handedBack);
+  account.committed -= handedBack - totals.handedBack;
+  totals.handedBack = handedBack;
   const asked = Math.max(0, entry.grantUpTo - totals.granted);
   const free = Math.max(0, prepaid - account.committed);
   const granted = Math.floor(Math.min(asked, free));
--- a/packages/fleet/src/serverChoice.ts
+++ b/packages/fleet/src/serverChoice.ts
@@ -9,6 +9,7 @@
  * Long prompts hold up everything that is read after them, so they go to a few
  * servers of their own, and other requests avoid these.
  */
+import {rendezvousWeight} from './rendezvous.js';
 
 /** A server that may get the attempt. */
 export interface ServerCandidate {
@@ -109,7 +110,7 @@
   const ranked = pool
     .map(candidate => ({
       candidate,
-      weight: hash(`${key}/${candidate.id}`),
+      weight: rendezvousWeight(key, candidate.id),
     }))
     .sort((a, b) => b.weight - a.weight);
   const costs = new Map(
@@ -136,7 +137,10 @@
 ): ReadonlySet<ServerCandidate> {
   const count = Math.floor(pool.length * share);
   const ranked = pool
-    .map(candidate => ({candidate, weight: hash(`long/${candidate.id}`)}))
+    .map(candidate => ({
+      candidate,
+      weight: rendezvousWeight('long', candidate.id),
+    }))
     .sort((a, b) => b.weight - a.weight);
   return new Set(ranked.slice(0, count).map(({candidate}) => candidate));
 }
@@ -155,14 +159,3 @@
   }
   return best;
 }
-
-/** FNV-1a with a final mix, since its low bits barely depend on the end. */
-function hash(text: string): number {
-  let value = 0x811c9dc5;
-  for (let index = 0; index < text.length; index++) {
-    value = Math.imul(value ^ text.charCodeAt(index), 0x01000193);
-  }
-  value = Math.imul(value ^ (value >>> 16), 0x85ebca6b);
-  value = Math.imul(value ^ (value >>> 13), 0xc2b2ae35);
-  return (value ^ (value >>> 16)) >>> 0;
-}
