--- a/packages/edge/src/controlLink.ts
+++ b/packages/edge/src/controlLink.ts
@@ -19,6 +19,9 @@
 /** Pause before another control process is asked. */
 const retryMilliseconds = 60;
 
+/** Control processes that are asked side by side until one leads to a leader. */
+const scoutsAtStart = 3;
+
 /** Reports in a row that name all workspaces, not only the changed ones. */
 const completeReportEvery = 5;
 
@@ -119,6 +122,7 @@
   }
 
   private async watch(): Promise<void> {
+    await this.findLeader();
     while (!this.isStopped) {
       const address = this.leader ?? this.someAddress();
       try {
@@ -137,6 +141,30 @@
     }
   }
 
+  /**
+   * Asks several control processes side by side, as after a loss of power some
+   * don't answer for as long as a connection may take.
+   */
+  private async findLeader(): Promise<void> {
+    const scouts = Array.from({length: scoutsAtStart}, () => this.scout());
+    await Promise.any(scouts);
+  }
+
+  private async scout(): Promise<void> {
+    const {clock, logger} = this.options;
+    while (!this.isStopped && this.leader === undefined) {
+      const address = this.someAddress();
+      try {
+        const reply = await this.ask(address);
+        if (reply.kind === 'update') this.accept(reply, address);
+        else if (this.leader === undefined) this.follow(reply, address);
+      } catch (error) {
+        logger.debug({err: error, address}, 'watch failed');
+      }
+      if (this.leader === undefined) await sleep(clock, retryMilliseconds);
+    }
+  }
+
   private ask(address: string): Promise<WatchReply> {
     const {watchTimeoutMilliseconds, peerAddress} = this.options;
     return this.calls.call<WatchReply>(
--- a/packages/edge/src/serverConnections.ts
+++ b/packages/edge/src/serverConnections.ts
@@ -2,8 +2,7 @@
  * @fileoverview Connections to one backend server. A connection carries one
  * request at a time and is dropped at any doubt about what comes next on it.
  */
-import {connect, type Socket} from 'node:net';
-
+import {type ConnectCallback, openSocket} from '@dogwoodtrestle/runtime';
 import {Client} from 'undici';
 
 export interface ServerConnectionsOptions {
@@ -18,9 +17,6 @@
 /** Margin before the idle time that a server states. */
 const idleMarginMilliseconds = 1_000;
 
-/** Interval of TCP probes that find connections gone silent. */
-const keepAliveProbeMilliseconds = 2_000;
-
 const maxAnswerHeaderBytes = 32 * 1024;
 
 /** One connection. */
@@ -88,32 +84,17 @@
 
   private connect(
     connection: ServerConnection,
-    callback: (...args: [null, Socket] | [Error, null]) => void,
+    callback: ConnectCallback,
   ): void {
-    const [host = '', port = '0'] = this.address.split(':');
     this.options.onConnect();
-    const socket = connect({
-      host,
-      port: Number(port),
-      noDelay: true,
-      keepAlive: true,
-      keepAliveInitialDelay: keepAliveProbeMilliseconds,
-    });
     const {connectTimeoutMilliseconds} = this.options;
-    const timer = setTimeout(() => {
-      socket.destroy(new Error('connecting took too long'));
-    }, connectTimeoutMilliseconds);
-    let isConnected = false;
-    socket.on('error', error => {
+    const socket = openSocket(
+      this.address,
+      connectTimeoutMilliseconds,
+      callback,
+    );
+    socket.on('error', () => {
       connection.wasReset = true;
-      if (isConnected) return;
-      clearTimeout(timer);
-      callback(error, null);
-    });
-    socket.once('connect', () => {
-      isConnected = true;
-      clearTimeout(timer);
-      callback(null, socket);
     });
   }
 
--- a/packages/runtime/src/index.ts
+++ b/packages/runtime/src/index.ts
@@ -7,6 +7,7 @@
   type LabelValues,
   MetricsRegistry,
 } from './metricsRegistry.js';
+export {type ConnectCallback, openSocket} from './openSocket.js';
 export {
   type CallOptions,
   PeerCallFailed,
--- a/packages/runtime/src/peerCalls.ts
+++ b/packages/runtime/src/peerCalls.ts
@@ -6,6 +6,8 @@
  */
 import {Pool} from 'undici';
 
+import {openSocket} from './openSocket.js';
+
 /** A call without a usable reply; it may or may not have been handled. */
 export class PeerCallFailed extends Error {
   override name = 'PeerCallFailed';
@@ -84,7 +86,9 @@
     const pool = new Pool(`http://${address}`, {
       connections: connectionsPerAddress,
       pipelining: 1,
-      connect: {timeout: connectTimeoutMilliseconds, noDelay: true},
+      connect: (_, callback) => {
+        openSocket(address, connectTimeoutMilliseconds, callback);
+      },
       headersTimeout: 0,
       bodyTimeout: 0,
       keepAliveTimeout: 30_000,
--- /dev/null
+++ b/packages/runtime/tests/openSocket.test.ts
@@ -0,0 +1,29 @@
+import {DeafListener} from '@dogwoodtrestle/testkit';
+import {afterEach, beforeEach, describe, expect, it} from 'vitest';
+
+import {PeerCallFailed, PeerCalls} from '../src/index.js';
+
+/** Pattern: all instances lost their power, and some are back before others. */
+describe('a call to an instance that does not answer', () => {
+  let listener: DeafListener;
+
+  beforeEach(async () => {
+    listener = await DeafListener.start();
+  });
+
+  afterEach(() => listener.stop());
+
+  it('fails within the time limit, not up to a second later', async () => {
+    const calls = new PeerCalls({connectTimeoutMilliseconds: 200});
+    const startedAt = performance.now();
+    const call = calls.call(
+      listener.address,
+      'watch',
+      {},
+      {timeoutMilliseconds: 5_000},
+    );
+    await expect(call).rejects.toThrow(PeerCallFailed);
+    expect(performance.now() - startedAt).toBeLessThan(450);
+    await calls.close();
+  });
+});
--- a/packages/testkit/src/index.ts
+++ b/packages/testkit/src/index.ts
@@ -18,6 +18,7 @@
   type StandInProcess,
 } from './launcher/cluster.js';
 export {ctl} from './launcher/ctl.js';
+export {DeafListener} from './standIn/deafListener.js';
 export {freePort, isFree} from './launcher/freePort.js';
 export {
   ManagedProcess,
