--- a/packages/bench/src/main.ts
+++ b/packages/bench/src/main.ts
@@ -6,6 +6,7 @@
 import {Command} from 'commander';
 
 import {measureConsensus} from './consensus/consensusBench.js';
+import {compareGrantSizing} from './grants/grantBench.js';
 import {compareGrantTerms, compareMoney} from './money/index.js';
 import {
   compareFaults,
@@ -36,6 +37,10 @@
 
 /** Benches by name. */
 const benches: Record<string, Bench> = {
+  'grant-sizing': {
+    description: 'ways to size the grants that routers hold in memory',
+    run: () => compareGrantSizing(),
+  },
   overhead: {
     description: 'delay and throughput of one router against direct calls',
     run: () => measureOverhead(),
--- /dev/null
+++ b/packages/bench/tests/grants.test.ts
@@ -0,0 +1,48 @@
+import {describe, expect, it} from 'vitest';
+
+import {grantDay, grantDays, grantPolicies} from '../src/grants/grantBench.js';
+import {type GrantDay, playGrantDay} from '../src/grants/grantModel.js';
+
+const fleet = {routers: 30, customers: 10, requestsPerSecond: 150};
+
+function play(policy: keyof typeof grantPolicies, changes: Partial<GrantDay>) {
+  const outcome = playGrantDay(
+    grantDay({...fleet, ...changes}),
+    grantPolicies[policy],
+  );
+  return {...outcome, refusedShare: outcome.falselyRefused / outcome.asked};
+}
+
+/** Pattern: many routers, each with little of every customer, are cut off. */
+describe('grants that routers hold in memory', () => {
+  it.each(Object.entries(grantDays))('overspend nothing: %s', (_, changes) => {
+    expect(play('holders that lend', changes).overspent).toBe(0);
+  });
+
+  // Users ask that what a total covers is refused for one in a hundred at most.
+  it('serve what a total covers through a partition of 9 s', () => {
+    const {partition} = grantDays;
+    expect(play('holders that lend', partition).refusedShare).toBeLessThan(
+      0.01,
+    );
+  });
+
+  it('serve it after a surge as well', () => {
+    const day = grantDays['surge, then partition'];
+    expect(play('holders that lend', day).refusedShare).toBeLessThan(0.01);
+  });
+
+  it('refuse less than where each router holds its own demand', () => {
+    const {partition} = grantDays;
+    const plain = play('own demand, 14 s, no loans', partition);
+    const pooled = play('holders that lend', partition);
+    expect(pooled.refusedShare).toBeLessThan(plain.refusedShare / 2);
+  });
+
+  it('lose less with the power of all routers', () => {
+    const day = grantDays['partition, then loss of all power'];
+    const plain = play('own demand, 14 s, no loans', day);
+    const pooled = play('holders that lend', day);
+    expect(pooled.forfeitedShare).toBeLessThan(plain.forfeitedShare);
+  });
+});
--- a/packages/control/src/controlNode.ts
+++ b/packages/control/src/controlNode.ts
@@ -68,12 +68,18 @@
       parts.desk?.wake();
       parts.notes?.add(record);
     });
+    let inForce: FleetConfiguration | undefined;
     const state = new FleetState({
       onConfiguration: configuration => {
         logger.info(
-          {version: configuration.version, routes: configuration.routes.length},
+          {
+            version: configuration.version,
+            routes: configuration.routes.length,
+            prepaid: changedTotals(inForce, configuration),
+          },
           'configuration in force',
         );
+        inForce = configuration;
         parts.desk?.putConfiguration(configuration);
       },
       onServers: records => {
@@ -195,3 +201,20 @@
   if (!group.isLeader) return {isNoted: false};
   return {isNoted: !isLeaving || (await notes.flush())};
 }
+
+/** Prepaid totals that differ between two versions, by workspace. */
+function changedTotals(
+  previous: FleetConfiguration | undefined,
+  {workspaces}: FleetConfiguration,
+): Record<string, number | undefined> {
+  const before = new Map(
+    previous?.workspaces?.map(({name, prepaidTokens}) => [name, prepaidTokens]),
+  );
+  const changed = (workspaces ?? []).filter(
+    ({name, prepaidTokens}) =>
+      !before.has(name) || before.get(name) !== prepaidTokens,
+  );
+  return Object.fromEntries(
+    changed.map(({name, prepaidTokens}) => [name, prepaidTokens]),
+  );
+}
--- a/packages/edge/src/loans.ts
+++ b/packages/edge/src/loans.ts
@@ -5,7 +5,7 @@
  * What is lent is spent in the lender's books before the reply is sent; a reply
  * that is lost costs tokens, and never adds any.
  */
-import {type HeldGrants, holdersOf} from '@dogwoodtrestle/fleet';
+import {type HeldGrants, TokenHolders} from '@dogwoodtrestle/fleet';
 import {type Counter, type PeerCalls} from '@dogwoodtrestle/runtime';
 import {type LoanReply, type LoanRequest} from '@dogwoodtrestle/schema';
 
@@ -30,6 +30,7 @@
 export class Loans {
   private readonly loans: Counter;
   private readonly unansweredUntil = new Map<string, number>();
+  private readonly holders = new TokenHolders();
 
   constructor(
     private readonly options: EdgeOptions,
@@ -92,7 +93,7 @@
     const {clock, random, peerAddress} = this.options;
     const now = clock.now();
     const routers = this.routers();
-    const holders = holdersOf(workspace, routers);
+    const holders = this.holders.of(workspace, routers);
     const start = Math.floor(random() * routers.length);
     const others = isThorough
       ? rotated(routers, start).filter(router => !holders.includes(router))
--- a/packages/fleet/src/grantPlanner.ts
+++ b/packages/fleet/src/grantPlanner.ts
@@ -10,7 +10,7 @@
   grantTarget,
 } from './grantSizing.js';
 import {type PrepaidBook, ungranted} from './prepaidAccounts.js';
-import {holdersOf} from './tokenHolders.js';
+import {TokenHolders} from './tokenHolders.js';
 
 /** What a router reported of a workspace last. */
 interface Demand {
@@ -48,6 +48,7 @@
   private readonly options: GrantPlannerOptions;
   /** Demand by workspace and router. */
   private readonly demands = new Map<string, Map<string, Demand>>();
+  private readonly holders = new TokenHolders();
 
   constructor(
     private readonly state: PlannedState,
@@ -125,7 +126,7 @@
   private targetOf(address: string, usage: WorkspaceUsage): number {
     const {workspace, rate} = usage;
     const demands = [...(this.demands.get(workspace)?.values() ?? [])];
-    const holders = holdersOf(workspace, this.routers());
+    const holders = this.holders.of(workspace, this.routers());
     const sumOf = (amountOf: (usage: WorkspaceUsage) => number) =>
       demands.reduce((sum, {usage}) => sum + amountOf(usage), 0);
     return grantTarget(
--- a/packages/fleet/src/tokenHolders.ts
+++ b/packages/fleet/src/tokenHolders.ts
@@ -8,12 +8,31 @@
 import {rankFor} from './rendezvous.js';
 
 /** Holders of one workspace: more lose less with a router that dies. */
-export const holdersPerWorkspace = 5;
+const holdersPerWorkspace = 5;
 
-/** Returns the addresses of a workspace's holders, the first in rank first. */
-export function holdersOf(
-  workspace: string,
-  routers: readonly string[],
-): string[] {
-  return rankFor(`holder/${workspace}`, routers).slice(0, holdersPerWorkspace);
+/** Ranks routers, and remembers the ranks until the routers change. */
+export class TokenHolders {
+  private ranked: readonly string[] = [];
+  private readonly known = new Map<string, string[]>();
+
+  /**
+   * Returns the addresses of a workspace's holders, the first in rank first.
+   *
+   * @param routers Addresses of all routers; another array for other routers.
+   */
+  of(workspace: string, routers: readonly string[]): readonly string[] {
+    if (routers !== this.ranked) {
+      this.ranked = routers;
+      this.known.clear();
+    }
+    let holders = this.known.get(workspace);
+    if (holders === undefined) {
+      holders = rankFor(`holder/${workspace}`, routers).slice(
+        0,
+        holdersPerWorkspace,
+      );
+      this.known.set(workspace, holders);
+    }
+    return holders;
+  }
 }
