--- a/packages/consensus/src/election.ts
+++ b/packages/consensus/src/election.ts
@@ -13,10 +13,21 @@
 
 type Ballot = Pick<VoteRequest, 'term' | 'preVote' | 'transfer'>;
 
+/** Factor by which a campaign that failed stretches the times of the next. */
+const backoffFactor = 1.6;
+
+/** Most that the times are stretched. */
+const maxBackoff = 6;
+
 /** Stands for election when no leader is heard of, and answers candidates. */
 export class Election {
   private cancelTimer?: () => void;
   private campaigns = 0;
+  /**
+   * Campaigns since a leader was heard of; they stretch the times. Where writes or messages take about
+   * as long as the times differ, replicas stand in each other's way for ever.
+   */
+  private failures = 0;
 
   constructor(
     private readonly state: ReplicaState,
@@ -32,9 +43,16 @@
     );
   }
 
-  /** Starts the time after which the replica stands for election. */
-  resetTimer(): void {
-    this.setTimer(this.state.options.electionTimeoutMilliseconds);
+  /** A leader was heard of; starts the time after which it counts as lost. */
+  followLeader(): void {
+    this.failures = 0;
+    this.resetTimer();
+  }
+
+  private resetTimer(): void {
+    this.setTimer(
+      this.state.options.electionTimeoutMilliseconds * this.backoff,
+    );
   }
 
   private setTimer(timeoutMilliseconds: number): void {
@@ -116,10 +134,17 @@
   }
 
   private onTimeout(): void {
+    this.failures++;
     this.resetTimer();
     void this.campaign(false).catch(() => undefined);
   }
 
+  private get backoff(): number {
+    // The first collision of two candidates needs no longer times.
+    const exponent = Math.max(0, this.failures - 1);
+    return Math.min(maxBackoff, backoffFactor ** exponent);
+  }
+
   private isCurrent(campaign: number, term: number): boolean {
     const {state} = this;
     return (
@@ -171,7 +196,8 @@
       ...ballot,
     });
     try {
-      const reply = await withTimeout(sent, messageTimeoutMilliseconds, clock);
+      const limit = messageTimeoutMilliseconds * this.backoff;
+      const reply = await withTimeout(sent, limit, clock);
       if (reply.kind !== 'vote') return false;
       if (reply.term > state.term) void state.follow(reply.term);
       return reply.granted;
--- a/packages/consensus/src/follower.ts
+++ b/packages/consensus/src/follower.ts
@@ -114,7 +114,7 @@
     }
     void state.follow(term, leader);
     state.leaderContact = state.options.clock.now();
-    this.election.resetTimer();
+    this.election.followLeader();
     return true;
   }
 
--- a/packages/consensus/tests/support/crashableStorage.ts
+++ b/packages/consensus/tests/support/crashableStorage.ts
@@ -22,6 +22,8 @@
     readonly identity: string,
     private readonly random: () => number,
     public schedule: (delay: number, callback: () => void) => void,
+    /** Time of every write in milliseconds; drawn where it is missing. */
+    public writeMilliseconds?: number,
   ) {}
 
   crash(): void {
@@ -102,7 +104,9 @@
   private write(effect: () => void): Promise<void> {
     return new Promise(resolve => {
       this.pending = effect;
-      const delay = this.random() * (this.random() < 0.2 ? 200 : 8);
+      const delay =
+        this.writeMilliseconds ??
+        this.random() * (this.random() < 0.2 ? 200 : 8);
       this.schedule(delay, () => {
         if (this.pending !== effect) return;
         this.pending = undefined;
