--- a/packages/bench/src/grants/grantBench.ts
+++ b/packages/bench/src/grants/grantBench.ts
@@ -57,6 +57,10 @@
     partitions: [{from: 15_000, to: 24_000}],
     powerLossAt: 26_000,
   },
+  'partition as totals run out': {
+    partitions: [{from: 24_000, to: 33_000}],
+    prepaidFactor: 0.95,
+  },
 } satisfies Record<string, Pick<GrantDay, 'partitions'> & Partial<GrantDay>>;
 
 /** A day of the users' length and totals. */
--- a/packages/edge/src/refusal.ts
+++ b/packages/edge/src/refusal.ts
@@ -31,8 +31,8 @@
   noConfiguration: {
     status: 503,
     message: 'The router has no configuration yet.',
-    // A router starts within a second; others are ready.
-    retryAfterSeconds: 0.5,
+    // After a loss of all power routers know it again within a second.
+    retryAfterSeconds: 1,
   },
   malformed: {status: 400, message: 'The request lacks its attempt id.'},
   unknownRoute: {status: 404, message: 'No route matches the request.'},
@@ -45,8 +45,8 @@
   grantUnavailable: {
     status: 503,
     message: 'This router can not cover the request now; it has not run.',
-    // Another router may hold tokens; this one gets more once it is connected.
-    retryAfterSeconds: 0.3,
+    // Tokens come free as requests end and routers report: two reports.
+    retryAfterSeconds: 0.8,
   },
   noServer: {
     status: 503,
--- a/packages/fleet/src/grantSizing.ts
+++ b/packages/fleet/src/grantSizing.ts
@@ -66,14 +66,12 @@
     ...options,
   };
   const expected = Math.max(totalRate, recentShare * recentTotalRate);
-  const rise = totalRate > 0 ? expected / totalRate : 1;
-  const own = rate * rise * ownSeconds;
-  const pooled = expected * Math.max(0, horizonSeconds - ownSeconds);
-  const target = own + (isHolder ? pooled / Math.max(1, holders) : 0);
   const wanted = expected * horizonSeconds;
-  const scale = Math.min(
-    1,
-    (dividedShare * (ungranted + held)) / Math.max(1, wanted),
-  );
-  return Math.floor(target * scale);
+  const shared = Math.min(wanted, dividedShare * (ungranted + held));
+  // Of scarce tokens more are with the holders, as small rests serve nobody.
+  const plenty = wanted > 0 ? shared / wanted : 1;
+  const ownOfAll = expected * ownSeconds * plenty ** 2;
+  const own = totalRate > 0 ? (ownOfAll * rate) / totalRate : 0;
+  const pooled = Math.max(0, shared - ownOfAll);
+  return Math.floor(own + (isHolder ? pooled / Math.max(1, holders) : 0));
 }
--- a/packages/fleet/src/heldGrants.ts
+++ b/packages/fleet/src/heldGrants.ts
@@ -49,7 +49,7 @@
 const lentShare = 0.2;
 
 /** Seconds of its own demand that a router borrows beyond what it needs. */
-const borrowedSeconds = 1.5;
+const borrowedSeconds = 0.5;
 
 /** A reservation; settled once. */
 export interface Reservation {
--- a/packages/fleet/src/spendingPace.ts
+++ b/packages/fleet/src/spendingPace.ts
@@ -20,7 +20,7 @@
 }
 
 /** Part of the cover that may be used at once. */
-const immediateShare = 0.15;
+const immediateShare = 0.25;
 
 /** Tokens that may be used at once in any case: one long prompt. */
 const immediateTokens = 16_000;
