--- a/packages/control/src/controlNode.ts
+++ b/packages/control/src/controlNode.ts
@@ -56,8 +56,8 @@
   /** Opens the data folder, and listens for calls of other processes. */
   static async start(input: ControlInput): Promise<ControlNode> {
     const options: ControlOptions = {...defaultControlOptions, ...input};
-    const {logger, clock, metrics} = options;
-    const calls = new PeerCalls();
+    const {logger, clock, metrics, proxy} = options;
+    const calls = new PeerCalls({localAddress: proxy?.callFrom});
     const storage = await FileStorage.open(options.dataFolder, {
       keepsHistory: false,
     });
@@ -140,7 +140,7 @@
     const [host = '', port = '0'] = options.peerAddress.split(':');
     const listener = new PeerListener({
       host,
-      port: Number(port),
+      port: proxy?.listenPort ?? Number(port),
       handlers,
       logger,
     });
--- a/packages/control/src/controlOptions.ts
+++ b/packages/control/src/controlOptions.ts
@@ -6,6 +6,7 @@
   type Clock,
   type Logger,
   type MetricsRegistry,
+  type PeerProxy,
   silentLogger,
   systemClock,
 } from '@dogwoodtrestle/runtime';
@@ -40,6 +41,8 @@
   failureDomain: string;
   /** Address for calls of other processes, `host:port`. */
   peerAddress: string;
+  /** Proxy before the peer address; none where it is missing. */
+  proxy?: PeerProxy;
   dataFolder: string;
   /** Peer addresses of some control processes, as the settings name them. */
   seeds: () => string[];
--- a/packages/edge/src/edgeNode.ts
+++ b/packages/edge/src/edgeNode.ts
@@ -54,14 +54,15 @@
 /** One router. */
 export class EdgeNode {
   private readonly context: EdgeContext;
-  private readonly calls = new PeerCalls();
+  private readonly calls: PeerCalls;
   private readonly server: Server;
   private readonly listener: PeerListener;
   private readonly runs = new Set<RequestRun>();
   private isStopping = false;
 
   private constructor(private readonly options: EdgeOptions) {
-    const {clock, logger, metrics} = options;
+    const {clock, logger, metrics, proxy} = options;
+    this.calls = new PeerCalls({localAddress: proxy?.callFrom});
     const grants = new HeldGrants();
     const connections = metrics.counter(
       'dogwoodtrestle_server_connections_total',
@@ -96,7 +97,7 @@
     const [host = '', port = '0'] = options.peerAddress.split(':');
     this.listener = new PeerListener({
       host,
-      port: Number(port),
+      port: proxy?.listenPort ?? Number(port),
       handlers: {lend: async (request: LoanRequest) => loans.lend(request)},
       logger,
     });
--- a/packages/edge/src/edgeOptions.ts
+++ b/packages/edge/src/edgeOptions.ts
@@ -6,6 +6,7 @@
   type Clock,
   type Logger,
   type MetricsRegistry,
+  type PeerProxy,
   silentLogger,
   systemClock,
 } from '@dogwoodtrestle/runtime';
@@ -44,6 +45,8 @@
   callerAddress: string;
   /** Address for calls of other processes, `host:port`. */
   peerAddress: string;
+  /** Proxy before the peer address; none where it is missing. */
+  proxy?: PeerProxy;
   /** Peer addresses of some control processes, as the settings name them. */
   seeds: () => string[];
   codec: WireCodec;
--- a/packages/edge/src/serverConnections.ts
+++ b/packages/edge/src/serverConnections.ts
@@ -87,10 +87,9 @@
     callback: ConnectCallback,
   ): void {
     this.options.onConnect();
-    const {connectTimeoutMilliseconds} = this.options;
     const socket = openSocket(
       this.address,
-      connectTimeoutMilliseconds,
+      {timeoutMilliseconds: this.options.connectTimeoutMilliseconds},
       callback,
     );
     socket.on('error', () => {
--- a/packages/runtime/src/index.ts
+++ b/packages/runtime/src/index.ts
@@ -19,5 +19,6 @@
   type CallHandlers,
   PeerListener,
   type PeerListenerOptions,
+  type PeerProxy,
 } from './peerListener.js';
 export {PeriodicTask, type PeriodicTaskOptions} from './periodicTask.js';
--- a/packages/runtime/src/openSocket.ts
+++ b/packages/runtime/src/openSocket.ts
@@ -14,16 +14,24 @@
   ...outcome: [error: null, socket: Socket] | [error: Error, socket: null]
 ) => void;
 
+/** Bounds and origin of a connection. */
+export interface SocketOptions {
+  timeoutMilliseconds: number;
+  /** Address that it comes from; chosen by the system where it is missing. */
+  localAddress?: string;
+}
+
 /** Connects to `host:port`; calls back once. */
 export function openSocket(
   address: string,
-  timeoutMilliseconds: number,
+  {timeoutMilliseconds, localAddress}: SocketOptions,
   callback: ConnectCallback,
 ): Socket {
   const [host = '', port = '0'] = address.split(':');
   const socket = connect({
     host,
     port: Number(port),
+    localAddress,
     noDelay: true,
     keepAlive: true,
     keepAliveInitialDelay: keepAliveProbeMilliseconds,
--- a/packages/runtime/src/peerCalls.ts
+++ b/packages/runtime/src/peerCalls.ts
@@ -25,6 +25,8 @@
   connectTimeoutMilliseconds: number;
   /** Addresses whose connections are kept open. */
   maxAddresses: number;
+  /** Address that calls come from; chosen by the system where it is missing. */
+  localAddress?: string;
 }
 
 /** Sized for a call that waits, consensus messages and short calls. */
@@ -82,12 +84,17 @@
     const known = this.pools.get(address);
     if (known !== undefined) return known;
     this.dropOldest();
-    const {connectionsPerAddress, connectTimeoutMilliseconds} = this.options;
+    const {connectionsPerAddress, connectTimeoutMilliseconds, localAddress} =
+      this.options;
+    const bounds = {
+      timeoutMilliseconds: connectTimeoutMilliseconds,
+      localAddress,
+    };
     const pool = new Pool(`http://${address}`, {
       connections: connectionsPerAddress,
       pipelining: 1,
       connect: (_, callback) => {
-        openSocket(address, connectTimeoutMilliseconds, callback);
+        openSocket(address, bounds, callback);
       },
       headersTimeout: 0,
       bodyTimeout: 0,
--- a/packages/runtime/src/peerListener.ts
+++ b/packages/runtime/src/peerListener.ts
@@ -17,6 +17,14 @@
 export type CallHandlers = Readonly<Record<string, CallHandler>>;
 
 /** What the listener needs. */
+/** A proxy that takes the calls of other processes and passes them on. */
+export interface PeerProxy {
+  /** Port on which the process listens behind it. */
+  listenPort: number;
+  /** Address that the process's own calls come from. */
+  callFrom: string;
+}
+
 export interface PeerListenerOptions {
   host: string;
   port: number;
--- a/packages/testkit/src/launcher/managedProcess.ts
+++ b/packages/testkit/src/launcher/managedProcess.ts
@@ -20,6 +20,8 @@
   command: string[];
   logFile: string;
   readyTimeoutMilliseconds: number;
+  /** Variables besides those of this process. */
+  environment?: Readonly<Record<string, string>>;
 }
 
 type LogLine = Record<string, unknown>;
@@ -63,6 +65,7 @@
   static start(options: ProcessOptions): ManagedProcess {
     const child = spawn(process.execPath, options.command, {
       stdio: ['ignore', 'pipe', 'pipe'],
+      env: {...process.env, ...options.environment},
     });
     return new ManagedProcess(options, child);
   }
