--- a/packages/testkit/src/index.ts
+++ b/packages/testkit/src/index.ts
@@ -44,3 +44,4 @@
   ServiceServer,
 } from './standIn/serviceServer.js';
 export {eventually} from './util/eventually.js';
+export {seededRandom} from './util/seededRandom.js';
