feat(control): a line and a counter for each router life that ends

The leader now says so: basis of the bound on unreported spending, its length, tokens returned and forfeited by workspace.

--- a/packages/bench/src/grants/grantModel.ts
+++ b/packages/bench/src/grants/grantModel.ts
@@ -264,7 +264,7 @@
       this.planner.plan(instance, usage, false),
     );
     const life = {instance, clock: 'boot-1', startedAt};
-    const outcomes = recordUsage(
+    const {outcomes} = recordUsage(
       this.book,
       {
         kind: 'recordUsage',
--- a/packages/control/src/grantDesk.ts
+++ b/packages/control/src/grantDesk.ts
@@ -3,11 +3,12 @@
  * leads.
  */
 import {
+  type EndedLife,
   type FleetState,
   GrantPlanner,
-  type UsageOutcome,
+  type UsageRecord,
 } from '@dogwoodtrestle/fleet';
-import {type Logger} from '@dogwoodtrestle/runtime';
+import {type Counter, type Logger} from '@dogwoodtrestle/runtime';
 import {
   type GrantOffer,
   type RecordUsage,
@@ -22,18 +23,23 @@
 /** Answers the routers' reports of what they spent. */
 export class GrantDesk {
   private readonly planner: GrantPlanner;
+  private readonly endedTokens: Counter;
 
   /** @param routers Peer addresses of the routers heard of lately. */
   constructor(
     private readonly options: Pick<
       ControlOptions,
-      'clock' | 'routerLostAfterMilliseconds'
+      'clock' | 'routerLostAfterMilliseconds' | 'metrics'
     > & {logger: Logger},
     private readonly group: ControlGroup,
     private readonly state: FleetState,
     routers: () => readonly string[],
   ) {
-    const {routerLostAfterMilliseconds} = options;
+    const {routerLostAfterMilliseconds, metrics} = options;
+    this.endedTokens = metrics.counter(
+      'dogwoodtrestle_ended_life_tokens_total',
+      'Unspent tokens of router lives that ended, by outcome and basis.',
+    );
     this.planner = new GrantPlanner(state, routers, {
       routerLostAfterMilliseconds,
     });
@@ -74,8 +80,10 @@
       reportedAt,
       entries,
     };
-    const [outcomes] = await this.group.replica.propose([command]);
-    for (const {workspace, granted} of outcomes as UsageOutcome[]) {
+    const [result] = await this.group.replica.propose([command]);
+    const {outcomes, ended} = result as UsageRecord;
+    for (const life of ended) this.noteEnd(life, router);
+    for (const {workspace, granted} of outcomes) {
       const asked = entries.find(entry => entry.workspace === workspace);
       if (asked === undefined || granted >= asked.grantUpTo) continue;
       this.options.logger.info(
@@ -90,4 +98,15 @@
       );
     }
   }
+
+  private noteEnd(life: EndedLife, successor: string): void {
+    const {basis, returned, forfeited} = life;
+    this.options.logger.info({...life, successor}, "a router's life ended");
+    this.endedTokens.add({outcome: 'returned', basis}, sumOf(returned));
+    this.endedTokens.add({outcome: 'forfeited', basis}, sumOf(forfeited));
+  }
+}
+
+function sumOf(tokens: Record<string, number>): number {
+  return Object.values(tokens).reduce((sum, amount) => sum + amount, 0);
 }
--- a/packages/fleet/src/prepaidAccounts.ts
+++ b/packages/fleet/src/prepaidAccounts.ts
@@ -59,6 +59,28 @@
   granted: number;
 }
 
+/** What bounds the time for which a life spent tokens unreported. */
+export type SpanBasis = 'steadyClock' | 'none';
+
+/** A life that another one of its instance ended. */
+export interface EndedLife {
+  router: string;
+  instance: string;
+  basis: SpanBasis;
+  /** Most time from its newest promise to its end, where there is a bound. */
+  milliseconds?: number;
+  /** Tokens that went back, by workspace. */
+  returned: Record<string, number>;
+  /** Unspent tokens that count as spent for good, by workspace. */
+  forfeited: Record<string, number>;
+}
+
+/** What came of a report. */
+export interface UsageRecord {
+  outcomes: UsageOutcome[];
+  ended: EndedLife[];
+}
+
 /** Lives that ended this long ago are forgotten. */
 const forgetLifeAfterMilliseconds = 3_600_000;
 
@@ -82,15 +104,16 @@
   {router, life, reportedAt, entries}: RecordUsage,
   prepaidOf: (workspace: string) => number,
   now: number,
-): UsageOutcome[] {
-  const record = openLife(book, router, life, now);
+): UsageRecord {
+  const ended: EndedLife[] = [];
+  const record = openLife(book, router, life, now, ended);
   record.changedAt = now;
   const isPromise =
     !record.isOver &&
     reportedAt !== undefined &&
     reportedAt >= record.promisedAt;
   if (isPromise) record.promisedAt = reportedAt;
-  return entries.map(entry => {
+  const outcomes = entries.map(entry => {
     const account = (book.accounts[entry.workspace] ??= {
       committed: 0,
       routers: {},
@@ -112,6 +135,7 @@
     }
     return {workspace: entry.workspace, granted: totals.granted};
   });
+  return {outcomes, ended};
 }
 
 /** Tokens of a workspace that no router holds. */
@@ -152,12 +176,13 @@
   router: string,
   life: RouterLife,
   now: number,
+  ended: EndedLife[],
 ): RouterRecord {
   const known = book.routers[router];
   if (known !== undefined) return known;
   for (const [other, record] of Object.entries(book.routers)) {
     if (record.life.instance === life.instance && !record.isOver) {
-      endLife(book, other, record, life);
+      ended.push(endLife(book, other, record, life));
     }
     const age = now - record.changedAt;
     if (record.isOver && age > forgetLifeAfterMilliseconds) {
@@ -180,24 +205,54 @@
   router: string,
   record: RouterRecord,
   successor: RouterLife,
-): void {
+): EndedLife {
   record.isOver = true;
-  const isSameClock =
-    record.life.clock === successor.clock &&
-    successor.startedAt >= record.promisedAt;
-  if (!isSameClock) return;
-  const endedBy = successor.startedAt + clockMarginMilliseconds;
-  for (const account of Object.values(book.accounts)) {
+  const milliseconds = unreportedSpan(record, successor);
+  const ended: EndedLife = {
+    router,
+    instance: record.life.instance,
+    basis: milliseconds === undefined ? 'none' : 'steadyClock',
+    milliseconds,
+    returned: {},
+    forfeited: {},
+  };
+  for (const [workspace, account] of Object.entries(book.accounts)) {
     const totals = account.routers[router];
     if (totals === undefined) continue;
-    const {committed, cover, granted, returned} = totals;
-    const promise = {at: record.promisedAt, committed, cover};
-    const mostSpent = Math.max(totals.spent, paceLimit(promise, endedBy));
-    const unspent = granted - returned - mostSpent;
-    if (unspent <= 0) continue;
-    totals.returned += unspent;
-    account.committed -= unspent;
+    const unspent = totals.granted - totals.returned - totals.spent;
+    const returned = Math.min(
+      unspent,
+      unspentAfter(record, totals, milliseconds),
+    );
+    totals.returned += returned;
+    account.committed -= returned;
+    if (returned > 0) ended.returned[workspace] = returned;
+    if (unspent > returned) ended.forfeited[workspace] = unspent - returned;
   }
+  return ended;
+}
+
+/** Most time from a life's newest promise to its end; undefined for any. */
+function unreportedSpan(
+  {life, promisedAt}: RouterRecord,
+  successor: RouterLife,
+): number | undefined {
+  const isSameClock =
+    life.clock === successor.clock && successor.startedAt >= promisedAt;
+  if (!isSameClock) return undefined;
+  return successor.startedAt - promisedAt + clockMarginMilliseconds;
+}
+
+/** Tokens that a life can't have spent within a time after its promise. */
+function unspentAfter(
+  {promisedAt}: RouterRecord,
+  {committed, cover, granted, returned}: RouterTotals,
+  milliseconds: number | undefined,
+): number {
+  if (milliseconds === undefined) return 0;
+  const promise = {at: promisedAt, committed, cover};
+  const mostSpent = paceLimit(promise, promisedAt + milliseconds);
+  return Math.max(0, granted - returned - mostSpent);
 }
 
 function forgetLife(book: PrepaidBook, router: string): void {
--- a/packages/fleet/tests/prepaidAccounts.test.ts
+++ b/packages/fleet/tests/prepaidAccounts.test.ts
@@ -60,7 +60,7 @@
     grantUpTo:
       usage.spent + usage.returned + usage.reserved + usage.wanted + target,
   }));
-  const outcomes = recordUsage(
+  const {outcomes} = recordUsage(
     book,
     {kind: 'recordUsage', router: router.name, life, reportedAt, entries},
     () => prepaid,
