--- a/packages/bench/src/grants/grantBench.ts
+++ b/packages/bench/src/grants/grantBench.ts
@@ -57,6 +57,13 @@
     partitions: [{from: 15_000, to: 24_000}],
     powerLossAt: 26_000,
   },
+  'loss of all power as totals run out': {
+    partitions: [{from: 24_000, to: 32_000}],
+    powerLossAt: 34_000,
+    durationMilliseconds: 52_000,
+    // Funded for 1.3 times the use until the loss of power.
+    prepaidFactor: 0.85,
+  },
   'partition as totals run out': {
     partitions: [{from: 24_000, to: 33_000}],
     prepaidFactor: 0.95,
@@ -97,6 +104,14 @@
           'falsely refused %': percent(
             mean(({falselyRefused}) => falselyRefused) / asked,
           ),
+          'refused after the loss %': percent(
+            mean(({falselyRefusedAfterLoss}) => falselyRefusedAfterLoss) /
+              Math.max(
+                1,
+                mean(({askedAfterLoss}) => askedAfterLoss),
+              ),
+          ),
+          'held at the loss %': percent(mean(({heldShare}) => heldShare)),
           'forfeited %': percent(mean(({forfeitedShare}) => forfeitedShare)),
           overspent: mean(({overspent}) => overspent),
           'loans a request': round(mean(({loans}) => loans) / asked),
--- a/packages/bench/src/grants/grantModel.ts
+++ b/packages/bench/src/grants/grantModel.ts
@@ -52,8 +52,14 @@
   asked: number;
   /** Refused though the customer had used less than its total. */
   falselyRefused: number;
-  /** Part of all totals that was lost with the power of routers. */
+  /** Part of all totals that routers held unspent as they lost their power. */
+  heldShare: number;
+  /** Part of all totals that never came back after that. */
   forfeitedShare: number;
+  /** Requests after the loss of power. */
+  askedAfterLoss: number;
+  /** Those of them that were falsely refused. */
+  falselyRefusedAfterLoss: number;
   /** Tokens used beyond a total, over all customers. */
   overspent: number;
   loans: number;
@@ -77,6 +83,10 @@
 }
 
 const tickMilliseconds = 20;
+
+/** Time without power, as on the users' days. */
+const downMilliseconds = 1_000;
+
 const reportMilliseconds = 400;
 
 /** Median and spread of the tokens of a request on the users' sheets. */
@@ -111,10 +121,16 @@
   private open: OpenRequest[] = [];
   private now = 0;
   private lives = 0;
+  /** Losses of power; steady clocks start anew after each. */
+  private boots = 0;
+  private downUntil?: number;
   private readonly outcome: GrantDayOutcome = {
     asked: 0,
     falselyRefused: 0,
+    heldShare: 0,
     forfeitedShare: 0,
+    askedAfterLoss: 0,
+    falselyRefusedAfterLoss: 0,
     overspent: 0,
     loans: 0,
     urgentReports: 0,
@@ -149,12 +165,15 @@
       if (powerLossAt !== undefined && isTick(this.now, powerLossAt)) {
         this.losePower();
       }
+      if (this.downUntil !== undefined && this.now >= this.downUntil) {
+        this.regainPower();
+      }
       this.endRequests();
       while (nextArrival <= this.now) {
         this.receive();
         nextArrival += exponential(requestsPerSecond, this.random) * 1_000;
       }
-      if (this.now < nextReport) continue;
+      if (this.now < nextReport || this.downUntil !== undefined) continue;
       nextReport = this.now + reportMilliseconds;
       for (const router of this.routers) this.report(router, true);
     }
@@ -197,6 +216,7 @@
   }
 
   private receive(): void {
+    if (this.downUntil !== undefined) return;
     const {surge} = this.day;
     const isSurging = surge !== undefined && isWithin(this.now, surge);
     const weights = this.weights.map((weight, index) =>
@@ -206,7 +226,9 @@
     const router = this.routers[weightedIndex(this.routerWeights, this.random)];
     if (router === undefined) return;
     const tokens = drawTokens(this.random);
+    const isAfterLoss = this.now >= (this.day.powerLossAt ?? Infinity);
     this.outcome.asked++;
+    if (isAfterLoss) this.outcome.askedAfterLoss++;
     const reservation = this.cover(router, customer, tokens);
     const used = Math.ceil(tokens * usedShare);
     if (reservation === undefined) {
@@ -214,6 +236,7 @@
       // As the users count: what doesn't fit into 97% isn't owed.
       if (left > 0.03 * (this.prepaid.get(customer) ?? 0) + tokens) {
         this.outcome.falselyRefused++;
+        if (isAfterLoss) this.outcome.falselyRefusedAfterLoss++;
       }
       return;
     }
@@ -259,11 +282,12 @@
     const {usages, reportedAt} = router.grants.report(isComplete, this.now);
     if (this.isPartitioned) return;
     const {id, instance, startedAt} = router;
+    const clock = `boot-${this.boots}`;
     this.planner.note(id, usages, this.now);
     const plans = usages.map(usage =>
       this.planner.plan(instance, usage, false),
     );
-    const life = {instance, clock: 'boot-1', startedAt};
+    const life = {instance, clock, startedAt};
     const {outcomes} = recordUsage(
       this.book,
       {
@@ -290,17 +314,39 @@
     for (const {router, reservation, used} of lost) {
       router.grants.settle(reservation, used);
     }
-    const used = sum(this.used.values());
+    this.outcome.heldShare = this.unusedShare();
+    this.boots++;
+    this.downUntil = this.now + downMilliseconds;
+  }
+
+  /** All routers start again, with steady clocks that start anew. */
+  private regainPower(): void {
+    this.downUntil = undefined;
+    this.routers = this.routers.map(({instance}) => this.start(instance));
+    for (const router of this.routers) this.report(router, true);
+    // Nothing was granted to the new lives yet but what is returned below.
+    this.outcome.forfeitedShare = this.unusedShare() - this.liveShare();
+  }
+
+  /** Part of all totals that is committed and not used. */
+  private unusedShare(): number {
     const committed = sum(
       Object.values(this.book.accounts).map(({committed}) => committed),
     );
-    this.outcome.forfeitedShare =
-      (committed - used) / sum(this.prepaid.values());
-    // Another name, as a life with another steady clock gets nothing back.
-    this.routers = this.routers.map(({instance}) => ({
-      ...this.start(instance),
-      id: `${instance}/${this.lives++}`,
-    }));
+    const used = sum(this.used.values());
+    return (committed - used) / sum(this.prepaid.values());
+  }
+
+  /** Part of all totals that the routers that run were granted. */
+  private liveShare(): number {
+    const live = new Set(this.routers.map(({id}) => id));
+    let granted = 0;
+    for (const {routers} of Object.values(this.book.accounts)) {
+      for (const [router, totals] of Object.entries(routers)) {
+        if (live.has(router)) granted += totals.granted - totals.returned;
+      }
+    }
+    return granted / sum(this.prepaid.values());
   }
 
   private endRequests(): void {
--- a/packages/bench/tests/grants.test.ts
+++ b/packages/bench/tests/grants.test.ts
@@ -45,4 +45,17 @@
     const pooled = play('holders that lend', day);
     expect(pooled.forfeitedShare).toBeLessThan(plain.forfeitedShare);
   });
+
+  // Guards against tokens that are forfeited for good when all routers lose
+  // their power, which refused callers for the rest of the day (issue 18).
+  it('serve what a total covers after a loss of all power', () => {
+    const day = grantDays['loss of all power as totals run out'];
+    const {askedAfterLoss, falselyRefusedAfterLoss, overspent} = play(
+      'holders that lend',
+      day,
+    );
+    expect(overspent).toBe(0);
+    // The same target as in a partition.
+    expect(falselyRefusedAfterLoss / askedAfterLoss).toBeLessThan(0.01);
+  });
 });
