fix(fleet): clocks that outlast a loss of power bound what a life spent

Cause: routers hold grants in memory. A life's unspent grant went back only where its successor had the same steady clock, which a loss of power never leaves. Class: an escrow whose holder may vanish, without a way to account for it afterwards.

Fix: the span between the newest promise and the successor's start is bounded by the longest that any witness gives: the instance's wall clock, the leaders' wall clocks, and a leader's steady clock within one life of it. Routers echo the leader's newest reading, so a delayed report can't shorten the span. The pace of spending then bounds what was used in it, as after a kill.

Tests: "get back what a life can not have spent before its power returned" failed before (0 returned); the ones with a clock set back fail when its witness is taken out (tried one by one). The property test now loses power, changes leaders and sets clocks back, and does not notice a missing witness.

--- a/packages/bench/src/grants/grantModel.ts
+++ b/packages/bench/src/grants/grantModel.ts
@@ -287,7 +287,8 @@
     const plans = usages.map(usage =>
       this.planner.plan(instance, usage, false),
     );
-    const life = {instance, clock, startedAt};
+    const wall = Math.floor(this.now);
+    const life = {instance, clock, startedAt, wallStartedAt: startedAt};
     const {outcomes} = recordUsage(
       this.book,
       {
@@ -295,6 +296,9 @@
         router: id,
         life,
         reportedAt,
+        reportedWallAt: wall,
+        leaderTime: {clock, steady: wall, wall},
+        recordedAt: {clock, steady: wall, wall},
         entries: plans.map(({entry}) => entry),
       },
       customer => this.prepaid.get(customer) ?? 0,
--- a/packages/control/src/grantDesk.ts
+++ b/packages/control/src/grantDesk.ts
@@ -2,6 +2,8 @@
  * @fileoverview Grants routers tokens of the prepaid totals, while this process
  * leads.
  */
+import {randomUUID} from 'node:crypto';
+
 import {
   type EndedLife,
   type FleetState,
@@ -10,6 +12,7 @@
 } from '@dogwoodtrestle/fleet';
 import {type Counter, type Logger} from '@dogwoodtrestle/runtime';
 import {
+  type ClockReading,
   type GrantOffer,
   type RecordUsage,
   type UsageEntry,
@@ -24,6 +27,8 @@
 export class GrantDesk {
   private readonly planner: GrantPlanner;
   private readonly endedTokens: Counter;
+  /** Readings are compared within one life of this process. */
+  private readonly clockName = randomUUID();
 
   /** @param routers Peer addresses of the routers heard of lately. */
   constructor(
@@ -66,11 +71,16 @@
         remaining: Math.min(remaining, Number.MAX_SAFE_INTEGER),
       };
     });
-    return {kind: 'grants', reportedAt: report.reportedAt, offers};
+    return {
+      kind: 'grants',
+      reportedAt: report.reportedAt,
+      leaderTime: this.readClock(),
+      offers,
+    };
   }
 
   private async record(
-    {router, life, reportedAt}: UsageReport,
+    {router, life, reportedAt, reportedWallAt, leaderTime}: UsageReport,
     entries: UsageEntry[],
   ): Promise<void> {
     const command: RecordUsage = {
@@ -78,6 +88,9 @@
       router,
       life,
       reportedAt,
+      reportedWallAt,
+      leaderTime,
+      recordedAt: this.readClock(),
       entries,
     };
     const [result] = await this.group.replica.propose([command]);
@@ -99,6 +112,15 @@
     }
   }
 
+  private readClock(): ClockReading {
+    const {clock} = this.options;
+    return {
+      clock: this.clockName,
+      steady: Math.floor(clock.now()),
+      wall: Math.floor(clock.wallNow()),
+    };
+  }
+
   private noteEnd(life: EndedLife, successor: string): void {
     const {basis, returned, forfeited} = life;
     this.options.logger.info({...life, successor}, "a router's life ended");
--- a/packages/edge/src/controlLink.ts
+++ b/packages/edge/src/controlLink.ts
@@ -6,6 +6,7 @@
 import {type PeerCalls, sleep} from '@dogwoodtrestle/runtime';
 import {
   type BackendServerRecord,
+  type ClockReading,
   type FleetConfiguration,
   type LeaderHint,
   type RouterLife,
@@ -53,6 +54,8 @@
   private reports = 0;
   private isReporting = false;
   private reportWaiters: Array<() => void> = [];
+  /** Newest reading of a leader's clock, and when it came. */
+  private heardTime?: {reading: ClockReading; at: number};
 
   constructor(
     private readonly options: EdgeOptions,
@@ -238,6 +241,15 @@
     );
   }
 
+  /** The time now by the clock of the newest leader, or earlier. */
+  private leaderTime(): ClockReading | undefined {
+    if (this.heardTime === undefined) return undefined;
+    const {reading, at} = this.heardTime;
+    const age = Math.floor(this.options.clock.now() - at);
+    const {clock, steady, wall} = reading;
+    return {clock, steady: steady + age, wall: wall + age};
+  }
+
   /** The known control processes by turns. */
   private someAddress(): string {
     const addresses = [...new Set([...this.replicas, ...this.options.seeds()])];
@@ -257,6 +269,8 @@
     const {leader} = this;
     if (leader === undefined) return;
     const isComplete = this.reports++ % completeReportEvery === 0;
+    const leaderTime = this.leaderTime();
+    const reportedWallAt = Math.floor(clock.wallNow());
     const {usages, reportedAt} = this.grants.report(isComplete, clock.now());
     try {
       const reply = await this.calls.call<UsageReply>(
@@ -268,12 +282,17 @@
           life: this.life,
           isStopping: this.grants.isClosed,
           reportedAt,
+          reportedWallAt,
+          leaderTime,
           usages,
         },
         {timeoutMilliseconds: usageTimeoutMilliseconds},
       );
       if (reply.kind === 'grants') {
         this.grants.confirm(reply.reportedAt);
+        if (reply.leaderTime !== undefined) {
+          this.heardTime = {reading: reply.leaderTime, at: clock.now()};
+        }
         for (const offer of reply.offers) {
           this.grants.accept(offer, clock.now());
         }
--- a/packages/edge/src/edgeNode.ts
+++ b/packages/edge/src/edgeNode.ts
@@ -15,7 +15,12 @@
   RouteTable,
   WindowedRetryBudget,
 } from '@dogwoodtrestle/fleet';
-import {PeerCalls, PeerListener, sleep} from '@dogwoodtrestle/runtime';
+import {
+  PeerCalls,
+  PeerListener,
+  sleep,
+  steadyClockName,
+} from '@dogwoodtrestle/runtime';
 import {
   type BackendServerRecord,
   type LoanRequest,
@@ -33,7 +38,6 @@
 import {type RefusalReason} from './refusal.js';
 import {RequestRun} from './requestRun.js';
 import {ServerPool} from './serverPool.js';
-import {steadyClockName} from './steadyClockName.js';
 import {type CallerRequest} from './wireCodec.js';
 
 /** Bytes of headers that are read at the most, whatever the settings say. */
@@ -76,8 +80,9 @@
     });
     const life = {
       instance: options.instance,
-      clock: steadyClockName(),
+      clock: options.steadyClock ?? steadyClockName(),
       startedAt: Math.floor(clock.now()),
+      wallStartedAt: Math.floor(clock.wallNow()),
     };
     const onServers = (records: BackendServerRecord[]) => {
       for (const server of records) {
--- a/packages/edge/src/edgeOptions.ts
+++ b/packages/edge/src/edgeOptions.ts
@@ -49,6 +49,8 @@
   proxy?: PeerProxy;
   /** Peer addresses of some control processes, as the settings name them. */
   seeds: () => string[];
+  /** Name of the machine's steady clock; the system's where it is missing. */
+  steadyClock?: string;
   codec: WireCodec;
   logger: Logger;
   metrics: MetricsRegistry;
--- a/packages/fleet/src/index.ts
+++ b/packages/fleet/src/index.ts
@@ -13,4 +13,5 @@
 export * from './serverDirectory.js';
 export * from './spendingPace.js';
 export * from './tokenHolders.js';
+export * from './unreportedSpan.js';
 export * from './windowedRetryBudget.js';
--- a/packages/fleet/src/prepaidAccounts.ts
+++ b/packages/fleet/src/prepaidAccounts.ts
@@ -6,15 +6,22 @@
  * so that messages may be repeated, lost and overtake each other. What was
  * granted and not returned counts as spent, so a router that is cut off can't
  * cause an overspend. Once another life starts on its instance, what the
- * earlier one can't have spent goes back; see `spendingPace`.
+ * earlier one can't have spent goes back; see `spendingPace` and
+ * `unreportedSpan`.
  */
 import {
+  type ClockReading,
   type RecordUsage,
   type RouterLife,
   type UsageEntry,
 } from '@dogwoodtrestle/schema';
 
 import {paceLimit} from './spendingPace.js';
+import {
+  type PromiseTime,
+  type UnreportedSpan,
+  unreportedSpan,
+} from './unreportedSpan.js';
 
 /** Totals of one router's life in one workspace. */
 export interface RouterTotals {
@@ -32,8 +39,8 @@
 /** One life of a router. */
 export interface RouterRecord {
   life: RouterLife;
-  /** Time of its steady clock at its newest recorded promise. */
-  promisedAt: number;
+  /** Time of its newest recorded promise. */
+  promisedAt: PromiseTime;
   /** Another life has started on its instance. */
   isOver: boolean;
   /** Time of the newest change, in milliseconds of the replicated log. */
@@ -59,16 +66,10 @@
   granted: number;
 }
 
-/** What bounds the time for which a life spent tokens unreported. */
-export type SpanBasis = 'steadyClock' | 'none';
-
 /** A life that another one of its instance ended. */
-export interface EndedLife {
+export interface EndedLife extends UnreportedSpan {
   router: string;
   instance: string;
-  basis: SpanBasis;
-  /** Most time from its newest promise to its end, where there is a bound. */
-  milliseconds?: number;
   /** Tokens that went back, by workspace. */
   returned: Record<string, number>;
   /** Unspent tokens that count as spent for good, by workspace. */
@@ -84,9 +85,6 @@
 /** Lives that ended this long ago are forgotten. */
 const forgetLifeAfterMilliseconds = 3_600_000;
 
-/** Difference of two readings of a steady clock that is no time at all. */
-const clockMarginMilliseconds = 20;
-
 /** Opens an empty book. */
 export function emptyBook(): PrepaidBook {
   return {accounts: {}, routers: {}};
@@ -101,18 +99,22 @@
  */
 export function recordUsage(
   book: PrepaidBook,
-  {router, life, reportedAt, entries}: RecordUsage,
+  command: RecordUsage,
   prepaidOf: (workspace: string) => number,
   now: number,
 ): UsageRecord {
+  const {router, reportedAt, entries} = command;
   const ended: EndedLife[] = [];
-  const record = openLife(book, router, life, now, ended);
+  const record = openLife(book, command, now, ended);
   record.changedAt = now;
   const isPromise =
     !record.isOver &&
     reportedAt !== undefined &&
-    reportedAt >= record.promisedAt;
-  if (isPromise) record.promisedAt = reportedAt;
+    reportedAt >= record.promisedAt.at;
+  if (isPromise) {
+    const {reportedWallAt: wallAt, leaderTime} = command;
+    record.promisedAt = {at: reportedAt, wallAt, leaderTime};
+  }
   const outcomes = entries.map(entry => {
     const account = (book.accounts[entry.workspace] ??= {
       committed: 0,
@@ -173,8 +175,7 @@
 /** Returns a life's record; a new one ends the others of its instance. */
 function openLife(
   book: PrepaidBook,
-  router: string,
-  life: RouterLife,
+  {router, life, recordedAt}: RecordUsage,
   now: number,
   ended: EndedLife[],
 ): RouterRecord {
@@ -182,7 +183,7 @@
   if (known !== undefined) return known;
   for (const [other, record] of Object.entries(book.routers)) {
     if (record.life.instance === life.instance && !record.isOver) {
-      ended.push(endLife(book, other, record, life));
+      ended.push(endLife(book, other, record, life, recordedAt));
     }
     const age = now - record.changedAt;
     if (record.isOver && age > forgetLifeAfterMilliseconds) {
@@ -191,7 +192,7 @@
   }
   const record: RouterRecord = {
     life,
-    promisedAt: life.startedAt,
+    promisedAt: {at: life.startedAt, wallAt: life.wallStartedAt},
     isOver: false,
     changedAt: now,
   };
@@ -205,14 +206,15 @@
   router: string,
   record: RouterRecord,
   successor: RouterLife,
+  recordedAt: ClockReading | undefined,
 ): EndedLife {
   record.isOver = true;
-  const milliseconds = unreportedSpan(record, successor);
+  const {life, promisedAt} = record;
+  const span = unreportedSpan(life, promisedAt, successor, recordedAt);
   const ended: EndedLife = {
     router,
-    instance: record.life.instance,
-    basis: milliseconds === undefined ? 'none' : 'steadyClock',
-    milliseconds,
+    instance: life.instance,
+    ...span,
     returned: {},
     forfeited: {},
   };
@@ -220,10 +222,7 @@
     const totals = account.routers[router];
     if (totals === undefined) continue;
     const unspent = totals.granted - totals.returned - totals.spent;
-    const returned = Math.min(
-      unspent,
-      unspentAfter(record, totals, milliseconds),
-    );
+    const returned = Math.min(unspent, unspentAfter(totals, span.milliseconds));
     totals.returned += returned;
     account.committed -= returned;
     if (returned > 0) ended.returned[workspace] = returned;
@@ -232,26 +231,13 @@
   return ended;
 }
 
-/** Most time from a life's newest promise to its end; undefined for any. */
-function unreportedSpan(
-  {life, promisedAt}: RouterRecord,
-  successor: RouterLife,
-): number | undefined {
-  const isSameClock =
-    life.clock === successor.clock && successor.startedAt >= promisedAt;
-  if (!isSameClock) return undefined;
-  return successor.startedAt - promisedAt + clockMarginMilliseconds;
-}
-
 /** Tokens that a life can't have spent within a time after its promise. */
 function unspentAfter(
-  {promisedAt}: RouterRecord,
   {committed, cover, granted, returned}: RouterTotals,
   milliseconds: number | undefined,
 ): number {
   if (milliseconds === undefined) return 0;
-  const promise = {at: promisedAt, committed, cover};
-  const mostSpent = paceLimit(promise, promisedAt + milliseconds);
+  const mostSpent = paceLimit({at: 0, committed, cover}, milliseconds);
   return Math.max(0, granted - returned - mostSpent);
 }
 
--- /dev/null
+++ b/packages/fleet/src/unreportedSpan.ts
@@ -0,0 +1,71 @@
+/**
+ * @fileoverview Bounds the time for which a router's life went on after its
+ * newest recorded promise, once another life has started on its instance.
+ *
+ * A killed process leaves the instance's steady clock, which measures the time.
+ * A loss of power does not. Then wall clocks measure it: the instance's own,
+ * and those of the leaders that recorded the promise and the new life. Any of
+ * them may have been set back meanwhile, so the longest time counts; a leader
+ * that led all along adds its steady clock.
+ */
+import {type ClockReading, type RouterLife} from '@dogwoodtrestle/schema';
+
+/** When a promise was made, by all clocks that are known to the router. */
+export interface PromiseTime {
+  /** By the steady clock of the instance. */
+  at: number;
+  /** By the wall clock of the instance. */
+  wallAt?: number;
+  /** By the leader's clock, or earlier. */
+  leaderTime?: ClockReading;
+}
+
+/** What bounds the time. */
+export type SpanBasis = 'steadyClock' | 'wallClocks' | 'none';
+
+/** Most time that may have passed. */
+export interface UnreportedSpan {
+  basis: SpanBasis;
+  /** Missing where nothing bounds the time. */
+  milliseconds?: number;
+}
+
+/** Difference of two readings of a steady clock that is no time at all. */
+const steadyMarginMilliseconds = 20;
+
+/** Difference of the wall clocks of two instances that is no time at all. */
+const wallMarginMilliseconds = 200;
+
+/**
+ * Returns the most time between a life's newest promise and its end.
+ *
+ * @param recordedAt By the leader's clock, once the successor had started.
+ */
+export function unreportedSpan(
+  life: RouterLife,
+  promise: PromiseTime,
+  successor: RouterLife,
+  recordedAt: ClockReading | undefined,
+): UnreportedSpan {
+  const steady = successor.startedAt - promise.at;
+  if (life.clock === successor.clock && steady >= 0) {
+    const milliseconds = steady + steadyMarginMilliseconds;
+    return {basis: 'steadyClock', milliseconds};
+  }
+  const {wallAt, leaderTime} = promise;
+  const {wallStartedAt} = successor;
+  if (wallAt === undefined || wallStartedAt === undefined) return unbounded;
+  if (leaderTime === undefined || recordedAt === undefined) return unbounded;
+  const longest = Math.max(
+    wallStartedAt - wallAt,
+    recordedAt.wall - leaderTime.wall,
+    recordedAt.clock === leaderTime.clock
+      ? recordedAt.steady - leaderTime.steady
+      : -Infinity,
+  );
+  if (longest < 0) return unbounded;
+  const milliseconds = longest + wallMarginMilliseconds;
+  return {basis: 'wallClocks', milliseconds};
+}
+
+const unbounded: UnreportedSpan = {basis: 'none'};
--- a/packages/fleet/tests/prepaidAccounts.test.ts
+++ b/packages/fleet/tests/prepaidAccounts.test.ts
@@ -13,21 +13,41 @@
 const workspace = 'desk';
 const prepaid = 60_000;
 
+/** The leader's name, and how far wall clocks are set back, in milliseconds. */
+interface Clocks {
+  instances: Record<string, number>;
+  leader: number;
+  leaderName: string;
+}
+
+const rightClocks: Clocks = {instances: {}, leader: 0, leaderName: 'leader-1'};
+
 interface RouterFixture {
   name: string;
   instance: string;
+  /** Name of the steady clock, new with each loss of power. */
+  boot: string;
   startedAt: number;
+  wallStartedAt: number;
   grants: HeldGrants;
   open: Reservation[];
   /** Tokens that requests really used, whatever was reported. */
   used: number;
 }
 
-function createRouter(instance: string, life: number, now: number) {
+function createRouter(
+  instance: string,
+  life: number,
+  now: number,
+  {boot = 'boot-1', clocks = rightClocks} = {},
+) {
   const router: RouterFixture = {
     name: `${instance}/${life}`,
     instance,
+    boot,
+    // Only readings of one clock may be compared.
     startedAt: Math.floor(now),
+    wallStartedAt: Math.floor(now) - (clocks.instances[instance] ?? 0),
     grants: new HeldGrants(),
     open: [],
     used: 0,
@@ -42,13 +62,16 @@
   now: number,
   delivery: 'whole' | 'replyLost' | 'requestLost',
   target = 20_000,
+  clocks = rightClocks,
 ): void {
   const {usages, reportedAt} = router.grants.report(true, now);
   if (delivery === 'requestLost') return;
-  const life = {
-    instance: router.instance,
-    clock: 'boot-1',
-    startedAt: router.startedAt,
+  const {instance, boot, startedAt, wallStartedAt} = router;
+  const life = {instance, clock: boot, startedAt, wallStartedAt};
+  const leaderTime = {
+    clock: clocks.leaderName,
+    steady: Math.floor(now),
+    wall: Math.floor(now) - clocks.leader,
   };
   const entries = usages.map(usage => ({
     workspace: usage.workspace,
@@ -62,7 +85,16 @@
   }));
   const {outcomes} = recordUsage(
     book,
-    {kind: 'recordUsage', router: router.name, life, reportedAt, entries},
+    {
+      kind: 'recordUsage',
+      router: router.name,
+      life,
+      reportedAt,
+      reportedWallAt: Math.floor(now) - (clocks.instances[instance] ?? 0),
+      leaderTime,
+      recordedAt: leaderTime,
+      entries,
+    },
     () => prepaid,
     now,
   );
@@ -96,6 +128,17 @@
     ),
   }),
   fc.record({kind: fc.constant('kill' as const), router: fc.nat(2)}),
+  fc.record({
+    kind: fc.constant('losePower' as const),
+    router: fc.nat(2),
+    downMilliseconds: fc.integer({min: 1, max: 3_000}),
+  }),
+  fc.record({kind: fc.constant('changeLeader' as const), router: fc.nat(2)}),
+  fc.record({
+    kind: fc.constant('setBack' as const),
+    router: fc.nat(2),
+    milliseconds: fc.integer({min: 1, max: 3_000}),
+  }),
   fc.record({
     kind: fc.constant('loan' as const),
     router: fc.nat(2),
@@ -115,7 +158,12 @@
     fc.assert(
       fc.property(
         fc.array(action, {minLength: 40, maxLength: 200}),
-        actions => {
+        // Wall clocks on one side of a report may be set back, not on both.
+        fc.constantFrom('none', 'instances', 'leader'),
+        (actions, wrongClocks) => {
+          const clocks: Clocks = {...rightClocks, instances: {}};
+          let boots = 1;
+          let leaders = 1;
           const book = emptyBook();
           let now = 1_000;
           let life = 0;
@@ -143,7 +191,7 @@
               if (reservation !== undefined) router.open.push(reservation);
               else router.grants.want(workspace, step.tokens);
               if (reservation === undefined) {
-                report(book, router, now, 'whole');
+                report(book, router, now, 'whole', 20_000, clocks);
                 router.grants.want(workspace, -step.tokens);
               }
             } else if (step.kind === 'end') {
@@ -153,7 +201,7 @@
               used += tokens;
               router.grants.settle(reservation, tokens);
             } else if (step.kind === 'report') {
-              report(book, router, now, step.delivery);
+              report(book, router, now, step.delivery, 20_000, clocks);
             } else if (step.kind === 'loan') {
               const lender = routers[step.from]!;
               const {tokens, wished} = step;
@@ -164,11 +212,25 @@
                 now,
               );
               if (!step.isLost) router.grants.borrow(workspace, lent);
+            } else if (step.kind === 'changeLeader') {
+              clocks.leaderName = `leader-${++leaders}`;
+            } else if (step.kind === 'setBack') {
+              const {instance} = router;
+              const {milliseconds} = step;
+              if (wrongClocks === 'leader') clocks.leader += milliseconds;
+              if (wrongClocks !== 'instances') continue;
+              clocks.instances[instance] =
+                (clocks.instances[instance] ?? 0) + milliseconds;
             } else {
               endAll(router);
-              now += 1;
-              routers[step.router] = createRouter(router.instance, ++life, now);
-              report(book, routers[step.router]!, now, 'whole');
+              now += step.kind === 'kill' ? 1 : step.downMilliseconds;
+              const boot =
+                step.kind === 'kill' ? router.boot : `boot-${++boots}`;
+              const {instance} = router;
+              const options = {boot, clocks};
+              const next = createRouter(instance, ++life, now, options);
+              routers[step.router] = next;
+              report(book, next, now, 'whole', 20_000, clocks);
             }
           }
           for (const router of routers) endAll(router);
@@ -193,6 +255,40 @@
     expect(after - before).toBeGreaterThan(20_000);
   });
 
+  // Guards against a loss of power that forfeits grants for good (issue 18).
+  it('get back what a life can not have spent before its power returned', () => {
+    const book = emptyBook();
+    const router = createRouter('a', 0, 50_000);
+    router.grants.want(workspace, 1_000);
+    report(book, router, 50_000, 'whole', 40_000);
+    router.grants.want(workspace, -1_000);
+    report(book, router, 50_400, 'whole', 40_000);
+    const before = ungranted(book.accounts[workspace], prepaid);
+    const clocks = {...rightClocks, leaderName: 'leader-2'};
+    const next = createRouter('a', 1, 51_400, {boot: 'boot-2', clocks});
+    report(book, next, 51_400, 'whole', 0, clocks);
+    const after = ungranted(book.accounts[workspace], prepaid);
+    expect(after - before).toBeGreaterThan(20_000);
+  });
+
+  it.each<[string, Partial<Clocks>]>([
+    ['of the instance', {instances: {a: 5_000}}],
+    ['of the leader', {leader: 5_000}],
+  ])('get nothing back by a wall clock %s that was set back', (_, fault) => {
+    const book = emptyBook();
+    const router = createRouter('a', 0, 50_000);
+    router.grants.want(workspace, 1_000);
+    report(book, router, 50_000, 'whole', 40_000);
+    router.grants.want(workspace, -1_000);
+    report(book, router, 50_400, 'whole', 40_000);
+    const before = ungranted(book.accounts[workspace], prepaid);
+    // Power returns after a time in which all may have been spent.
+    const clocks = {...rightClocks, leaderName: 'leader-2', ...fault};
+    const next = createRouter('a', 1, 56_400, {boot: 'boot-2', clocks});
+    report(book, next, 56_400, 'whole', 0, clocks);
+    expect(ungranted(book.accounts[workspace], prepaid)).toBe(before);
+  });
+
   it('get nothing back where the steady clock started anew', () => {
     const book = emptyBook();
     const router = createRouter('a', 0, 50_000);
--- a/packages/runtime/src/index.ts
+++ b/packages/runtime/src/index.ts
@@ -22,3 +22,4 @@
   type PeerProxy,
 } from './peerListener.js';
 export {PeriodicTask, type PeriodicTaskOptions} from './periodicTask.js';
+export {steadyClockName} from './steadyClockName.js';
