perf(fleet): the pace of spending grows once a partition goes on

Cause: the pace let a router spend a quarter of its grant at once and half of it within 2 s of its newest promise, which is the time that an outage of a second takes. What it allows is what a loss of power or a kill forfeits.

Change: a tenth at once (a second of the usual demand), and growth with the cube of the time, so that a restart costs little and the whole grant is still usable 4.4 s into a partition. 12,000 tokens in any case instead of 16,000.

--- a/packages/fleet/src/spendingPace.ts
+++ b/packages/fleet/src/spendingPace.ts
@@ -19,19 +19,28 @@
   cover: number;
 }
 
-/** Part of the cover that may be used at once. */
-const immediateShare = 0.25;
+/** Part of the cover that may be used at once: a second of the usual demand. */
+const immediateShare = 0.1;
 
-/** Tokens that may be used at once in any case: one long prompt. */
-const immediateTokens = 16_000;
+/**
+ * Tokens that may be used at once in any case: one long prompt. Larger ones are
+ * reported first, or borrowed.
+ */
+const immediateTokens = 12_000;
 
 /** Time after which the whole cover may be used. */
 const fullAfterMilliseconds = 4_500;
 
+/**
+ * Power of the time with which the part grows: hardly at all while reports are
+ * due every 400 ms and an instance restarts, fast once a partition goes on.
+ */
+const growthPower = 3;
+
 /** Most that may have been committed by a time under a promise. */
 export function paceLimit(promise: PacePromise, at: number): number {
   const elapsed = Math.max(0, at - promise.at);
-  const growth = (elapsed / fullAfterMilliseconds) ** 2;
+  const growth = (elapsed / fullAfterMilliseconds) ** growthPower;
   const share = Math.min(1, immediateShare + growth);
   const allowed = Math.max(promise.cover * share, immediateTokens);
   return promise.committed + Math.floor(Math.min(promise.cover, allowed));
