fix(fleet): a steady clock that jumped is not the same one

Where it happens to read more than before it passed for the same clock, and its jump for a time in which all may have been spent. Class: an identity of a clock that is taken on trust.

Fix: a reading that exceeds the wall clocks' bound by more than a minute is of another clock; wall clocks are set back by seconds.

Test: "get it back where the steady clock jumped under the same name" failed before (0 returned).

--- a/packages/fleet/src/unreportedSpan.ts
+++ b/packages/fleet/src/unreportedSpan.ts
@@ -3,10 +3,11 @@
  * newest recorded promise, once another life has started on its instance.
  *
  * A killed process leaves the instance's steady clock, which measures the time.
- * A loss of power does not. Then wall clocks measure it: the instance's own,
- * and those of the leaders that recorded the promise and the new life. Any of
- * them may have been set back meanwhile, so the longest time counts; a leader
- * that led all along adds its steady clock.
+ * A loss of power does not, though a virtual machine may keep the clock's name.
+ * Then wall clocks measure it: the instance's own, and those of the leaders that
+ * recorded the promise and the new life. Any of them may have been set back
+ * meanwhile, so the longest time counts; a leader that led all along adds its
+ * steady clock.
  */
 import {type ClockReading, type RouterLife} from '@dogwoodtrestle/schema';
 
@@ -36,6 +37,13 @@
 /** Difference of the wall clocks of two instances that is no time at all. */
 const wallMarginMilliseconds = 200;
 
+/**
+ * Time by which a steady clock may exceed the wall clocks and still count as the
+ * same. Wall clocks are set back by seconds; a clock that started anew reads
+ * something between zero and the uptime of its host.
+ */
+const maxDisagreementMilliseconds = 60_000;
+
 /**
  * Returns the most time between a life's newest promise and its end.
  *
@@ -47,13 +55,23 @@
   successor: RouterLife,
   recordedAt: ClockReading | undefined,
 ): UnreportedSpan {
+  const byWall = spanByWallClocks(promise, successor, recordedAt);
   const steady = successor.startedAt - promise.at;
   if (life.clock === successor.clock && steady >= 0) {
     const milliseconds = steady + steadyMarginMilliseconds;
-    return {basis: 'steadyClock', milliseconds};
+    const {milliseconds: longest = Infinity} = byWall;
+    if (milliseconds - longest <= maxDisagreementMilliseconds) {
+      return {basis: 'steadyClock', milliseconds};
+    }
   }
-  const {wallAt, leaderTime} = promise;
-  const {wallStartedAt} = successor;
+  return byWall;
+}
+
+function spanByWallClocks(
+  {wallAt, leaderTime}: PromiseTime,
+  {wallStartedAt}: RouterLife,
+  recordedAt: ClockReading | undefined,
+): UnreportedSpan {
   if (wallAt === undefined || wallStartedAt === undefined) return unbounded;
   if (leaderTime === undefined || recordedAt === undefined) return unbounded;
   const longest = Math.max(
--- a/packages/fleet/tests/prepaidAccounts.test.ts
+++ b/packages/fleet/tests/prepaidAccounts.test.ts
@@ -271,6 +271,24 @@
     expect(after - before).toBeGreaterThan(20_000);
   });
 
+  // Guards against a steady clock that keeps its name over a loss of power and
+  // reads anything afterwards, which forfeited half of the grants (issue 18).
+  it('get it back where the steady clock jumped under the same name', () => {
+    const book = emptyBook();
+    const router = createRouter('a', 0, 50_000);
+    router.grants.want(workspace, 1_000);
+    report(book, router, 50_000, 'whole', 40_000);
+    router.grants.want(workspace, -1_000);
+    report(book, router, 50_400, 'whole', 40_000);
+    const before = ungranted(book.accounts[workspace], prepaid);
+    const clocks = {...rightClocks, leaderName: 'leader-2'};
+    const next = createRouter('a', 1, 51_400, {clocks});
+    next.startedAt += 9_000_000;
+    report(book, next, 51_400, 'whole', 0, clocks);
+    const after = ungranted(book.accounts[workspace], prepaid);
+    expect(after - before).toBeGreaterThan(20_000);
+  });
+
   it.each<[string, Partial<Clocks>]>([
     ['of the instance', {instances: {a: 5_000}}],
     ['of the leader', {leader: 5_000}],
