fix(fleet): the search for a leader is no time in which a dead life spent

The leader's witness ran until it recorded the new life's first report, which comes 0.5 to 1.5 s after the start, once there is a leader.

Fix: the new life's age at that report, by its own steady clock, is taken off. A report that is delayed on its way only lengthens the span.

Ruled out: the instance's own wall clock (the same lives by it: 1.2 to 1.6 s).

--- a/packages/fleet/src/prepaidAccounts.ts
+++ b/packages/fleet/src/prepaidAccounts.ts
@@ -10,7 +10,6 @@
  * `unreportedSpan`.
  */
 import {
-  type ClockReading,
   type RecordUsage,
   type RouterLife,
   type UsageEntry,
@@ -19,6 +18,7 @@
 import {paceLimit} from './spendingPace.js';
 import {
   type PromiseTime,
+  type SuccessorReport,
   type UnreportedSpan,
   unreportedSpan,
 } from './unreportedSpan.js';
@@ -175,15 +175,16 @@
 /** Returns a life's record; a new one ends the others of its instance. */
 function openLife(
   book: PrepaidBook,
-  {router, life, recordedAt}: RecordUsage,
+  command: RecordUsage,
   now: number,
   ended: EndedLife[],
 ): RouterRecord {
+  const {router, life} = command;
   const known = book.routers[router];
   if (known !== undefined) return known;
   for (const [other, record] of Object.entries(book.routers)) {
     if (record.life.instance === life.instance && !record.isOver) {
-      ended.push(endLife(book, other, record, life, recordedAt));
+      ended.push(endLife(book, other, record, command));
     }
     const age = now - record.changedAt;
     if (record.isOver && age > forgetLifeAfterMilliseconds) {
@@ -205,12 +206,11 @@
   book: PrepaidBook,
   router: string,
   record: RouterRecord,
-  successor: RouterLife,
-  recordedAt: ClockReading | undefined,
+  report: SuccessorReport,
 ): EndedLife {
   record.isOver = true;
   const {life, promisedAt} = record;
-  const span = unreportedSpan(life, promisedAt, successor, recordedAt);
+  const span = unreportedSpan(life, promisedAt, report);
   const ended: EndedLife = {
     router,
     instance: life.instance,
--- a/packages/fleet/src/unreportedSpan.ts
+++ b/packages/fleet/src/unreportedSpan.ts
@@ -44,18 +44,23 @@
  */
 const maxDisagreementMilliseconds = 60_000;
 
-/**
- * Returns the most time between a life's newest promise and its end.
- *
- * @param recordedAt By the leader's clock, once the successor had started.
- */
+/** The first report of the life that ended another one. */
+export interface SuccessorReport {
+  life: RouterLife;
+  /** By the steady clock of the instance, where it is known. */
+  reportedAt?: number;
+  /** By the leader's clock, once the report had come. */
+  recordedAt?: ClockReading;
+}
+
+/** Returns the most time between a life's newest promise and its end. */
 export function unreportedSpan(
   life: RouterLife,
   promise: PromiseTime,
-  successor: RouterLife,
-  recordedAt: ClockReading | undefined,
+  report: SuccessorReport,
 ): UnreportedSpan {
-  const byWall = spanByWallClocks(promise, successor, recordedAt);
+  const byWall = spanByWallClocks(promise, report);
+  const successor = report.life;
   const steady = successor.startedAt - promise.at;
   if (life.clock === successor.clock && steady >= 0) {
     const milliseconds = steady + steadyMarginMilliseconds;
@@ -69,16 +74,18 @@
 
 function spanByWallClocks(
   {wallAt, leaderTime}: PromiseTime,
-  {wallStartedAt}: RouterLife,
-  recordedAt: ClockReading | undefined,
+  {life, reportedAt, recordedAt}: SuccessorReport,
 ): UnreportedSpan {
+  const {startedAt, wallStartedAt} = life;
   if (wallAt === undefined || wallStartedAt === undefined) return unbounded;
   if (leaderTime === undefined || recordedAt === undefined) return unbounded;
+  // Finding a leader can take longer than the outage, and doesn't count.
+  const age = Math.max(0, (reportedAt ?? startedAt) - startedAt);
   const longest = Math.max(
     wallStartedAt - wallAt,
-    recordedAt.wall - leaderTime.wall,
+    recordedAt.wall - age - leaderTime.wall,
     recordedAt.clock === leaderTime.clock
-      ? recordedAt.steady - leaderTime.steady
+      ? recordedAt.steady - age - leaderTime.steady
       : -Infinity,
   );
   if (longest < 0) return unbounded;
--- a/packages/fleet/tests/prepaidAccounts.test.ts
+++ b/packages/fleet/tests/prepaidAccounts.test.ts
@@ -271,6 +271,25 @@
     expect(after - before).toBeGreaterThan(20_000);
   });
 
+  // Guards against the search for a leader counting as time in which a life
+  // that had ended might still have spent tokens (issue 18).
+  it('get back as much where the new life finds a leader late', () => {
+    const returnedAfter = (delayMilliseconds: number) => {
+      const book = emptyBook();
+      const router = createRouter('a', 0, 50_000);
+      router.grants.want(workspace, 1_000);
+      report(book, router, 50_000, 'whole', 40_000);
+      router.grants.want(workspace, -1_000);
+      report(book, router, 50_400, 'whole', 40_000);
+      const clocks = {...rightClocks, leaderName: 'leader-2'};
+      const next = createRouter('a', 1, 51_400, {boot: 'boot-2', clocks});
+      const reportedAt = 51_400 + delayMilliseconds;
+      report(book, next, reportedAt, 'whole', 0, clocks);
+      return ungranted(book.accounts[workspace], prepaid);
+    };
+    expect(returnedAfter(3_000)).toBe(returnedAfter(0));
+  });
+
   // Guards against a steady clock that keeps its name over a loss of power and
   // reads anything afterwards, which forfeited half of the grants (issue 18).
   it('get it back where the steady clock jumped under the same name', () => {
