fix(control): a process whose disk is full waits for room at its start

Cause: any error of the storage ends the process, and a start does not look at the disk before it takes part in the group.

Change: at its start a process writes and syncs a probe, and waits for room where the disk is full; other errors still end it. A replica can't vote or acknowledge entries without a write, so it stays out of the group meanwhile, as before. The lines 'the disk is full' and 'the disk has room again' say so.

Test: "waits for room instead of ending at its start".

--- a/packages/control/src/controlNode.ts
+++ b/packages/control/src/controlNode.ts
@@ -36,6 +36,7 @@
   defaultControlOptions,
 } from './controlOptions.js';
 import {ControlService} from './controlService.js';
+import {waitForDiskSpace} from './diskSpace.js';
 import {GrantDesk} from './grantDesk.js';
 import {ServerNotes} from './serverNotes.js';
 import {WatchDesk} from './watchDesk.js';
@@ -58,6 +59,7 @@
     const options: ControlOptions = {...defaultControlOptions, ...input};
     const {logger, clock, metrics, proxy} = options;
     const calls = new PeerCalls({localAddress: proxy?.callFrom});
+    await waitForDiskSpace({folder: options.dataFolder, clock, logger});
     const storage = await FileStorage.open(options.dataFolder, {
       keepsHistory: false,
     });
