--- a/packages/edge/src/loans.ts
+++ b/packages/edge/src/loans.ts
@@ -67,7 +67,14 @@
       this.grants.borrow(workspace, lent);
       this.loans.add({direction: 'borrowed'}, lent);
       logger.info(
-        {request, workspace, tokens, borrowed: lent, lender},
+        {
+          request,
+          workspace,
+          tokens,
+          borrowed: lent,
+          unspent: this.grants.borrowed(workspace),
+          lender,
+        },
         'borrowed tokens',
       );
       return true;
--- a/packages/fleet/src/heldGrants.ts
+++ b/packages/fleet/src/heldGrants.ts
@@ -131,6 +131,11 @@
     this.grantOf(workspace).borrowed += tokens;
   }
 
+  /** Unspent tokens that other routers lent. */
+  borrowed(workspace: string): number {
+    return this.grantOf(workspace).borrowed;
+  }
+
   /** Ends a reservation; `used` is at most what was reserved. */
   settle(reservation: Reservation, used: number): void {
     if (reservation.isSettled) return;
