test(fleet): one fixture for lives that lose their power

Four tests of the span stood with the same twelve lines. What they assert is unchanged; each still fails when its witness, the age of the new life or the check of a jumped clock is taken out (tried one by one).

--- a/packages/fleet/tests/prepaidAccounts.test.ts
+++ b/packages/fleet/tests/prepaidAccounts.test.ts
@@ -106,6 +106,31 @@
   }
 }
 
+/** Tokens that come back once a router has lost its power and starts again. */
+function returnedAfterLoss({
+  downMilliseconds = 1_000,
+  /** Time for which the new life looks for a leader. */
+  searchMilliseconds = 0,
+  boot = 'boot-2',
+  /** Difference of the steady clock's readings that is no time. */
+  jumpMilliseconds = 0,
+  fault = {},
+} = {}): number {
+  const book = emptyBook();
+  const router = createRouter('a', 0, 50_000);
+  router.grants.want(workspace, 1_000);
+  report(book, router, 50_000, 'whole', 40_000);
+  router.grants.want(workspace, -1_000);
+  report(book, router, 50_400, 'whole', 40_000);
+  const before = ungranted(book.accounts[workspace], prepaid);
+  const clocks = {...rightClocks, leaderName: 'leader-2', ...fault};
+  const startedAt = 50_400 + downMilliseconds;
+  const next = createRouter('a', 1, startedAt, {boot, clocks});
+  next.startedAt += jumpMilliseconds;
+  report(book, next, startedAt + searchMilliseconds, 'whole', 0, clocks);
+  return ungranted(book.accounts[workspace], prepaid) - before;
+}
+
 const action = fc.oneof(
   fc.record({
     kind: fc.constant('request' as const),
@@ -257,73 +282,29 @@
 
   // Guards against a loss of power that forfeits grants for good (issue 18).
   it('get back what a life can not have spent before its power returned', () => {
-    const book = emptyBook();
-    const router = createRouter('a', 0, 50_000);
-    router.grants.want(workspace, 1_000);
-    report(book, router, 50_000, 'whole', 40_000);
-    router.grants.want(workspace, -1_000);
-    report(book, router, 50_400, 'whole', 40_000);
-    const before = ungranted(book.accounts[workspace], prepaid);
-    const clocks = {...rightClocks, leaderName: 'leader-2'};
-    const next = createRouter('a', 1, 51_400, {boot: 'boot-2', clocks});
-    report(book, next, 51_400, 'whole', 0, clocks);
-    const after = ungranted(book.accounts[workspace], prepaid);
-    expect(after - before).toBeGreaterThan(20_000);
+    expect(returnedAfterLoss()).toBeGreaterThan(20_000);
   });
 
   // Guards against the search for a leader counting as time in which a life
   // that had ended might still have spent tokens (issue 18).
   it('get back as much where the new life finds a leader late', () => {
-    const returnedAfter = (delayMilliseconds: number) => {
-      const book = emptyBook();
-      const router = createRouter('a', 0, 50_000);
-      router.grants.want(workspace, 1_000);
-      report(book, router, 50_000, 'whole', 40_000);
-      router.grants.want(workspace, -1_000);
-      report(book, router, 50_400, 'whole', 40_000);
-      const clocks = {...rightClocks, leaderName: 'leader-2'};
-      const next = createRouter('a', 1, 51_400, {boot: 'boot-2', clocks});
-      const reportedAt = 51_400 + delayMilliseconds;
-      report(book, next, reportedAt, 'whole', 0, clocks);
-      return ungranted(book.accounts[workspace], prepaid);
-    };
-    expect(returnedAfter(3_000)).toBe(returnedAfter(0));
+    const late = returnedAfterLoss({searchMilliseconds: 3_000});
+    expect(late).toBe(returnedAfterLoss());
   });
 
   // Guards against a steady clock that keeps its name over a loss of power and
   // reads anything afterwards, which forfeited half of the grants (issue 18).
   it('get it back where the steady clock jumped under the same name', () => {
-    const book = emptyBook();
-    const router = createRouter('a', 0, 50_000);
-    router.grants.want(workspace, 1_000);
-    report(book, router, 50_000, 'whole', 40_000);
-    router.grants.want(workspace, -1_000);
-    report(book, router, 50_400, 'whole', 40_000);
-    const before = ungranted(book.accounts[workspace], prepaid);
-    const clocks = {...rightClocks, leaderName: 'leader-2'};
-    const next = createRouter('a', 1, 51_400, {clocks});
-    next.startedAt += 9_000_000;
-    report(book, next, 51_400, 'whole', 0, clocks);
-    const after = ungranted(book.accounts[workspace], prepaid);
-    expect(after - before).toBeGreaterThan(20_000);
+    const jump = {boot: 'boot-1', jumpMilliseconds: 9_000_000};
+    expect(returnedAfterLoss(jump)).toBeGreaterThan(20_000);
   });
 
   it.each<[string, Partial<Clocks>]>([
     ['of the instance', {instances: {a: 5_000}}],
     ['of the leader', {leader: 5_000}],
   ])('get nothing back by a wall clock %s that was set back', (_, fault) => {
-    const book = emptyBook();
-    const router = createRouter('a', 0, 50_000);
-    router.grants.want(workspace, 1_000);
-    report(book, router, 50_000, 'whole', 40_000);
-    router.grants.want(workspace, -1_000);
-    report(book, router, 50_400, 'whole', 40_000);
-    const before = ungranted(book.accounts[workspace], prepaid);
     // Power returns after a time in which all may have been spent.
-    const clocks = {...rightClocks, leaderName: 'leader-2', ...fault};
-    const next = createRouter('a', 1, 56_400, {boot: 'boot-2', clocks});
-    report(book, next, 56_400, 'whole', 0, clocks);
-    expect(ungranted(book.accounts[workspace], prepaid)).toBe(before);
+    expect(returnedAfterLoss({downMilliseconds: 6_000, fault})).toBe(0);
   });
 
   it('get nothing back where the steady clock started anew', () => {
