--- a/packages/bench/src/grants/grantModel.ts
+++ b/packages/bench/src/grants/grantModel.ts
@@ -328,7 +328,7 @@
     this.downUntil = undefined;
     this.routers = this.routers.map(({instance}) => this.start(instance));
     for (const router of this.routers) this.report(router, true);
-    // Nothing was granted to the new lives yet but what is returned below.
+    // What came back was granted to the new lives at once.
     this.outcome.forfeitedShare = this.unusedShare() - this.liveShare();
   }
 
