feat(edge): read, log and count the limits that backend servers state

The adapter decodes the header, the router logs `backend server limit changed` with the value as sent and counts requests to servers with a limit. Nothing is chosen by it yet.

--- a/packages/edge/src/attempt.ts
+++ b/packages/edge/src/attempt.ts
@@ -12,6 +12,7 @@
 import {
   type CallerRequest,
   type ResponseHead,
+  type StatedLimit,
   type WireCodec,
 } from './wireCodec.js';
 
@@ -45,6 +46,11 @@
   now: () => number;
   /** Called with each signal of the server's state, before the listener. */
   onSignal: (signal: ServerSignal) => void;
+  /**
+   * Called with the limit that a response states, undefined if it states none,
+   * and whether the response is certain to be that of the server now.
+   */
+  onLimit: (stated: StatedLimit | undefined, isCertain: boolean) => void;
 }
 
 /** Statuses that may state that a request was not executed. */
@@ -199,7 +205,8 @@
   private reportSignals(status: number, head: ResponseHead): void {
     // 421 comes from another server that has taken over the address.
     if (status === 421) return;
-    const {onSignal} = this.input;
+    const {onSignal, onLimit, request} = this.input;
+    onLimit(head.requestLimit, head.attemptId === request.attemptId);
     const {isLeaving, isNotExecuted, retryAfterSeconds} = head;
     if (isLeaving) onSignal({kind: 'leaving'});
     const isOverloaded =
--- a/packages/edge/src/attemptProgress.ts
+++ b/packages/edge/src/attemptProgress.ts
@@ -3,6 +3,7 @@
  */
 import {type Attempt} from './attempt.js';
 import {type EventScanner} from './eventScanner.js';
+import {type ServerObservers} from './serverObservers.js';
 import {type PooledServer} from './serverPool.js';
 import {type ResponseHead} from './wireCodec.js';
 
@@ -10,6 +11,7 @@
 export interface AttemptProgress {
   server: PooledServer;
   attempt?: Attempt;
+  observers?: ServerObservers;
   startedAt: number;
   /** Time of the last complete event, or of the last byte of another response. */
   progressAt: number;
--- a/packages/edge/src/edgeNode.ts
+++ b/packages/edge/src/edgeNode.ts
@@ -75,6 +75,7 @@
     );
     const pool = new ServerPool({
       logger,
+      metrics,
       connectTimeoutMilliseconds: options.connectTimeoutMilliseconds,
       suspectAfterMilliseconds: options.suspectAfterMilliseconds,
       onConnect: () => connections.add(),
--- a/packages/edge/src/index.ts
+++ b/packages/edge/src/index.ts
@@ -12,5 +12,6 @@
   type ForwardInstructions,
   type GenerationParameters,
   type PromptPart,
+  type StatedLimit,
   type WireCodec,
 } from './wireCodec.js';
--- a/packages/edge/src/requestHandler.ts
+++ b/packages/edge/src/requestHandler.ts
@@ -4,11 +4,7 @@
  *
  * A non-idempotent request is retried only while no server can have run it.
  */
-import {
-  type Reservation,
-  type ResponseTimes,
-  type ServerSignal,
-} from '@dogwoodtrestle/fleet';
+import {type Reservation, type ResponseTimes} from '@dogwoodtrestle/fleet';
 
 import {Attempt, type AttemptFailure} from './attempt.js';
 import {type AttemptProgress, createProgress} from './attemptProgress.js';
@@ -23,6 +19,7 @@
   type ResponseCompletion,
 } from './responseCompletion.js';
 import {type RoutedRequest} from './routedRequest.js';
+import {createServerObservers} from './serverObservers.js';
 import {type PooledServer} from './serverPool.js';
 import {selectServer} from './serverSelection.js';
 import {watchForStall} from './stallWatch.js';
@@ -179,6 +176,13 @@
     server.openRequests++;
     server.unreadTokens += this.promptTokens;
     server.bar.begin(progress, now);
+    this.context.pool.countLimited(server, 'sent');
+    const observers = createServerObservers(
+      this.context,
+      request.attemptId,
+      progress,
+    );
+    progress.observers = observers;
     const isCurrent = () => this.current === progress && !this.isOver;
     progress.attempt = new Attempt(
       {
@@ -188,7 +192,7 @@
         server,
         codec: options.codec,
         now: () => clock.now(),
-        onSignal: signal => this.recordSignal(progress, signal),
+        ...observers,
       },
       {
         onHead: (status, head) => {
@@ -206,12 +210,6 @@
     if (this.isRetryable) this.watchForStall(progress);
   }
 
-  private recordSignal(progress: AttemptProgress, signal: ServerSignal): void {
-    const {pool, clock} = this.context;
-    const {attemptId} = this.input.request;
-    pool.addSignal(progress.server, progress, attemptId, signal, clock.now());
-  }
-
   private receiveHead(
     progress: AttemptProgress,
     status: number,
@@ -403,7 +401,7 @@
     server.openRequests--;
     server.waitingSince = server.openRequests === 0 ? Infinity : now;
     if (!hasFirstEvent) server.unreadTokens -= this.promptTokens;
-    this.recordSignal(progress, {kind: 'ended'});
+    progress.observers?.onSignal({kind: 'ended'});
     if (outcome !== undefined) this.context.pool.record(server, outcome, now);
   }
 
--- /dev/null
+++ b/packages/edge/src/serverObservers.ts
@@ -0,0 +1,27 @@
+/**
+ * @fileoverview Passes what an attempt shows of its server's state to the pool.
+ */
+import {type AttemptOptions} from './attempt.js';
+import {type AttemptProgress} from './attemptProgress.js';
+import {type EdgeContext} from './edgeContext.js';
+
+/** Callbacks of an attempt that concern its server. */
+export type ServerObservers = Pick<AttemptOptions, 'onSignal' | 'onLimit'>;
+
+/** Returns the callbacks of one attempt of a request. */
+export function createServerObservers(
+  {pool, clock}: Pick<EdgeContext, 'pool' | 'clock'>,
+  request: string,
+  progress: AttemptProgress,
+): ServerObservers {
+  const {server, startedAt: sentAt} = progress;
+  return {
+    onSignal: signal => {
+      pool.addSignal(server, progress, request, signal, clock.now());
+    },
+    onLimit: (stated, isCertain) => {
+      const context = {sentAt, now: clock.now(), isCertain};
+      pool.recordLimit(server, request, stated, context);
+    },
+  };
+}
--- a/packages/edge/src/serverPool.ts
+++ b/packages/edge/src/serverPool.ts
@@ -8,12 +8,16 @@
   CircuitBreaker,
   type ServerCandidate,
   type ServerSignal,
+  KnownLimit,
+  type StatementContext,
 } from '@dogwoodtrestle/fleet';
 import {OutlierDetector} from '@dogwoodtrestle/routing';
-import {type Logger} from '@dogwoodtrestle/runtime';
+import {type Logger, type MetricsRegistry} from '@dogwoodtrestle/runtime';
 import {type BackendServerRecord} from '@dogwoodtrestle/schema';
 
+import {LimitMetrics, type LimitedOutcome} from './limitMetrics.js';
 import {ServerConnections} from './serverConnections.js';
+import {type StatedLimit} from './wireCodec.js';
 
 /** Time for which a prompt part sent to a server counts as cached there. */
 const partCacheMilliseconds = 10_000;
@@ -37,6 +41,7 @@
   /** Time at which it got its first open request or last finished one. */
   waitingSince = Infinity;
   readonly bar = new CircuitBreaker();
+  readonly limit = new KnownLimit();
   /** Prompt parts by id, with the time at which each was last sent. */
   readonly parts = new Map<string, number>();
 
@@ -69,6 +74,7 @@
 /** Options of a server pool. */
 export interface ServerPoolOptions {
   logger: Logger;
+  metrics: MetricsRegistry;
   connectTimeoutMilliseconds: number;
   /** Silence after which a server with open requests is suspect. */
   suspectAfterMilliseconds: number;
@@ -91,7 +97,11 @@
 
   private readonly responseTimesByService = new Map<string, ResponseTimes>();
 
-  constructor(private readonly options: ServerPoolOptions) {}
+  private readonly limitMetrics: LimitMetrics;
+
+  constructor(private readonly options: ServerPoolOptions) {
+    this.limitMetrics = new LimitMetrics(options.metrics);
+  }
 
   /** Returns the times to the first event of a service's responses. */
   responseTimes(service: string): ResponseTimes {
@@ -170,6 +180,34 @@
     );
   }
 
+  /** Records what the response to a request states of a server's limit. */
+  recordLimit(
+    server: PooledServer,
+    request: string,
+    stated: StatedLimit | undefined,
+    context: StatementContext,
+  ): void {
+    const {id, service} = server.record;
+    const previous = server.limit.perSecond;
+    const change = server.limit.recordResponse(stated, context);
+    if (change === undefined) return;
+    this.limitMetrics.countChange(service, change);
+    if (change === 'unreadable' && !this.limitMetrics.mayLog(id, context.now)) {
+      return;
+    }
+    const {perSecond} = server.limit;
+    this.options.logger.info(
+      {server: id, service, request, change, perSecond, previous, ...stated},
+      'backend server limit changed',
+    );
+  }
+
+  /** Counts a request that concerns a server with a limit. */
+  countLimited({record, limit}: PooledServer, outcome: LimitedOutcome): void {
+    if (limit.perSecond === undefined) return;
+    this.limitMetrics.countRequest(record.service, outcome);
+  }
+
   /** Returns the properties by which a server is chosen. */
   toCandidate(
     server: PooledServer,
--- a/packages/edge/src/wireCodec.ts
+++ b/packages/edge/src/wireCodec.ts
@@ -48,6 +48,14 @@
   lastEventId?: string;
 }
 
+/** A limit on the requests of all routers that a server states. */
+export interface StatedLimit {
+  /** Requests per second; missing if the value can't be read. */
+  perSecond?: number;
+  /** The value as sent, truncated, for the logs. */
+  text: string;
+}
+
 /** Decoded head of a server's response. */
 export interface ResponseHead {
   attemptId?: string;
@@ -61,6 +69,8 @@
   isLeaving: boolean;
   /** Time for which the server accepts no requests, in seconds. */
   retryAfterSeconds?: number;
+  /** Missing if the server states no limit. */
+  requestLimit?: StatedLimit;
   /** The body has no length and is ended by closing the connection. */
   isUnframed: boolean;
   /** Headers to relay, as alternating names and values. */
--- a/packages/fleet/src/index.ts
+++ b/packages/fleet/src/index.ts
@@ -8,6 +8,7 @@
 export * from './grantPlanner.js';
 export * from './grantSizing.js';
 export * from './heldGrants.js';
+export * from './knownLimit.js';
 export * from './lostRouters.js';
 export * from './prepaidAccounts.js';
 export * from './rendezvous.js';
