fix: the limit that a backend server states holds for all routers together

Cause: no part of the fleet read the limit. Routers share nothing about a server but its record, so even a router that reads it can't tell what the others send.

Now each router records what responses state (`fleet/knownLimit`: a lower value at once, a higher one or the end only by the response to a later request) and reports it with its demand in the watch call that it makes once a second anyway. The leader passes limits on and leases four fifths of each to a few routers by demand (`fleet/limitShares`); a lease ends by the router's monotonic or wall clock, whichever is first, and counts at the leader until it is confirmed smaller or has ended. A new leader renews what routers report and leases nothing else until the leases of its predecessor have ended. The last fifth belongs to routers that all of them derive from the list of routers, so a server is neither starved nor asked too often without a leader. Parts are shares of the limit: a limit that changes changes all rates without a message.

Each attempt takes one request from the router's part: first ones, retries, trials after a block and resumed streams. A request that no server takes for its limit is refused at once, with the time after which one may; `request ended` names the limit, its age and the share used.

--- a/packages/consensus/src/replica.ts
+++ b/packages/consensus/src/replica.ts
@@ -196,6 +196,14 @@
     await transferLeadership(this.state, this.requireLeadership());
   }
 
+  /**
+   * Whether this replica leads and a majority answered it within the election
+   * timeout, so that no other leader can have been elected.
+   */
+  get leadsWithQuorum(): boolean {
+    return this.state.leadership?.hasQuorum() ?? false;
+  }
+
   /** Returns the current state of this replica. */
   status(): ReplicaStatus {
     const {id, term, commitIndex, lastApplied, log, self} = this.state;
--- a/packages/control/src/controlNode.ts
+++ b/packages/control/src/controlNode.ts
@@ -9,6 +9,7 @@
   type BudgetView,
   FleetState,
   type IncarnationView,
+  LimitShares,
   ServerDirectory,
   viewBudgets,
   viewIncarnations,
@@ -99,7 +100,12 @@
       },
     });
     const group = await ReplicaGroup.open(options, client, storage, state);
-    const watchService = new WatchService(options, group, directory);
+    const watchService = new WatchService(
+      options,
+      group,
+      directory,
+      new LimitShares(directory.epoch),
+    );
     const changeRecorder = new ServerChangeRecorder(options, group);
     Object.assign(parts, {watch: watchService, recorder: changeRecorder});
     if (state.current !== undefined) {
--- a/packages/control/src/replicaGroup.ts
+++ b/packages/control/src/replicaGroup.ts
@@ -132,6 +132,13 @@
     return this.replica.status().role === 'leader';
   }
 
+  /** Term in which this process leads with a majority; undefined otherwise. */
+  get leaderTerm(): number | undefined {
+    return this.replica.leadsWithQuorum
+      ? this.replica.status().term
+      : undefined;
+  }
+
   /** Peer address of the leader, if it is known and another process. */
   get leaderAddress(): string | undefined {
     return this.isLeader ? undefined : this.replica.status().leader?.address;
--- a/packages/control/src/watchService.ts
+++ b/packages/control/src/watchService.ts
@@ -2,10 +2,15 @@
  * @fileoverview Notifies routers of changes of the configuration and the
  * backend servers by long polling.
  */
-import {changesBetween, type ServerDirectory} from '@dogwoodtrestle/fleet';
+import {
+  changesBetween,
+  type LimitShares,
+  type ServerDirectory,
+} from '@dogwoodtrestle/fleet';
 import {
   type ConfigurationUpdate,
   type FleetConfiguration,
+  type LimitNotice,
   type WatchReply,
   type WatchRequest,
 } from '@dogwoodtrestle/schema';
@@ -43,6 +48,7 @@
     >,
     private readonly group: ReplicaGroup,
     private readonly directory: ServerDirectory,
+    private readonly limitShares: LimitShares,
   ) {}
 
   /** Peer addresses of recently seen routers, sorted. */
@@ -79,6 +85,7 @@
     const {watchMilliseconds} = this.options;
     if (!this.group.isLeader) return this.group.leaderHint();
     this.recordRouter(request);
+    this.recordLimits(request);
     if (!this.hasChanges(request)) await this.waitForChange(watchMilliseconds);
     if (!this.group.isLeader) return this.group.leaderHint();
     this.recordRouter(request);
@@ -86,6 +93,7 @@
       kind: 'update',
       configuration: this.buildUpdate(request.configurationVersion),
       directory: this.directory.changesSince(request.epoch, request.revision),
+      limits: this.limitNotices(request.router),
       replicas: this.group.addresses,
       routers: this.routers.size,
       peersRevision: this.addressesRevision,
@@ -96,6 +104,22 @@
     };
   }
 
+  /** Records limits of backend servers; all routers hear of a change at once. */
+  private recordLimits({router, limits = []}: WatchRequest): void {
+    const now = this.options.clock.now();
+    if (this.limitShares.record(router, limits, now)) this.notifyWatchers();
+  }
+
+  /** Returns all limits, with the router's leases if this process may grant any. */
+  private limitNotices(router: string): LimitNotice[] | undefined {
+    const term = this.group.leaderTerm;
+    if (term === undefined) return undefined;
+    const now = this.options.clock.now();
+    this.limitShares.enterTerm(term, now);
+    const notices = this.limitShares.notices(router, now);
+    return notices.length > 0 ? notices : undefined;
+  }
+
   private recordRouter({router, address}: WatchRequest): void {
     const {clock, routerLostAfterMilliseconds} = this.options;
     const now = clock.now();
--- a/packages/edge/src/controlPlaneClient.ts
+++ b/packages/edge/src/controlPlaneClient.ts
@@ -2,7 +2,12 @@
  * @fileoverview Client of the control processes: follows their leader, watches
  * for changes, and reports token usage.
  */
-import {applyChanges, type HeldGrants, RouteTable} from '@dogwoodtrestle/fleet';
+import {
+  applyChanges,
+  type HeldGrants,
+  type LeaseRequestTime,
+  RouteTable,
+} from '@dogwoodtrestle/fleet';
 import {type PeerCallClient, sleep} from '@dogwoodtrestle/runtime';
 import {
   type BackendServerRecord,
@@ -10,6 +15,8 @@
   type ClockReading,
   type FleetConfiguration,
   type LeaderHint,
+  type LimitNotice,
+  type LimitReport,
   type RouterLife,
   type WatchReply,
   type WatchUpdate,
@@ -39,6 +46,10 @@
 export interface ControlPlaneListener {
   /** Called with new and changed records of backend servers. */
   onServers(records: BackendServerRecord[]): void;
+  /** Called with each update, after the records, with all limits of servers. */
+  onLimits(notices: LimitNotice[], time: LeaseRequestTime): void;
+  /** Returns the limits of servers that this router knows. */
+  limitReports(): LimitReport[];
 }
 
 /** Follows the leader of the control processes. */
@@ -142,9 +153,10 @@
     while (!this.isStopped) {
       const address = this.leader ?? this.nextReplicaAddress();
       try {
+        const time = this.requestTime();
         const reply = await this.requestUpdate(address);
         if (reply.kind === 'update') {
-          this.applyUpdate(reply, address);
+          this.applyUpdate(reply, address, time);
           continue;
         }
         this.applyHint(reply, address);
@@ -173,8 +185,9 @@
     while (!this.isStopped && this.leader === undefined) {
       const address = this.nextReplicaAddress();
       try {
+        const time = this.requestTime();
         const reply = await this.requestUpdate(address);
-        if (reply.kind === 'update') this.applyUpdate(reply, address);
+        if (reply.kind === 'update') this.applyUpdate(reply, address, time);
         else if (this.leader === undefined) this.applyHint(reply, address);
       } catch (error) {
         logger.debug({err: error, address}, 'watch failed');
@@ -183,6 +196,11 @@
     }
   }
 
+  private requestTime(): LeaseRequestTime {
+    const {clock} = this.options;
+    return {sentAt: clock.now(), wallSentAt: clock.wallNow()};
+  }
+
   private requestUpdate(address: string): Promise<WatchReply> {
     const {watchTimeoutMilliseconds, peerAddress} = this.options;
     return this.calls.call<WatchReply>(
@@ -195,12 +213,17 @@
         epoch: this.epoch,
         revision: this.revision,
         peersRevision: this.peersSource === address ? this.peersRevision : -1,
+        limits: this.listener.limitReports(),
       },
       {timeoutMilliseconds: watchTimeoutMilliseconds},
     );
   }
 
-  private applyUpdate(update: WatchUpdate, address: string): void {
+  private applyUpdate(
+    update: WatchUpdate,
+    address: string,
+    time: LeaseRequestTime,
+  ): void {
     const {clock, logger} = this.options;
     this.leader = address;
     this.lastContactAt = clock.now();
@@ -221,6 +244,7 @@
       this.revision = revision;
       this.listener.onServers(records);
     }
+    this.listener.onLimits(update.limits ?? [], time);
     if (update.configuration === undefined) return;
     const next = applyChanges(this.configuration, update.configuration);
     if (next === undefined) return;
--- a/packages/edge/src/edgeContext.ts
+++ b/packages/edge/src/edgeContext.ts
@@ -17,6 +17,7 @@
 import {type ControlPlaneClient} from './controlPlaneClient.js';
 import {type EdgeOptions} from './edgeOptions.js';
 import {type Loans} from './loans.js';
+import {type ServerLimits} from './serverLimits.js';
 import {type ServerPool} from './serverPool.js';
 
 /** Metrics of callers' requests. */
@@ -35,6 +36,7 @@
   grants: HeldGrants;
   retryBudget: WindowedRetryBudget;
   pool: ServerPool;
+  limits: ServerLimits;
   control: ControlPlaneClient;
   loans: Loans;
   metrics: RequestMetrics;
--- a/packages/edge/src/edgeNode.ts
+++ b/packages/edge/src/edgeNode.ts
@@ -37,6 +37,7 @@
 import {type RefusalReason} from './refusal.js';
 import {RequestHandler} from './requestHandler.js';
 import {RequestPipeline} from './requestPipeline.js';
+import {ServerLimits} from './serverLimits.js';
 import {ServerPool} from './serverPool.js';
 import {type CallerRequest} from './wireCodec.js';
 
@@ -73,9 +74,20 @@
       'dogwoodtrestle_server_connections_total',
       'Connections made to backend servers.',
     );
-    const pool = new ServerPool({
+    const limits: ServerLimits = new ServerLimits({
       logger,
       metrics,
+      clock,
+      position: () => ({
+        address: options.peerAddress,
+        routers: control.routers,
+        routerCount: control.routerCount,
+      }),
+      isConnected: () => control.isConnected,
+    });
+    const pool: ServerPool = new ServerPool({
+      logger,
+      limits,
       connectTimeoutMilliseconds: options.connectTimeoutMilliseconds,
       suspectAfterMilliseconds: options.suspectAfterMilliseconds,
       onConnect: () => connections.add(),
@@ -93,7 +105,7 @@
       pool.update(records);
     };
     const routerId = randomUUID();
-    const control = new ControlPlaneClient(
+    const control: ControlPlaneClient = new ControlPlaneClient(
       options,
       this.calls,
       routerId,
@@ -101,6 +113,11 @@
       grants,
       {
         onServers,
+        onLimits: (notices, time) => {
+          limits.applyNotices(notices, time, id => pool.find(id));
+          limits.refresh(pool.all());
+        },
+        limitReports: () => limits.reports(pool.all()),
       },
     );
     const loans = new Loans(options, this.calls, {
@@ -126,6 +143,7 @@
       admission: new AdmissionController({logger}),
       grants,
       pool,
+      limits,
       control,
       loans,
       retryBudget: new WindowedRetryBudget(options.retryBudget),
--- a/packages/edge/src/refusal.ts
+++ b/packages/edge/src/refusal.ts
@@ -16,6 +16,7 @@
   | 'noServer'
   | 'serversRefused'
   | 'serversBusy'
+  | 'serversLimited'
   | 'outOfTime'
   | 'outcomeUnknown'
   | 'timedOut';
@@ -72,6 +73,12 @@
     // Replaced by the time until the first server accepts requests again.
     retryAfterSeconds: 0.5,
   },
+  serversLimited: {
+    status: 503,
+    message: 'The servers take fewer requests now; the request has not run.',
+    // Replaced by the time until the first server may take a request.
+    retryAfterSeconds: 0.5,
+  },
   outOfTime: {
     status: 503,
     message: 'No time is left for the request; it has not run.',
@@ -104,21 +111,29 @@
   retryAfterSeconds?: number;
 }
 
+/** When the first server may accept a request; see `Availability`. */
+export interface RetryTime {
+  milliseconds: number;
+  isLimited: boolean;
+}
+
 /**
  * Returns the refusal of a request that no server accepts.
  *
- * @param waitMilliseconds Time until the first server may accept requests: 0
- *     where one may now, undefined where none will.
+ * @param first When the first server may accept a request; undefined if none
+ *     will.
  */
 export function serversRefusal(
   reason: RefusalReason,
-  waitMilliseconds: number | undefined,
+  first: RetryTime | undefined,
   random: () => number,
 ): TimedRefusal {
-  if (waitMilliseconds === undefined) return {reason};
+  if (first === undefined) return {reason};
+  const {milliseconds, isLimited} = first;
   const jitter = random() * maxRetryJitterMilliseconds;
-  const retryAfterSeconds = (waitMilliseconds + jitter) / 1_000;
-  if (waitMilliseconds > 0) return {reason: 'serversBusy', retryAfterSeconds};
+  const retryAfterSeconds = (milliseconds + jitter) / 1_000;
+  if (isLimited) return {reason: 'serversLimited', retryAfterSeconds};
+  if (milliseconds > 0) return {reason: 'serversBusy', retryAfterSeconds};
   // Another server is available, but the route allows no further attempt.
   if (reason === 'serversRefused') return {reason, retryAfterSeconds};
   return {reason};
--- a/packages/edge/src/requestHandler.ts
+++ b/packages/edge/src/requestHandler.ts
@@ -19,6 +19,7 @@
   type ResponseCompletion,
 } from './responseCompletion.js';
 import {type RoutedRequest} from './routedRequest.js';
+import {type LimitDecision} from './serverLimits.js';
 import {createServerObservers} from './serverObservers.js';
 import {type PooledServer} from './serverPool.js';
 import {selectServer} from './serverSelection.js';
@@ -59,6 +60,7 @@
   private readonly promptTokens: number;
   private readonly triedServers = new Set<string>();
   private readonly triedAddresses: string[] = [];
+  private readonly limitDecisions: LimitDecision[] = [];
   private current?: AttemptProgress;
   private reservation?: Reservation;
   /** Ends the request's admission. */
@@ -151,7 +153,8 @@
   private chooseServer(now: number): PooledServer | undefined {
     const {service, request} = this.input;
     const {generation} = request;
-    const criteria = {service, generation, tried: this.triedServers};
+    const {triedServers: tried, limitDecisions} = this;
+    const criteria = {service, generation, tried, limitDecisions};
     return selectServer(this.context, criteria, now);
   }
 
@@ -176,7 +179,7 @@
     server.openRequests++;
     server.unreadTokens += this.promptTokens;
     server.bar.begin(progress, now);
-    this.context.pool.countLimited(server, 'sent');
+    server.limit.take(now);
     const observers = createServerObservers(
       this.context,
       request.attemptId,
@@ -427,9 +430,12 @@
 
   /** Fails as no server accepts the request, with the time until one may. */
   private failWithoutServer(reason: RefusalReason, now: number): void {
-    const {pool, options} = this.context;
-    const wait = pool.timeUntilAvailable(this.input.service, now);
-    const refusal = serversRefusal(reason, wait, options.random);
+    const {pool, limits, options} = this.context;
+    const first = pool.firstAvailable(this.input.service, now);
+    if (first?.isLimited === true) {
+      limits.recordDecision(first.server, 'refused', this.limitDecisions);
+    }
+    const refusal = serversRefusal(reason, first, options.random);
     this.fail(refusal.reason, refusal.retryAfterSeconds);
   }
 
@@ -498,6 +504,7 @@
     this.release?.();
     this.onFinished();
     const {firstEventAt, events, triedAddresses: servers} = this;
+    const {limitDecisions} = this;
     recordRequest(this.context, this.input, {
       outcome,
       status,
@@ -505,6 +512,7 @@
       firstEventAt,
       events,
       servers,
+      limitDecisions,
       usedTokens,
     });
   }
--- a/packages/edge/src/requestSummary.ts
+++ b/packages/edge/src/requestSummary.ts
@@ -4,6 +4,7 @@
 import {type EdgeContext} from './edgeContext.js';
 import {type RefusalReason} from './refusal.js';
 import {type RoutedRequest} from './routedRequest.js';
+import {type LimitDecision} from './serverLimits.js';
 
 /** Summary of a finished request. */
 export interface RequestSummary {
@@ -17,6 +18,8 @@
   events: number;
   /** Servers that the request was sent to, as `id@address`, in order. */
   servers: readonly string[];
+  /** Decisions that followed from the limits of servers, in order. */
+  limitDecisions: readonly LimitDecision[];
   /** Tokens charged to the workspace's prepaid total. */
   usedTokens?: number;
 }
@@ -28,6 +31,7 @@
   end: RequestSummary,
 ): void {
   const {outcome, status, reason, firstEventAt, events, servers} = end;
+  const {limitDecisions} = end;
   const elapsed = clock.now() - receivedAt;
   metrics.requests.add({route: route.name, outcome: reason ?? outcome});
   metrics.durations.observe(elapsed, {kind: route.kind, outcome});
@@ -44,6 +48,7 @@
           : Math.round(firstEventAt - receivedAt),
       events,
       servers,
+      limits: limitDecisions.length > 0 ? limitDecisions : undefined,
       route: route.name,
       workspace: workspace?.name,
       promptTokens: request.generation?.promptTokens ?? 0,
--- a/packages/edge/src/serverObservers.ts
+++ b/packages/edge/src/serverObservers.ts
@@ -1,5 +1,5 @@
 /**
- * @fileoverview Passes what an attempt shows of its server's state to the pool.
+ * @fileoverview Passes on what an attempt shows of its server's state.
  */
 import {type AttemptOptions} from './attempt.js';
 import {type AttemptProgress} from './attemptProgress.js';
@@ -10,7 +10,7 @@
 
 /** Returns the callbacks of one attempt of a request. */
 export function createServerObservers(
-  {pool, clock}: Pick<EdgeContext, 'pool' | 'clock'>,
+  {pool, limits, clock}: Pick<EdgeContext, 'pool' | 'limits' | 'clock'>,
   request: string,
   progress: AttemptProgress,
 ): ServerObservers {
@@ -21,7 +21,7 @@
     },
     onLimit: (stated, isCertain) => {
       const context = {sentAt, now: clock.now(), isCertain};
-      pool.recordLimit(server, request, stated, context);
+      limits.recordResponse(server, request, stated, context);
     },
   };
 }
--- a/packages/edge/src/serverPool.ts
+++ b/packages/edge/src/serverPool.ts
@@ -8,16 +8,14 @@
   CircuitBreaker,
   type ServerCandidate,
   type ServerSignal,
-  KnownLimit,
-  type StatementContext,
+  type RequestLimit,
 } from '@dogwoodtrestle/fleet';
 import {OutlierDetector} from '@dogwoodtrestle/routing';
-import {type Logger, type MetricsRegistry} from '@dogwoodtrestle/runtime';
+import {type Logger} from '@dogwoodtrestle/runtime';
 import {type BackendServerRecord} from '@dogwoodtrestle/schema';
 
-import {LimitMetrics, type LimitedOutcome} from './limitMetrics.js';
 import {ServerConnections} from './serverConnections.js';
-import {type StatedLimit} from './wireCodec.js';
+import {type ServerLimits} from './serverLimits.js';
 
 /** Time for which a prompt part sent to a server counts as cached there. */
 const partCacheMilliseconds = 10_000;
@@ -31,6 +29,14 @@
  */
 const recentByteMilliseconds = 2_000;
 
+/** When a server may accept requests again. */
+export interface Availability {
+  server: PooledServer;
+  milliseconds: number;
+  /** Whether the limit that the server states decides the time. */
+  isLimited: boolean;
+}
+
 /** One incarnation of a backend server. */
 export class PooledServer {
   openRequests = 0;
@@ -41,13 +47,13 @@
   /** Time at which it got its first open request or last finished one. */
   waitingSince = Infinity;
   readonly bar = new CircuitBreaker();
-  readonly limit = new KnownLimit();
   /** Prompt parts by id, with the time at which each was last sent. */
   readonly parts = new Map<string, number>();
 
   constructor(
     public record: BackendServerRecord,
     readonly connections: ServerConnections,
+    readonly limit: RequestLimit,
   ) {}
 
   /** Records that a prompt part is sent; forgets the oldest above the limit. */
@@ -74,7 +80,7 @@
 /** Options of a server pool. */
 export interface ServerPoolOptions {
   logger: Logger;
-  metrics: MetricsRegistry;
+  limits: ServerLimits;
   connectTimeoutMilliseconds: number;
   /** Silence after which a server with open requests is suspect. */
   suspectAfterMilliseconds: number;
@@ -97,11 +103,7 @@
 
   private readonly responseTimesByService = new Map<string, ResponseTimes>();
 
-  private readonly limitMetrics: LimitMetrics;
-
-  constructor(private readonly options: ServerPoolOptions) {
-    this.limitMetrics = new LimitMetrics(options.metrics);
-  }
+  constructor(private readonly options: ServerPoolOptions) {}
 
   /** Returns the times to the first event of a service's responses. */
   responseTimes(service: string): ResponseTimes {
@@ -118,7 +120,20 @@
     for (const record of records) this.applyRecord(record);
   }
 
-  /** Returns available servers of a service, without those in `except`. */
+  /** Returns the current incarnation of a server. */
+  find(id: string): PooledServer | undefined {
+    return this.servers.get(id);
+  }
+
+  /** All servers, including those that left recently. */
+  all(): Iterable<PooledServer> {
+    return this.servers.values();
+  }
+
+  /**
+   * Returns available servers of a service, without those in `except`. Their
+   * limits may still exclude some.
+   */
   candidates(
     service: string,
     except: ReadonlySet<string>,
@@ -136,17 +151,25 @@
   }
 
   /**
-   * Returns the time until the first server of a service may accept requests,
-   * in milliseconds: 0 where one may now, undefined where none will.
+   * Returns the server of a service that may accept requests first, and the time
+   * until then: 0 where one may now. Undefined where none will.
    */
-  timeUntilAvailable(service: string, now: number): number | undefined {
-    const waits = [...this.servers.values()]
-      .filter(
-        server => server.record.service === service && isEligible(server, now),
-      )
-      .map(({bar}) => Math.max(0, bar.blockedUntil - now))
-      .filter(wait => Number.isFinite(wait));
-    return waits.length === 0 ? undefined : Math.min(...waits);
+  firstAvailable(service: string, now: number): Availability | undefined {
+    let first: Availability | undefined;
+    for (const server of this.servers.values()) {
+      if (server.record.service !== service || !isEligible(server, now)) {
+        continue;
+      }
+      const {bar, limit} = server;
+      const unblockedIn = Math.max(0, bar.blockedUntil - now);
+      const admittedIn = limit.retryMilliseconds(now);
+      const milliseconds = Math.max(unblockedIn, admittedIn);
+      const isFirst = milliseconds < (first?.milliseconds ?? Infinity);
+      if (!isFirst) continue;
+      const isLimited = admittedIn > unblockedIn;
+      first = {server, milliseconds, isLimited};
+    }
+    return first;
   }
 
   /** Records a signal of a server's state that an attempt has received. */
@@ -180,34 +203,6 @@
     );
   }
 
-  /** Records what the response to a request states of a server's limit. */
-  recordLimit(
-    server: PooledServer,
-    request: string,
-    stated: StatedLimit | undefined,
-    context: StatementContext,
-  ): void {
-    const {id, service} = server.record;
-    const previous = server.limit.perSecond;
-    const change = server.limit.recordResponse(stated, context);
-    if (change === undefined) return;
-    this.limitMetrics.countChange(service, change);
-    if (change === 'unreadable' && !this.limitMetrics.mayLog(id, context.now)) {
-      return;
-    }
-    const {perSecond} = server.limit;
-    this.options.logger.info(
-      {server: id, service, request, change, perSecond, previous, ...stated},
-      'backend server limit changed',
-    );
-  }
-
-  /** Counts a request that concerns a server with a limit. */
-  countLimited({record, limit}: PooledServer, outcome: LimitedOutcome): void {
-    if (limit.perSecond === undefined) return;
-    this.limitMetrics.countRequest(record.service, outcome);
-  }
-
   /** Returns the properties by which a server is chosen. */
   toCandidate(
     server: PooledServer,
@@ -225,6 +220,7 @@
         server.isSilent(now, this.options.suspectAfterMilliseconds) ||
         this.outliers.isEjected(record.id, now),
       hasCachedPrefix: partId !== undefined && server.hasPart(partId, now),
+      isDue: server.limit.isDue(now),
     };
   }
 
@@ -295,7 +291,8 @@
       connectTimeoutMilliseconds,
       onConnect,
     });
-    this.servers.set(record.id, new PooledServer(record, connections));
+    const limit = this.options.limits.create();
+    this.servers.set(record.id, new PooledServer(record, connections, limit));
   }
 
   /** Removes the oldest of the servers that left and have no open requests. */
--- a/packages/edge/src/serverSelection.ts
+++ b/packages/edge/src/serverSelection.ts
@@ -4,8 +4,9 @@
 import {chooseServer} from '@dogwoodtrestle/fleet';
 
 import {type EdgeContext} from './edgeContext.js';
+import {type LimitDecision} from './serverLimits.js';
 import {type PooledServer} from './serverPool.js';
-import {type GenerationParameters} from './wireCodec.js';
+import {type GenerationParameters, type PromptPart} from './wireCodec.js';
 
 /** Share of a server's connection limit that all routers together use. */
 const usableConnectionShare = 0.9;
@@ -19,19 +20,51 @@
   generation?: GenerationParameters;
   /** Ids of servers that were tried before; they are excluded. */
   tried: ReadonlySet<string>;
+  /** Receives the decisions that follow from limits of servers. */
+  limitDecisions: LimitDecision[];
 }
 
 /** Returns the best server; undefined where none is available. */
 export function selectServer(
-  context: Pick<EdgeContext, 'pool' | 'options' | 'routes' | 'control'>,
-  {service, generation, tried}: SelectionCriteria,
+  context: Pick<
+    EdgeContext,
+    'pool' | 'limits' | 'options' | 'routes' | 'control'
+  >,
+  criteria: SelectionCriteria,
   now: number,
 ): PooledServer | undefined {
-  const {pool, options} = context;
+  const {pool, limits} = context;
+  const {service, generation, tried, limitDecisions} = criteria;
+  limits.recordDemand(service, now);
   const limit = connectionLimit(context, service);
-  const servers = pool.candidates(service, tried, limit, now);
-  // The last part of a prompt is not shared with other requests.
-  const shared = generation?.parts.slice(0, -1) ?? [];
+  const available = pool.candidates(service, tried, limit, now);
+  const wanted = choose(context, available, generation, now);
+  let server = wanted;
+  if (wanted !== undefined && !wanted.limit.admits(now)) {
+    limits.recordDecision(wanted, 'skipped', limitDecisions);
+    const admitted = available.filter(({limit}) => limit.admits(now));
+    server = choose(context, admitted, generation, now);
+  }
+  if (server === undefined) return undefined;
+  const decision = server.limit.isDue(now) ? 'due' : 'sent';
+  limits.recordDecision(server, decision, limitDecisions);
+  const part = sharedParts(generation).at(-1)?.id;
+  if (part !== undefined) server.recordPart(part, now);
+  return server;
+}
+
+/** The parts of a prompt that other requests may share: all but the last. */
+function sharedParts(generation?: GenerationParameters): PromptPart[] {
+  return generation?.parts.slice(0, -1) ?? [];
+}
+
+function choose(
+  {pool, options}: Pick<EdgeContext, 'pool' | 'options'>,
+  servers: readonly PooledServer[],
+  generation: GenerationParameters | undefined,
+  now: number,
+): PooledServer | undefined {
+  const shared = sharedParts(generation);
   const part = shared.at(-1)?.id;
   const candidates = servers.map(server => pool.toCandidate(server, part, now));
   const chosen = chooseServer(
@@ -44,10 +77,7 @@
     },
     options.random,
   );
-  const server =
-    servers[candidates.findIndex(candidate => candidate === chosen)];
-  if (server !== undefined && part !== undefined) server.recordPart(part, now);
-  return server;
+  return servers[candidates.findIndex(candidate => candidate === chosen)];
 }
 
 /** Connections to one server of the service that this router may open. */
--- a/packages/fleet/src/knownLimit.ts
+++ b/packages/fleet/src/knownLimit.ts
@@ -8,7 +8,7 @@
  * to a request that was sent after the lower value had arrived.
  */
 
-/** How a limit became known: by a response, or by the control processes. */
+/** Whether this process observed the value itself, or heard of it. */
 export type LimitSource = 'response' | 'report';
 
 /** A limit, or its absence. Times are in milliseconds. */
@@ -90,12 +90,12 @@
     perSecond: number | undefined,
     observedAt: number,
   ): LimitChange | undefined {
-    if (observedAt <= (this.newest?.observedAt ?? -Infinity)) return undefined;
-    return this.replace({
-      perSecond: clampLimit(perSecond),
-      observedAt,
-      source: 'report',
-    });
+    const known = this.newest;
+    if (observedAt <= (known?.observedAt ?? -Infinity)) return undefined;
+    const next = clampLimit(perSecond);
+    const source =
+      known !== undefined && next === known.perSecond ? known.source : 'report';
+    return this.replace({perSecond: next, observedAt, source});
   }
 
   /** Drops a limit that was not observed for long. */
--- /dev/null
+++ b/packages/fleet/src/limitPolicy.ts
@@ -0,0 +1,76 @@
+/**
+ * @fileoverview How the limit of a backend server is divided among the routers.
+ *
+ * The larger part is leased by the leader of the control processes, by demand.
+ * The rest belongs to routers that all of them derive from the list of routers,
+ * so that it is used without a leader and nobody has to grant it. Both parts
+ * together never exceed the limit.
+ */
+import {rankFor} from './rendezvous.js';
+
+/** Parts of a limit and how many routers share them. */
+export interface LimitPolicy {
+  /** Part of a limit that the leader leases. */
+  leasedPart: number;
+  /** Time for which a lease holds unless it is renewed, in milliseconds. */
+  leaseMilliseconds: number;
+  /** Most routers with a lease: this many for each request per second. */
+  lesseesPerRequest: number;
+  /** Most routers with a lease, in addition. */
+  minLessees: number;
+  /** Routers that share the rest: this many for each request per second. */
+  baseHoldersPerRequest: number;
+  /** Unused requests that a router may save, as time at its rate. */
+  burstMilliseconds: number;
+}
+
+/**
+ * A router may save one request, so the most that a server gets in 4 s is
+ * 4 N + 1.3 N + 3 + 0.2 N + 1 + 0.25 N, below the 6 N + 5 that the users allow.
+ */
+export const defaultLimitPolicy: LimitPolicy = {
+  leasedPart: 0.8,
+  leaseMilliseconds: 8_000,
+  lesseesPerRequest: 1.3,
+  minLessees: 3,
+  baseHoldersPerRequest: 0.2,
+  burstMilliseconds: 250,
+};
+
+/** A router among all routers that it knows. */
+export interface RouterPosition {
+  /** Peer address of the router. */
+  address: string;
+  /** Peer addresses of the routers that are live, as last reported. */
+  routers: readonly string[];
+  /** Largest number of routers that may be live. */
+  routerCount: number;
+}
+
+/** Returns how many routers may have a lease of a limit. */
+export function maxLessees(
+  perSecond: number,
+  {lesseesPerRequest, minLessees}: LimitPolicy = defaultLimitPolicy,
+): number {
+  return Math.floor(perSecond * lesseesPerRequest) + minLessees;
+}
+
+/**
+ * Returns the part of a server's limit that a router may use without a lease.
+ *
+ * A leader that has just started reports few routers. Each of them would find
+ * itself first in the list, so the part shrinks with the list's length.
+ */
+export function basePart(
+  server: string,
+  perSecond: number,
+  {address, routers, routerCount}: RouterPosition,
+  policy: LimitPolicy = defaultLimitPolicy,
+): number {
+  const {leasedPart, baseHoldersPerRequest} = policy;
+  const holders = Math.max(1, Math.floor(perSecond * baseHoldersPerRequest));
+  const rank = rankFor(server, routers).indexOf(address);
+  if (rank < 0 || rank >= holders) return 0;
+  const known = Math.min(1, routers.length / Math.max(1, routerCount));
+  return ((1 - leasedPart) / holders) * known;
+}
--- /dev/null
+++ b/packages/fleet/src/limitShares.ts
@@ -0,0 +1,271 @@
+/**
+ * @fileoverview Leases parts of the servers' limits to routers, while this
+ * process leads, and passes on what the routers report of the limits.
+ *
+ * What a router was leased counts until it confirms a smaller lease or the lease
+ * ends, so messages may be lost, repeated and overtake each other. A leader that
+ * has just been elected doesn't know the leases of its predecessor: until these
+ * have ended it renews what routers report, and leases nothing else.
+ */
+import {
+  type LimitLease,
+  type LimitNotice,
+  type LimitReport,
+} from '@dogwoodtrestle/schema';
+
+import {KnownLimit} from './knownLimit.js';
+import {
+  defaultLimitPolicy,
+  type LimitPolicy,
+  maxLessees,
+} from './limitPolicy.js';
+import {rendezvousWeight} from './rendezvous.js';
+
+/** What a router last reported, and what it may use of the limit. */
+interface Lessee {
+  demand: number;
+  reportedAt: number;
+  /** Part of the limit that the router may use at most. */
+  share: number;
+  expiresAt: number;
+  /** Newest lease that was sent to the router. */
+  leaseId?: string;
+  /** Whether the router has the newest lease, so that no other is on its way. */
+  isConfirmed: boolean;
+}
+
+/** One incarnation of a server with a limit. */
+interface LimitedServer {
+  id: string;
+  startedAt: number;
+  limit: KnownLimit;
+  lessees: Map<string, Lessee>;
+  /** Planned share by router. */
+  plan: Map<string, number>;
+  plannedAt: number;
+}
+
+/** Time after which a router's demand no longer counts. */
+const demandMilliseconds = 3_000;
+
+/** Time for which a plan is kept, as each plan ranks all routers. */
+const planMilliseconds = 500;
+
+/** Time for which routers are told that a limit has ended. */
+const endedMilliseconds = 30_000;
+
+/** Factor of the demand of routers that have a lease, against frequent changes. */
+const lesseeWeight = 2;
+
+/** Longest time for which a former leader may have gone on, and delays. */
+const formerLeaderMilliseconds = 1_000;
+
+/** Shares of all limits. Times are monotonic, in milliseconds. */
+export class LimitShares {
+  private readonly servers = new Map<string, LimitedServer>();
+  private leasesIssued = 0;
+  private term?: number;
+  private leadingSince = -Infinity;
+
+  /** @param epoch Prefix of lease ids; unique for each run of a process. */
+  constructor(
+    private readonly epoch: string,
+    private readonly policy: LimitPolicy = defaultLimitPolicy,
+  ) {}
+
+  /** Enters a term as leader. Leases of other leaders are unknown. */
+  enterTerm(term: number, now: number): void {
+    if (term === this.term) return;
+    this.term = term;
+    this.leadingSince = now;
+    for (const server of this.servers.values()) server.lessees.clear();
+  }
+
+  /** Records a router's reports; returns whether a limit has changed. */
+  record(
+    router: string,
+    reports: readonly LimitReport[],
+    now: number,
+  ): boolean {
+    let isChanged = false;
+    for (const report of reports) {
+      const server = this.serverOf(report);
+      if (server === undefined) continue;
+      const {observation} = report;
+      if (observation !== undefined) {
+        const {perSecond, ageMilliseconds} = observation;
+        const observedAt = now - ageMilliseconds;
+        const change = server.limit.recordReport(perSecond, observedAt);
+        isChanged ||= change !== undefined;
+      }
+      this.recordLessee(server, router, report, now);
+    }
+    return isChanged;
+  }
+
+  /** Returns all limits, with a new lease for the router of each. */
+  notices(router: string, now: number): LimitNotice[] {
+    this.expire(now);
+    return [...this.servers.values()].flatMap(server => {
+      const {id, startedAt, limit} = server;
+      const {observation} = limit;
+      if (observation === undefined) return [];
+      const {perSecond, observedAt} = observation;
+      const ageMilliseconds = Math.max(0, Math.ceil(now - observedAt));
+      const lease = this.renew(server, router, now);
+      const notice = {server: id, startedAt, lease};
+      return [{...notice, observation: {perSecond, ageMilliseconds}}];
+    });
+  }
+
+  private renew(
+    server: LimitedServer,
+    router: string,
+    now: number,
+  ): LimitLease {
+    const milliseconds = this.policy.leaseMilliseconds;
+    const id = `${this.epoch}:${++this.leasesIssued}`;
+    const lessee = server.lessees.get(router);
+    if (lessee === undefined) return {id, share: 0, milliseconds};
+    lessee.leaseId = id;
+    const share = this.nextShare(server, router, lessee, now);
+    if (share === 0) return {id, share, milliseconds};
+    lessee.share = Math.max(lessee.share, share);
+    lessee.expiresAt = now + milliseconds;
+    return {id, share, milliseconds};
+  }
+
+  private nextShare(
+    server: LimitedServer,
+    router: string,
+    {isConfirmed, share}: Lessee,
+    now: number,
+  ): number {
+    if (!isConfirmed || server.limit.perSecond === undefined) return 0;
+    if (this.isNewLeader(now)) return share;
+    const free = this.policy.leasedPart - sharesOfOthers(server, router);
+    const planned = this.plannedShare(server, router, now);
+    return Math.max(0, Math.min(planned, free));
+  }
+
+  private isNewLeader(now: number): boolean {
+    const {leaseMilliseconds} = this.policy;
+    const knownAfter = leaseMilliseconds + formerLeaderMilliseconds;
+    return now - this.leadingSince < knownAfter;
+  }
+
+  private plannedShare(
+    server: LimitedServer,
+    router: string,
+    now: number,
+  ): number {
+    if (now - server.plannedAt >= planMilliseconds) {
+      server.plan = this.plan(server, now);
+      server.plannedAt = now;
+    }
+    return server.plan.get(router) ?? 0;
+  }
+
+  /**
+   * Chooses the lessees by rendezvous hashing, weighted by demand, so that the
+   * limits of several servers go to different routers.
+   */
+  private plan(
+    {id, limit, lessees}: LimitedServer,
+    now: number,
+  ): Map<string, number> {
+    const {policy} = this;
+    const ranked = [...lessees]
+      .filter(
+        ([, {demand, reportedAt}]) =>
+          demand > 0 && now - reportedAt <= demandMilliseconds,
+      )
+      .map(([router, {demand, share}]) => ({
+        router,
+        demand,
+        rank: rankOf(id, router, share > 0 ? demand * lesseeWeight : demand),
+      }))
+      .sort((a, b) => a.rank - b.rank)
+      .slice(0, maxLessees(limit.perSecond ?? 0, policy));
+    const total = ranked.reduce((sum, {demand}) => sum + demand, 0);
+    return new Map(
+      ranked.map(({router, demand}) => [
+        router,
+        (policy.leasedPart * demand) / total,
+      ]),
+    );
+  }
+
+  private recordLessee(
+    {lessees}: LimitedServer,
+    router: string,
+    {demand, share, lease}: LimitReport,
+    now: number,
+  ): void {
+    const known = lessees.get(router);
+    if (known === undefined) {
+      // The lease, if there is one, is of a former leader.
+      const expiresAt = now + this.policy.leaseMilliseconds;
+      const isConfirmed = true;
+      lessees.set(router, {
+        demand,
+        reportedAt: now,
+        share,
+        expiresAt,
+        isConfirmed,
+      });
+      return;
+    }
+    known.demand = demand;
+    known.reportedAt = now;
+    known.isConfirmed = lease === known.leaseId;
+    if (known.isConfirmed) known.share = share;
+  }
+
+  private serverOf(report: LimitReport): LimitedServer | undefined {
+    const {server: id, startedAt, observation} = report;
+    const key = `${id}@${startedAt}`;
+    let server = this.servers.get(key);
+    if (server === undefined && observation?.perSecond !== undefined) {
+      server = {
+        id,
+        startedAt,
+        limit: new KnownLimit(),
+        lessees: new Map(),
+        plan: new Map(),
+        plannedAt: -Infinity,
+      };
+      this.servers.set(key, server);
+    }
+    return server;
+  }
+
+  /** Drops leases that have ended and limits that nobody states any more. */
+  private expire(now: number): void {
+    for (const [key, {limit, lessees}] of this.servers) {
+      limit.expire(now);
+      for (const [router, lessee] of lessees) {
+        if (now < lessee.expiresAt) continue;
+        lessee.share = 0;
+        const silence = now - lessee.reportedAt;
+        if (silence > demandMilliseconds) lessees.delete(router);
+      }
+      const age = now - (limit.observation?.observedAt ?? now);
+      if (limit.perSecond === undefined && age > endedMilliseconds) {
+        this.servers.delete(key);
+      }
+    }
+  }
+}
+
+function sharesOfOthers({lessees}: LimitedServer, router: string): number {
+  let sum = 0;
+  for (const [name, {share}] of lessees) if (name !== router) sum += share;
+  return sum;
+}
+
+/** Rank of a router in weighted rendezvous hashing; the lowest is first. */
+function rankOf(server: string, router: string, weight: number): number {
+  const uniform = (rendezvousWeight(server, router) + 0.5) / 2 ** 32;
+  return -Math.log(uniform) / weight;
+}
--- a/packages/fleet/src/serverChoice.ts
+++ b/packages/fleet/src/serverChoice.ts
@@ -6,6 +6,9 @@
  * prefix is read once. If the work queued at that server would take longer than
  * reading the prefix again, the next server by rank gets the request.
  *
+ * A server that limits its requests gets the next one if its share would be lost
+ * otherwise, since few routers may send to it and each of them seldom would.
+ *
  * Long prompts delay all prompts that are read after them, so they go to a few
  * servers reserved for them, which other requests avoid.
  */
@@ -25,6 +28,11 @@
   isSuspect: boolean;
   /** Whether this router recently sent the shared prefix to the server. */
   hasCachedPrefix: boolean;
+  /**
+   * The server limits its requests, and one that it would take now is about to
+   * be lost.
+   */
+  isDue: boolean;
 }
 
 /** The request that a server is chosen for. */
@@ -82,7 +90,9 @@
 ): ServerCandidate | undefined {
   const settings = {...defaultServerChoiceOptions, ...options};
   const trusted = candidates.filter(({isSuspect}) => !isSuspect);
-  const pool = trusted.length > 0 ? trusted : candidates;
+  const due = trusted.filter(({isDue}) => isDue);
+  const preferred = due.length > 0 ? due : trusted;
+  const pool = preferred.length > 0 ? preferred : candidates;
   return request.affinityKey === undefined
     ? leastLoaded(pool, request, random)
     : cheapest(pool, request, request.affinityKey, settings);
--- a/packages/fleet/tests/decisions.test.ts
+++ b/packages/fleet/tests/decisions.test.ts
@@ -18,6 +18,7 @@
     slots: 8,
     isSuspect: false,
     hasCachedPrefix: false,
+    isDue: false,
     ...fields,
   };
 }
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -29,4 +29,5 @@
   type VersionVector,
 } from './util/gossipTable.js';
 export {type LimitedRequest} from './util/limitScope.js';
+export {TokenBucket, type TokenBucketOptions} from './util/tokenBucket.js';
 export {truncateToBytes} from './util/truncateToBytes.js';
--- a/packages/routing/src/util/tokenBucket.ts
+++ b/packages/routing/src/util/tokenBucket.ts
@@ -3,8 +3,10 @@
 /** Rate and size of a bucket. */
 export interface TokenBucketOptions {
   tokensPerSecond: number;
-  /** Maximum number of tokens; the bucket starts full. */
+  /** Maximum number of tokens. */
   burst: number;
+  /** Tokens at the start; the bucket starts full by default. */
+  initialTokens?: number;
 }
 
 /** A token bucket. Times are monotonic milliseconds. */
@@ -16,7 +18,7 @@
     private options: TokenBucketOptions,
     now: number,
   ) {
-    this.tokens = options.burst;
+    this.tokens = options.initialTokens ?? options.burst;
     this.refilledAt = now;
   }
 
