fix(edge): a response without end no longer holds a request or fills memory

Callers saw a request that a server had refused as not executed end with 504 after its whole deadline, and a stream that stood until its deadline, when the server never ended the refusal's body or an event.

Cause: the body of a refusal was read to its end, an event was buffered whatever its length (and searched again with every chunk), and so was what a server sent instead of resuming a stream.

Now a refusal counts after 64 KiB or 100 ms of its body, an event may have 1 MiB, and the attempt is abandoned: the request goes on elsewhere, or ends with what is true.

--- a/packages/edge/src/attempt.ts
+++ b/packages/edge/src/attempt.ts
@@ -43,7 +43,7 @@
   headers: string[];
   server: PooledServer;
   codec: WireCodec;
-  now: () => number;
+  clock: Clock;
   /** Called with each signal of the server's state, before the listener. */
   onSignal: (signal: ServerSignal) => void;
   /**
@@ -56,6 +56,12 @@
 /** Statuses that may state that a request was not executed. */
 const notExecutedStatuses: ReadonlySet<number> = new Set([400, 421, 429, 503]);
 
+/** Bytes of a refusal's body after which its connection is closed. */
+const maxRefusalBytes = 64 * 1024;
+
+/** Time after which that happens too, so that a refused request is not held. */
+const refusalBodyMilliseconds = 100;
+
 /** Statuses of an overloaded server. */
 const overloadStatuses: ReadonlySet<number> = new Set([429, 503]);
 
@@ -66,6 +72,8 @@
   private isOver = false;
   private head?: ResponseHead;
   private refusal?: AttemptFailure;
+  private refusalBytes = 0;
+  private cancelRefusalTimer?: () => void;
   private resumeBody?: () => void;
   private onResult?: (hasRun: boolean) => void;
   private abortRequest?: (reason: Error) => void;
@@ -147,8 +155,12 @@
           else this.receiveLateHead(status, rawHeaders);
         },
         onResponseData: (controller, chunk) => {
-          if (this.isOver || this.refusal !== undefined) return;
-          this.input.server.lastByteAt = this.input.now();
+          if (this.isOver) return;
+          if (this.refusal !== undefined) {
+            this.receiveRefusalBody(this.refusal, chunk);
+            return;
+          }
+          this.input.server.lastByteAt = this.input.clock.now();
           if (!this.listener.onData(chunk)) controller.pause();
         },
         onResponseEnd: () => this.end(),
@@ -158,8 +170,8 @@
   }
 
   private receiveHead(status: number, rawHeaders: string[]): void {
-    const {codec, request, server, now} = this.input;
-    server.lastByteAt = now();
+    const {codec, request, server, clock} = this.input;
+    server.lastByteAt = clock.now();
     const head = codec.decodeResponse(rawHeaders);
     this.reportSignals(status, head);
     // Another instance refuses a request without the request's attempt id.
@@ -176,7 +188,11 @@
       status === 421 ||
       (head.isNotExecuted && notExecutedStatuses.has(status))
     ) {
-      this.refusal = {kind: 'notExecuted', status};
+      const refusal: AttemptFailure = {kind: 'notExecuted', status};
+      this.refusal = refusal;
+      this.cancelRefusalTimer = clock.setTimer(refusalBodyMilliseconds, () => {
+        if (!this.isOver) this.failAndClose(refusal);
+      });
       return;
     }
     const isSuccess = status < 300;
@@ -195,6 +211,12 @@
     this.listener.onHead(status, head);
   }
 
+  /** Closes the connection where the body of a refusal is too long. */
+  private receiveRefusalBody(refusal: AttemptFailure, chunk: Buffer): void {
+    this.refusalBytes += chunk.length;
+    if (this.refusalBytes > maxRefusalBytes) this.failAndClose(refusal);
+  }
+
   /** The server responded before it noticed the cancellation. */
   private receiveLateHead(status: number, rawHeaders: string[]): void {
     const head = this.input.codec.decodeResponse(rawHeaders);
@@ -233,6 +255,7 @@
 
   private failAndRelease(failure: AttemptFailure): void {
     this.isOver = true;
+    this.cancelRefusalTimer?.();
     this.input.server.connections.release(this.connection);
     this.listener.onFailed(failure);
   }
@@ -256,6 +279,7 @@
 
   private failAndClose(failure: AttemptFailure): void {
     this.isOver = true;
+    this.cancelRefusalTimer?.();
     this.abortRequest?.(new Error('aborted'));
     this.input.server.connections.drop(this.connection);
     this.listener.onFailed(failure);
--- a/packages/edge/src/eventScanner.ts
+++ b/packages/edge/src/eventScanner.ts
@@ -5,6 +5,9 @@
 
 const newline = 0x0a;
 
+/** Bytes of an event beyond which it counts as one without end. */
+const maxEventBytes = 1024 * 1024;
+
 /** Events completed by one chunk. */
 export interface EventBatch {
   /** Bytes of the events, in order. */
@@ -34,6 +37,11 @@
     return this.rest.length > 0;
   }
 
+  /** Whether the incomplete event is longer than any event may be. */
+  get isEndless(): boolean {
+    return this.rest.length > maxEventBytes;
+  }
+
   /** Adds a chunk and returns the events that it completes. */
   push(chunk: Buffer): EventBatch {
     const bytes =
--- a/packages/edge/src/requestHandler.ts
+++ b/packages/edge/src/requestHandler.ts
@@ -11,7 +11,8 @@
 import {type CallerExchange} from './callerExchange.js';
 import {type EdgeContext} from './edgeContext.js';
 import {EventScanner} from './eventScanner.js';
-import {type RefusalReason, retryAfterFor, serversRefusal} from './refusal.js';
+import {createForwardInstructions} from './forwardInstructions.js';
+import {type RefusalReason, retryAfterFor} from './refusal.js';
 import {recordRequest, type RequestSummary} from './requestSummary.js';
 import {
   classifyResponse,
@@ -22,7 +23,7 @@
 import {type LimitDecision} from './serverLimits.js';
 import {createServerObservers} from './serverObservers.js';
 import {type PooledServer} from './serverPool.js';
-import {selectServer} from './serverSelection.js';
+import {refuseWithoutServer, selectServer} from './serverSelection.js';
 import {watchForStall} from './stallWatch.js';
 import {reserveTokens, tokensToReserve} from './tokenReservation.js';
 import {usedTokens} from './usedTokens.js';
@@ -43,8 +44,6 @@
  */
 const cancelTimeoutMilliseconds = 250;
 
-const lowestUrgency = 9;
-
 /** A server's complete response; a failed one is kept as a fallback. */
 interface BufferedResponse {
   status: number;
@@ -160,32 +159,27 @@
 
   private sendTo(server: PooledServer, now: number): void {
     const {options, clock} = this.context;
-    const {request, body, route, workspace} = this.input;
+    const {request, body} = this.input;
     const {record} = server;
     this.triedServers.add(record.id);
     this.triedAddresses.push(`${record.id}@${record.address}`);
     this.sentAttempts++;
-    const priority = workspace?.priority ?? route.priority;
-    const headers = options.codec.encodeRequest(request, {
+    const target = {
       server: record,
-      timeRemainingMilliseconds: Math.floor(this.deadline - now),
-      workspace: workspace?.name,
-      urgency: Math.min(lowestUrgency, Math.max(0, priority)),
-      lastEventId: this.lastEventId ?? request.lastEventId,
-    });
+      timeRemainingMilliseconds: this.deadline - now,
+      lastEventId: this.lastEventId,
+    };
+    const instructions = createForwardInstructions(this.input, target);
+    const headers = options.codec.encodeRequest(request, instructions);
     const progress = createProgress(server, now);
     this.current = progress;
-    if (server.openRequests === 0) server.waitingSince = now;
-    server.openRequests++;
-    server.unreadTokens += this.promptTokens;
-    server.bar.begin(progress, now);
-    server.limit.take(now);
-    const observers = createServerObservers(
+    server.begin(progress, this.promptTokens, now);
+    const {attemptId} = request;
+    progress.observers = createServerObservers(
       this.context,
-      request.attemptId,
+      attemptId,
       progress,
     );
-    progress.observers = observers;
     const isCurrent = () => this.current === progress && !this.isOver;
     progress.attempt = new Attempt(
       {
@@ -194,8 +188,8 @@
         headers,
         server,
         codec: options.codec,
-        now: () => clock.now(),
-        ...observers,
+        clock,
+        ...progress.observers,
       },
       {
         onHead: (status, head) => {
@@ -242,11 +236,15 @@
     }
     progress.progressAt = this.context.clock.now();
     if (progress.isPassedOn) return this.write(progress, chunk);
+    progress.heldBytes += chunk.length;
+    const isTooLong = progress.heldBytes > maxBufferedBytes;
     // The server sent another response instead of resuming the stream.
-    if (this.exchange.isStarted) return true;
+    if (this.exchange.isStarted) {
+      if (isTooLong) this.abandon(progress, 'not resumed, and without end');
+      return true;
+    }
     progress.held.push(chunk);
-    progress.heldBytes += chunk.length;
-    if (progress.heldBytes <= maxBufferedBytes) return true;
+    if (!isTooLong) return true;
     progress.isPassedOn = true;
     this.exchange.start(progress.head ?? emptyResponseHead, progress.status);
     const held = Buffer.concat(progress.held);
@@ -261,7 +259,10 @@
   ): boolean {
     const {data, count} = scanner.push(chunk);
     this.lastEventId = scanner.lastEventId ?? this.lastEventId;
-    if (count === 0) return true;
+    if (count === 0) {
+      if (scanner.isEndless) this.abandon(progress, 'event without end');
+      return true;
+    }
     const now = this.context.clock.now();
     this.events += count;
     progress.progressAt = now;
@@ -380,15 +381,20 @@
       if (!state.hasFirstEvent && isAlive) {
         this.responseTimes.observe(this.promptTokens, state.silence);
       }
-      this.detach(progress, 'failure');
-      progress.attempt?.abort();
-      this.hasRun = true;
       this.log('server stalled', {server: server.record.id, ...state});
-      this.handleUnknown('server stalled');
+      this.abandon(progress, 'server stalled');
     });
     this.cancelTimers.push(cancel);
   }
 
+  /** Leaves a server that may have executed the request. */
+  private abandon(progress: AttemptProgress, reason: string): void {
+    this.detach(progress, 'failure');
+    progress.attempt?.abort();
+    this.hasRun = true;
+    this.handleUnknown(reason);
+  }
+
   private get responseTimes(): ResponseTimes {
     return this.context.pool.responseTimes(this.input.service);
   }
@@ -401,9 +407,7 @@
     this.current = undefined;
     const {server, hasFirstEvent} = progress;
     const now = this.context.clock.now();
-    server.openRequests--;
-    server.waitingSince = server.openRequests === 0 ? Infinity : now;
-    if (!hasFirstEvent) server.unreadTokens -= this.promptTokens;
+    server.end(hasFirstEvent ? 0 : this.promptTokens, now);
     progress.observers?.onSignal({kind: 'ended'});
     if (outcome !== undefined) this.context.pool.record(server, outcome, now);
   }
@@ -430,12 +434,9 @@
 
   /** Fails as no server accepts the request, with the time until one may. */
   private failWithoutServer(reason: RefusalReason, now: number): void {
-    const {pool, limits, options} = this.context;
-    const first = pool.firstAvailable(this.input.service, now);
-    if (first?.isLimited === true) {
-      limits.recordDecision(first.server, 'refused', this.limitDecisions);
-    }
-    const refusal = serversRefusal(reason, first, options.random);
+    const {context, limitDecisions} = this;
+    const request = {service: this.input.service, reason, limitDecisions};
+    const refusal = refuseWithoutServer(context, request, now);
     this.fail(refusal.reason, refusal.retryAfterSeconds);
   }
 
@@ -504,7 +505,6 @@
     this.release?.();
     this.onFinished();
     const {firstEventAt, events, triedAddresses: servers} = this;
-    const {limitDecisions} = this;
     recordRequest(this.context, this.input, {
       outcome,
       status,
@@ -512,7 +512,7 @@
       firstEventAt,
       events,
       servers,
-      limitDecisions,
+      limitDecisions: this.limitDecisions,
       usedTokens,
     });
   }
--- a/packages/edge/src/serverPool.ts
+++ b/packages/edge/src/serverPool.ts
@@ -56,6 +56,22 @@
     readonly limit: RequestLimit,
   ) {}
 
+  /** Records that an attempt is sent. */
+  begin(attempt: object, promptTokens: number, now: number): void {
+    if (this.openRequests === 0) this.waitingSince = now;
+    this.openRequests++;
+    this.unreadTokens += promptTokens;
+    this.bar.begin(attempt, now);
+    this.limit.take(now);
+  }
+
+  /** Records that an attempt has ended, and its tokens that were not read. */
+  end(unreadTokens: number, now: number): void {
+    this.openRequests--;
+    this.waitingSince = this.openRequests === 0 ? Infinity : now;
+    this.unreadTokens -= unreadTokens;
+  }
+
   /** Records that a prompt part is sent; forgets the oldest above the limit. */
   recordPart(id: string, now: number): void {
     this.parts.delete(id);
--- a/packages/edge/src/serverSelection.ts
+++ b/packages/edge/src/serverSelection.ts
@@ -4,6 +4,11 @@
 import {chooseServer} from '@dogwoodtrestle/fleet';
 
 import {type EdgeContext} from './edgeContext.js';
+import {
+  type RefusalReason,
+  serversRefusal,
+  type TimedRefusal,
+} from './refusal.js';
 import {type LimitDecision} from './serverLimits.js';
 import {type PooledServer} from './serverPool.js';
 import {type GenerationParameters, type PromptPart} from './wireCodec.js';
@@ -53,6 +58,27 @@
   return server;
 }
 
+/** A request that no server accepts. */
+export interface UnservedRequest {
+  service: string;
+  reason: RefusalReason;
+  /** Receives the decision if a server's limit leads to the refusal. */
+  limitDecisions: LimitDecision[];
+}
+
+/** Returns the refusal of a request, with the time at which to retry it. */
+export function refuseWithoutServer(
+  {pool, limits, options}: Pick<EdgeContext, 'pool' | 'limits' | 'options'>,
+  {service, reason, limitDecisions}: UnservedRequest,
+  now: number,
+): TimedRefusal {
+  const first = pool.firstAvailable(service, now);
+  if (first?.isLimited === true) {
+    limits.recordDecision(first.server, 'refused', limitDecisions);
+  }
+  return serversRefusal(reason, first, options.random);
+}
+
 /** The parts of a prompt that other requests may share: all but the last. */
 function sharedParts(generation?: GenerationParameters): PromptPart[] {
   return generation?.parts.slice(0, -1) ?? [];
