fix(control): a new leader renews the leases of its predecessor

Callers of a service whose servers limit their requests got 503 for up to 9 s after a change of leader, where leases should have gone on.

Cause: the term was entered when the first reply was written, which cleared the lease that the request of that reply had just reported; the router was sent a share of 0, and a new leader leases nothing else for 9 s. Found by reading; the soak did not show it, as a fifth of the limit goes on without leases. Now the term is entered before reports are recorded.

Test: `control/tests/watchService.test.ts`, failed before.

--- a/packages/control/src/replicaGroup.ts
+++ b/packages/control/src/replicaGroup.ts
@@ -132,11 +132,14 @@
     return this.replica.status().role === 'leader';
   }
 
-  /** Term in which this process leads with a majority; undefined otherwise. */
-  get leaderTerm(): number | undefined {
-    return this.replica.leadsWithQuorum
-      ? this.replica.status().term
-      : undefined;
+  /** Whether this process leads, and no other leader can have been elected. */
+  get leadsWithQuorum(): boolean {
+    return this.replica.leadsWithQuorum;
+  }
+
+  /** Newest term that this process's replica knows. */
+  get term(): number {
+    return this.replica.status().term;
   }
 
   /** Peer address of the leader, if it is known and another process. */
--- a/packages/control/src/watchService.ts
+++ b/packages/control/src/watchService.ts
@@ -108,16 +108,16 @@
   /** Records limits of backend servers; all routers hear of a change at once. */
   private recordLimits({router, limits = []}: WatchRequest): void {
     const now = this.options.clock.now();
+    const {term} = this.group;
+    const isFirst = term === bootstrapTerm + 1;
+    this.limitShares.enterTerm({term, isFirst}, now);
     if (this.limitShares.record(router, limits, now)) this.notifyWatchers();
   }
 
   /** Returns all limits, with the router's leases if this process may grant any. */
   private limitNotices(router: string): LimitNotice[] | undefined {
-    const term = this.group.leaderTerm;
-    if (term === undefined) return undefined;
+    if (!this.group.leadsWithQuorum) return undefined;
     const now = this.options.clock.now();
-    const isFirst = term === bootstrapTerm + 1;
-    this.limitShares.enterTerm({term, isFirst}, now);
     const notices = this.limitShares.notices(router, now);
     return notices.length > 0 ? notices : undefined;
   }
