fix(edge): a request counts as sent within a limit only if it is sent

`request ended` and the metric said `sent` for a retry that the retry budget then refused. The decision is recorded, and the request taken, where the attempt starts. Found by reading; the test holds each logged decision against the servers of the line, but does not exhaust the retry budget.

--- a/packages/edge/src/requestHandler.ts
+++ b/packages/edge/src/requestHandler.ts
@@ -158,7 +158,7 @@
   }
 
   private sendTo(server: PooledServer, now: number): void {
-    const {options, clock} = this.context;
+    const {options, clock, limits} = this.context;
     const {request, body} = this.input;
     const {record} = server;
     this.triedServers.add(record.id);
@@ -174,12 +174,8 @@
     const progress = createProgress(server, now);
     this.current = progress;
     server.begin(progress, this.promptTokens, now);
-    const {attemptId} = request;
-    progress.observers = createServerObservers(
-      this.context,
-      attemptId,
-      progress,
-    );
+    limits.recordSent(server, this.limitDecisions, now);
+    progress.observers = createServerObservers(this.context, request, progress);
     const isCurrent = () => this.current === progress && !this.isOver;
     progress.attempt = new Attempt(
       {
@@ -532,7 +528,7 @@
   }
 
   private log(message: string, fields: object): void {
-    const {attemptId} = this.input.request;
-    this.context.logger.info({request: attemptId, ...fields}, message);
+    const request = this.input.request.attemptId;
+    this.context.logger.info({request, ...fields}, message);
   }
 }
--- a/packages/edge/src/serverLimits.ts
+++ b/packages/edge/src/serverLimits.ts
@@ -166,6 +166,17 @@
     return reports;
   }
 
+  /** Takes a request from the limit of a server that it is sent to. */
+  recordSent(
+    server: PooledServer,
+    decisions: LimitDecision[],
+    now: number,
+  ): void {
+    const decision = server.limit.isDue(now) ? 'due' : 'sent';
+    this.recordDecision(server, decision, decisions);
+    server.limit.take(now);
+  }
+
   /** Counts a decision and adds it to those of its request. */
   recordDecision(
     server: PooledServer,
--- a/packages/edge/src/serverObservers.ts
+++ b/packages/edge/src/serverObservers.ts
@@ -4,6 +4,7 @@
 import {type AttemptOptions} from './attempt.js';
 import {type AttemptProgress} from './attemptProgress.js';
 import {type EdgeContext} from './edgeContext.js';
+import {type CallerRequest} from './wireCodec.js';
 
 /** Callbacks of an attempt that concern its server. */
 export type ServerObservers = Pick<AttemptOptions, 'onSignal' | 'onLimit'>;
@@ -11,7 +12,7 @@
 /** Returns the callbacks of one attempt of a request. */
 export function createServerObservers(
   {pool, limits, clock}: Pick<EdgeContext, 'pool' | 'limits' | 'clock'>,
-  request: string,
+  {attemptId: request}: CallerRequest,
   progress: AttemptProgress,
 ): ServerObservers {
   const {server, startedAt: sentAt} = progress;
--- a/packages/edge/src/serverPool.ts
+++ b/packages/edge/src/serverPool.ts
@@ -62,7 +62,6 @@
     this.openRequests++;
     this.unreadTokens += promptTokens;
     this.bar.begin(attempt, now);
-    this.limit.take(now);
   }
 
   /** Records that an attempt has ended, and its tokens that were not read. */
--- a/packages/edge/src/serverSelection.ts
+++ b/packages/edge/src/serverSelection.ts
@@ -50,11 +50,8 @@
     const admitted = available.filter(({limit}) => limit.admits(now));
     server = choose(context, admitted, generation, now);
   }
-  if (server === undefined) return undefined;
-  const decision = server.limit.isDue(now) ? 'due' : 'sent';
-  limits.recordDecision(server, decision, limitDecisions);
   const part = sharedParts(generation).at(-1)?.id;
-  if (part !== undefined) server.recordPart(part, now);
+  if (part !== undefined) server?.recordPart(part, now);
   return server;
 }
 
