feat(edge): tell a used-up total from tokens that are held elsewhere

A refusal for want of tokens was logged with its reason only, and counted by route. To tell the hypotheses apart one had to match it by time with the leader's summary.

- `request ended` has `shortage`: what the request needs, what this router has and may spend, and what the leader says is unspent, with its age.
- `dogwoodtrestle_failed_requests_total{workspace,reason}` on routers.

--- a/packages/edge/src/edgeContext.ts
+++ b/packages/edge/src/edgeContext.ts
@@ -23,6 +23,8 @@
 /** Metrics of callers' requests. */
 export interface RequestMetrics {
   requests: Counter;
+  /** Requests that the router refused or failed, by workspace and reason. */
+  failures: Counter;
   retries: Counter;
   durations: Histogram;
 }
--- a/packages/edge/src/edgeNode.ts
+++ b/packages/edge/src/edgeNode.ts
@@ -152,6 +152,10 @@
           'dogwoodtrestle_requests_total',
           'Requests of callers, by route and outcome.',
         ),
+        failures: metrics.counter(
+          'dogwoodtrestle_failed_requests_total',
+          'Requests that the router refused or failed, by workspace and reason.',
+        ),
         retries: metrics.counter(
           'dogwoodtrestle_repeats_total',
           'Further attempts of requests, by service.',
@@ -334,6 +338,7 @@
   ): void {
     const {logger, metrics, control} = this.context;
     metrics.requests.add({route: '', outcome: reason});
+    metrics.failures.add({workspace: '', reason});
     logger.info(
       {
         request: request?.attemptId,
--- a/packages/edge/src/requestHandler.ts
+++ b/packages/edge/src/requestHandler.ts
@@ -4,7 +4,7 @@
  *
  * A non-idempotent request is retried only while no server can have run it.
  */
-import {type Reservation, type ResponseTimes} from '@dogwoodtrestle/fleet';
+import {type ResponseTimes} from '@dogwoodtrestle/fleet';
 
 import {Attempt, type AttemptFailure} from './attempt.js';
 import {type AttemptProgress, createProgress} from './attemptProgress.js';
@@ -14,6 +14,7 @@
 import {createForwardInstructions} from './forwardInstructions.js';
 import {type RefusalReason, retryAfterFor} from './refusal.js';
 import {recordRequest, type RequestSummary} from './requestSummary.js';
+import {RequestTokens} from './requestTokens.js';
 import {
   classifyResponse,
   impliesNotRun,
@@ -25,8 +26,6 @@
 import {type PooledServer} from './serverPool.js';
 import {refuseWithoutServer, selectServer} from './serverSelection.js';
 import {watchForStall} from './stallWatch.js';
-import {reserveTokens, tokensToReserve} from './tokenReservation.js';
-import {usedTokens} from './usedTokens.js';
 import {emptyResponseHead, type ResponseHead} from './wireCodec.js';
 
 /** Connection failures after which a request fails. */
@@ -61,7 +60,7 @@
   private readonly triedAddresses: string[] = [];
   private readonly limitDecisions: LimitDecision[] = [];
   private current?: AttemptProgress;
-  private reservation?: Reservation;
+  private readonly tokens: RequestTokens;
   /** Ends the request's admission. */
   private release?: () => void;
   private sentAttempts = 0;
@@ -97,6 +96,7 @@
     private readonly onFinished: () => void,
   ) {
     const {route, request, receivedAt} = input;
+    this.tokens = new RequestTokens(context, input);
     const remaining = request.timeRemainingMilliseconds ?? Infinity;
     this.deadline = receivedAt + Math.min(route.timeoutMilliseconds, remaining);
     this.isStream = route.kind === 'streaming';
@@ -118,23 +118,15 @@
       this.refuse('routerBusy', retryAfterFor('routerBusy', options.random));
       return;
     }
-    const refusal = await this.reserve();
-    if (this.isOver) return;
+    const refusal = await this.tokens.reserve(() => this.isOver);
+    if (this.isOver) {
+      this.settle();
+      return;
+    }
     if (refusal !== undefined) this.refuse(refusal);
     else this.sendNext();
   }
 
-  /** Reserves the request's maximum cost; returns why it could not. */
-  private async reserve(): Promise<RefusalReason | undefined> {
-    const demand = tokensToReserve(this.input);
-    if (demand === undefined) return undefined;
-    const result = await reserveTokens(this.context, demand, () => this.isOver);
-    if ('refusal' in result) return result.refusal;
-    this.reservation = result.reservation;
-    if (this.isOver) this.settle();
-    return undefined;
-  }
-
   private sendNext(): void {
     const now = this.context.clock.now();
     if (this.deadline - now < minSendTimeMilliseconds) {
@@ -464,7 +456,7 @@
 
   /** Cancels the current attempt, if there is one. */
   private cancelAttempt(): void {
-    const {current: progress, reservation, hasRun} = this;
+    const {current: progress, hasRun} = this;
     if (progress === undefined) return;
     const {attempt, server} = progress;
     this.detach(progress);
@@ -473,7 +465,7 @@
       return;
     }
     this.hasRun = true;
-    if (hasRun || reservation === undefined) {
+    if (hasRun || !this.tokens.isReserved) {
       attempt.abort();
       return;
     }
@@ -509,22 +501,14 @@
       events,
       servers,
       limitDecisions: this.limitDecisions,
+      shortage: this.tokens.shortage,
       usedTokens,
     });
   }
 
-  /** Settles the reservation; returns the tokens used. */
   private settle(): number | undefined {
-    const {reservation} = this;
-    const {generation} = this.input.request;
-    if (reservation === undefined || generation === undefined) return undefined;
-    const {grants, routes} = this.context;
-    const engine = routes()?.service(this.input.service)?.engine;
     const {hasRun: mayHaveRun, events} = this;
-    const {tokensPerEvent} = engine ?? {};
-    const used = usedTokens({generation, mayHaveRun, events, tokensPerEvent});
-    grants.settle(reservation, used);
-    return used;
+    return this.tokens.settle({mayHaveRun, events});
   }
 
   private log(message: string, fields: object): void {
--- a/packages/edge/src/requestSummary.ts
+++ b/packages/edge/src/requestSummary.ts
@@ -5,6 +5,7 @@
 import {type RefusalReason} from './refusal.js';
 import {type RoutedRequest} from './routedRequest.js';
 import {type LimitDecision} from './serverLimits.js';
+import {type TokenShortage} from './tokenReservation.js';
 
 /** Summary of a finished request. */
 export interface RequestSummary {
@@ -20,6 +21,8 @@
   servers: readonly string[];
   /** Decisions that followed from the limits of servers, in order. */
   limitDecisions: readonly LimitDecision[];
+  /** Set if the request was refused for want of tokens. */
+  shortage?: TokenShortage;
   /** Tokens charged to the workspace's prepaid total. */
   usedTokens?: number;
 }
@@ -34,6 +37,9 @@
   const {limitDecisions} = end;
   const elapsed = clock.now() - receivedAt;
   metrics.requests.add({route: route.name, outcome: reason ?? outcome});
+  if (reason !== undefined) {
+    metrics.failures.add({workspace: workspace?.name ?? '', reason});
+  }
   metrics.durations.observe(elapsed, {kind: route.kind, outcome});
   logger.info(
     {
@@ -49,6 +55,7 @@
       events,
       servers,
       limits: limitDecisions.length > 0 ? limitDecisions : undefined,
+      shortage: end.shortage,
       route: route.name,
       workspace: workspace?.name,
       promptTokens: request.generation?.promptTokens ?? 0,
--- a/packages/edge/src/tokenReservation.ts
+++ b/packages/edge/src/tokenReservation.ts
@@ -24,9 +24,26 @@
   return {workspace: workspace.name, tokens, request: attemptId};
 }
 
+/**
+ * Where the tokens are that a refused request lacks, for the logs: the total is
+ * used up where `remaining` is below `needed`, else other routers hold them.
+ */
+export interface TokenShortage {
+  needed: number;
+  /** Tokens of this router that are not reserved. */
+  available: number;
+  /** Those of them that its spending limit allows now. */
+  spendable: number;
+  /** Unspent tokens at all routers and those not granted, by the leader. */
+  remaining: number;
+  /** Age of `remaining`; missing if the leader was never heard. */
+  remainingAgeMilliseconds?: number;
+}
+
 /** The reservation, or why there is none. */
 export type ReservationResult =
-  {reservation: Reservation} | {refusal: RefusalReason};
+  | {reservation: Reservation}
+  | {refusal: RefusalReason; shortage: TokenShortage};
 
 /** Components that reservations need. */
 export type ReservationContext = Pick<
@@ -50,22 +67,23 @@
   const reservation = grants.reserve(workspace, tokens, clock.now());
   if (reservation !== undefined) return {reservation};
   const hasBorrowed = await loans.borrow(demand, !control.isConnected, isOver);
-  if (isOver()) return {refusal: 'grantUnavailable'};
+  if (isOver()) return refuse(context, demand, 'grantUnavailable');
   if (hasBorrowed) {
     const reservation = grants.reserve(workspace, tokens, clock.now(), true);
     if (reservation !== undefined) return {reservation};
   }
   return control.isConnected
     ? reserveFromLeader(context, demand, isOver)
-    : {refusal: 'grantUnavailable'};
+    : refuse(context, demand, 'grantUnavailable');
 }
 
 async function reserveFromLeader(
   context: ReservationContext,
-  {workspace, tokens}: TokenDemand,
+  demand: TokenDemand,
   isOver: () => boolean,
 ): Promise<ReservationResult> {
   const {grants, clock, control, options} = context;
+  const {workspace, tokens} = demand;
   const askedAt = clock.now();
   const limit = askedAt + options.grantWaitMilliseconds;
   grants.want(workspace, tokens);
@@ -78,7 +96,7 @@
       if (reservation !== undefined) return {reservation};
       const {tokens: remaining, receivedAt} = grants.remaining(workspace);
       if (receivedAt >= askedAt && remaining < tokens) {
-        return {refusal: 'prepaidExhausted'};
+        return refuse(context, demand, 'prepaidExhausted');
       }
       if (now >= limit || !control.isConnected) break;
       await pause(
@@ -86,12 +104,32 @@
         Math.min(grantRetryIntervalMilliseconds, limit - now),
       );
     }
-    return {refusal: 'grantUnavailable'};
+    return refuse(context, demand, 'grantUnavailable');
   } finally {
     grants.want(workspace, -tokens);
   }
 }
 
+function refuse(
+  {grants, clock}: ReservationContext,
+  {workspace, tokens: needed}: TokenDemand,
+  refusal: RefusalReason,
+): ReservationResult {
+  const now = clock.now();
+  const {tokens: remaining, receivedAt} = grants.remaining(workspace);
+  const age = now - receivedAt;
+  const shortage = {
+    needed,
+    available: Math.round(grants.available(workspace)),
+    spendable: Math.round(grants.spendable(workspace, now)),
+    remaining,
+    remainingAgeMilliseconds: Number.isFinite(age)
+      ? Math.round(age)
+      : undefined,
+  };
+  return {refusal, shortage};
+}
+
 function pause(
   {clock}: ReservationContext,
   milliseconds: number,
--- a/packages/fleet/src/heldGrants.ts
+++ b/packages/fleet/src/heldGrants.ts
@@ -152,6 +152,11 @@
     return available(this.grantOf(workspace));
   }
 
+  /** Tokens that could be reserved now, by grant and spending limit. */
+  spendable(workspace: string, now: number): number {
+    return this.spendableOf(this.grantOf(workspace), now);
+  }
+
   /** Whether a number of tokens could be reserved now. */
   canReserve(workspace: string, tokens: number, now: number): boolean {
     return this.spendableOf(this.grantOf(workspace), now) >= tokens;
