fix: a request is served if routers together hold the tokens that it needs

Callers saw: 503 grantUnavailable for requests that the total covers, the more so the larger the prompt, the smaller the total or the nearer its end.

Cause: a loan came from one router, and the spending limit lets a holder lend a tenth of its tokens, or 9,000, between two reports. Once the leader has granted all, five holders have a fifth each, and no request above what one of them may lend is served. What is left is then used by nobody, so later requests are refused as well, although each of them fits.

Fix: what a router lacks comes from several lenders if no single one has it; a lender has the leader record a loan that only its spending limit forbids; a router whose own grant covers the request does so for itself instead of asking others. The limit stays as it is, so what an outage forfeits does. Lenders deduct before they reply, as before: no token is spent twice (400 random histories with partial loans, 200 with lost messages).

--- a/packages/bench/src/grants/grantModel.ts
+++ b/packages/bench/src/grants/grantModel.ts
@@ -11,6 +11,7 @@
   GrantPlanner,
   type GrantSizingOptions,
   HeldGrants,
+  type LoanTerms,
   recordUsage,
   type Reservation,
   TokenHolders,
@@ -39,6 +40,11 @@
   surge?: TimeSpan & {factor: number};
   /** Prepaid totals as a multiple of the expected usage. */
   prepaidFactor: number;
+  /**
+   * Callers of all customers, each of which sends to one router; undefined if
+   * each request reaches a router of its own.
+   */
+  callers?: number;
 }
 
 /** A policy for sizing grants. */
@@ -64,6 +70,11 @@
   falselyRefusedAfterLoss: number;
   /** Tokens used beyond the totals, summed over all customers. */
   overspent: number;
+  /**
+   * Lowest share, over all customers, of the requests that the total covers and
+   * that were served.
+   */
+  worstServedShare: number;
   loans: number;
   /** Reports that the leader had to record while a request waited. */
   urgentReports: number;
@@ -76,6 +87,12 @@
   startedAt: number;
 }
 
+/** Requests of one customer that its total covers. */
+interface CustomerRequests {
+  served: number;
+  falselyRefused: number;
+}
+
 interface OpenRequest {
   router: Router;
   customer: string;
@@ -116,6 +133,9 @@
   private readonly routerWeights: number[];
   private readonly prepaid = new Map<string, number>();
   private readonly used = new Map<string, number>();
+  private readonly requests = new Map<string, CustomerRequests>();
+  /** Routers of each customer's callers, by index. */
+  private readonly callers = new Map<string, number[]>();
   private readonly planner: GrantPlanner;
   private readonly holders = new TokenHolders();
   private readonly instances: readonly string[];
@@ -134,6 +154,7 @@
     askedAfterLoss: 0,
     falselyRefusedAfterLoss: 0,
     overspent: 0,
+    worstServedShare: 1,
     loans: 0,
     urgentReports: 0,
   };
@@ -151,6 +172,7 @@
     // Hashing spreads callers unevenly over routers.
     this.routerWeights = this.routers.map(() => 0.4 + this.random());
     this.setPrepaidTotals();
+    this.placeCallers();
     const state = {
       prepaid: this.book,
       prepaidOf: (customer: string) => this.prepaid.get(customer) ?? 0,
@@ -185,6 +207,11 @@
       const excess = used - (this.prepaid.get(customer) ?? 0);
       this.outcome.overspent += Math.max(0, excess);
     }
+    for (const {served, falselyRefused} of this.requests.values()) {
+      const share = served / Math.max(1, served + falselyRefused);
+      const {worstServedShare} = this.outcome;
+      this.outcome.worstServedShare = Math.min(worstServedShare, share);
+    }
     return this.outcome;
   }
 
@@ -202,6 +229,30 @@
     });
   }
 
+  /** Places callers in proportion to the customers' requests, at least one. */
+  private placeCallers(): void {
+    const {callers} = this.day;
+    if (callers === undefined) return;
+    const total = sum(this.weights);
+    this.customers.forEach((customer, index) => {
+      const share = (this.weights[index] ?? 0) / total;
+      const count = Math.max(1, Math.round(callers * share));
+      const routers = Array.from({length: count}, () =>
+        Math.floor(this.random() * this.routers.length),
+      );
+      this.callers.set(customer, routers);
+    });
+  }
+
+  private routerFor(customer: string): Router | undefined {
+    const callers = this.callers.get(customer);
+    const index =
+      callers === undefined
+        ? weightedIndex(this.routerWeights, this.random)
+        : callers[Math.floor(this.random() * callers.length)];
+    return this.routers[index ?? 0];
+  }
+
   /** Factor by which the surge raises the first customer's usage of the day. */
   private surgeFactor(): number {
     const {surge, durationMilliseconds} = this.day;
@@ -227,7 +278,7 @@
       index === 0 && isSurging ? weight * surge.factor : weight,
     );
     const customer = this.customers[weightedIndex(weights, this.random)] ?? '';
-    const router = this.routers[weightedIndex(this.routerWeights, this.random)];
+    const router = this.routerFor(customer);
     if (router === undefined) return;
     const tokens = sampleTokens(this.random);
     const isAfterLoss = this.now >= (this.day.powerLossAt ?? Infinity);
@@ -235,16 +286,19 @@
     if (isAfterLoss) this.outcome.askedAfterLoss++;
     const reservation = this.reserveTokens(router, customer, tokens);
     const used = Math.ceil(tokens * usedFraction);
+    const requests = this.requestsOf(customer);
     if (reservation === undefined) {
       const left = (this.prepaid.get(customer) ?? 0) - this.usedOf(customer);
       // The users count a refusal as false only if the request fits into 97% of
       // the total.
       if (left > 0.03 * (this.prepaid.get(customer) ?? 0) + tokens) {
         this.outcome.falselyRefused++;
+        requests.falselyRefused++;
         if (isAfterLoss) this.outcome.falselyRefusedAfterLoss++;
       }
       return;
     }
+    requests.served++;
     this.used.set(customer, this.usedOf(customer) + used);
     const endsAt = this.now + requestMilliseconds;
     this.open.push({router, customer, reservation, used, endsAt});
@@ -270,19 +324,44 @@
   }
 
   private borrow(router: Router, customer: string, tokens: number): boolean {
-    const loanSize = router.grants.loanSize(customer, tokens, this.now);
-    for (const holder of this.holders.of(customer, this.instances)) {
-      const lender = this.routers[this.instances.indexOf(holder)];
-      if (lender === undefined || lender === router) continue;
-      const lent = lender.grants.lend(customer, tokens, loanSize, this.now);
-      if (lent === 0) continue;
-      this.outcome.loans++;
-      router.grants.borrow(customer, lent);
-      return true;
+    const {grants} = router;
+    const wished = grants.loanSize(customer, tokens, this.now);
+    const lenders = this.holders
+      .of(customer, this.instances)
+      .map(holder => this.routers[this.instances.indexOf(holder)])
+      .filter(lender => lender !== undefined && lender !== router) as Router[];
+    for (const isPartial of [false, true]) {
+      for (const lender of lenders) {
+        const missing = tokens - grants.spendable(customer, this.now);
+        const request = {
+          workspace: customer,
+          tokens: missing,
+          wished,
+          isPartial,
+        };
+        const lent = this.lend(lender, request);
+        if (lent === 0) continue;
+        this.outcome.loans++;
+        grants.borrow(customer, lent);
+        if (grants.canReserve(customer, tokens, this.now)) return true;
+      }
     }
     return false;
   }
 
+  private lend(lender: Router, request: LoanTerms): number {
+    const {grants} = lender;
+    const {workspace} = request;
+    const unrecorded = grants.unrecordedLoan(request, this.now);
+    if (unrecorded > 0 && !this.isPartitioned) {
+      this.outcome.urgentReports++;
+      grants.want(workspace, unrecorded);
+      this.report(lender, false);
+      grants.want(workspace, -unrecorded);
+    }
+    return grants.lend(request, this.now);
+  }
+
   private report(router: Router, isComplete: boolean): void {
     const {usages, reportedAt} = router.grants.report(isComplete, this.now);
     if (this.isPartitioned) return;
@@ -371,6 +450,15 @@
     return this.day.partitions.some(span => isWithin(this.now, span));
   }
 
+  private requestsOf(customer: string): CustomerRequests {
+    let requests = this.requests.get(customer);
+    if (requests === undefined) {
+      requests = {served: 0, falselyRefused: 0};
+      this.requests.set(customer, requests);
+    }
+    return requests;
+  }
+
   private usedOf(customer: string): number {
     return this.used.get(customer) ?? 0;
   }
--- a/packages/bench/tests/grants.test.ts
+++ b/packages/bench/tests/grants.test.ts
@@ -79,3 +79,47 @@
     expect(falselyRefusedAfterLoss / askedAfterLoss).toBeLessThan(0.01);
   });
 });
+
+/** Fleets of the users' sizes and beyond, with 24 customers by Zipf's law. */
+const fleets = [
+  {routers: 6, customers: 10, requestsPerSecond: 100},
+  {routers: 30, customers: 24, requestsPerSecond: 200},
+  {routers: 91, customers: 24, requestsPerSecond: 400},
+  {routers: 195, customers: 24, requestsPerSecond: 600},
+  {routers: 400, customers: 24, requestsPerSecond: 800},
+];
+
+/** Callers for each router where the entry is uneven. */
+const callersPerRouter = 3;
+
+/**
+ * Requests enter evenly, or each customer's at the routers of its few callers.
+ * Totals cover a part of the demand of 36 s, or all of it. A name has the number
+ * of routers, the entry, and that part.
+ */
+const loads = fleets.flatMap(fleet =>
+  [undefined, fleet.routers * callersPerRouter].flatMap(callers =>
+    [0.1, 0.3, 0.9, 1.3].map(prepaidFactor => {
+      const entry = callers === undefined ? 'even' : 'uneven';
+      const name = `${fleet.routers} routers, ${entry}, ${prepaidFactor}`;
+      return [name, {...fleet, callers, prepaidFactor}] as const;
+    }),
+  ),
+);
+
+// Guards against a workspace whose total covers its requests and whose tokens
+// are held by routers none of which may lend as many as a request needs (issue
+// 34).
+describe('a total that is divided among routers', () => {
+  it.each(loads)('serves what it covers: %s', (_, load) => {
+    const day = {...load, durationMilliseconds: 36_000};
+    const {asked, falselyRefused, overspent, worstServedShare} =
+      simulateGrantDay(grantDay(day), grantPolicies['holders that lend']);
+    expect(overspent).toBe(0);
+    // The same target as in a partition.
+    expect(falselyRefused / asked).toBeLessThan(0.01);
+    // The users want no customer served less than a quarter as often as all.
+    const servedShare = 1 - falselyRefused / asked;
+    expect(worstServedShare).toBeGreaterThan(servedShare / 4);
+  });
+});
--- a/packages/edge/src/edgeNode.ts
+++ b/packages/edge/src/edgeNode.ts
@@ -124,15 +124,15 @@
       life: routerId,
       grants,
       routers: () => control.routers,
+      isConnected: () => control.isConnected,
+      report: () => control.report(),
     });
     const [host = '', port = '0'] = options.peerAddress.split(':');
     this.listener = new PeerCallServer({
       host,
       port: proxy?.listenPort ?? Number(port),
       handlers: {
-        lend: checkedHandler('LoanRequest', async request =>
-          loans.lend(request),
-        ),
+        lend: checkedHandler('LoanRequest', request => loans.lend(request)),
       },
       logger,
     });
--- a/packages/edge/src/loans.ts
+++ b/packages/edge/src/loans.ts
@@ -2,10 +2,18 @@
  * @fileoverview Loans between routers: a workspace's holders lend tokens to
  * other routers, whether or not the control processes are reachable.
  *
+ * A request that no single router may lend enough for gets parts from several. A
+ * lender whose spending limit forbids a loan that its grant covers has it
+ * recorded by the leader first.
+ *
  * The lender deducts a loan before it sends the reply. Replies carry totals, so
  * that the next reply makes up for a lost one.
  */
-import {type HeldGrants, TokenHolders} from '@dogwoodtrestle/fleet';
+import {
+  type HeldGrants,
+  type LoanTerms,
+  TokenHolders,
+} from '@dogwoodtrestle/fleet';
 import {type Counter, type PeerCallClient} from '@dogwoodtrestle/runtime';
 import {
   checkedMessage,
@@ -19,6 +27,12 @@
 /** Time for which a router that did not reply is not asked again. */
 const unansweredBackoffMilliseconds = 1_500;
 
+/**
+ * Time for which a lender waits until the leader has recorded a loan; below the
+ * time for which the borrower waits for its reply.
+ */
+const recordTimeoutMilliseconds = 50;
+
 /** Non-holders asked for one loan while no control process is reachable. */
 const maxNonHolders = 3;
 
@@ -38,6 +52,10 @@
   grants: HeldGrants;
   /** Peer addresses of all routers. */
   routers: () => readonly string[];
+  /** Whether a leader has replied recently. */
+  isConnected: () => boolean;
+  /** Reports to the leader; resolves once it has replied or failed to. */
+  report: () => Promise<void>;
 }
 
 /** A loan request without a reply: the lender may have lent the tokens. */
@@ -75,12 +93,13 @@
   }
 
   /**
-   * Borrows tokens until this router can reserve those of a request.
+   * Borrows tokens until this router can reserve those of a request: from one
+   * router if possible, else from several.
    *
    * @param includesOthers Whether to ask routers other than holders as well, as
    *     when the control processes are unreachable.
    * @param isOver Whether the tokens are no longer needed.
-   * @returns False if no router lends them.
+   * @returns False if the routers don't lend enough.
    */
   async borrow(
     {workspace, tokens, request}: TokenDemand,
@@ -89,41 +108,49 @@
   ): Promise<boolean> {
     const {clock, logger} = this.options;
     const {grants} = this.participant;
-    const loanSize = grants.loanSize(workspace, tokens, clock.now());
+    const wished = grants.loanSize(workspace, tokens, clock.now());
     const asked: string[] = [];
-    for (const lender of this.candidateLenders(workspace, includesOthers)) {
-      if (isOver()) return false;
-      asked.push(lender);
-      const borrowed = await this.ask(lender, workspace, tokens, loanSize);
-      // A concurrent loan may have supplied the tokens.
-      if (!grants.canReserve(workspace, tokens, clock.now())) continue;
-      logger.info(
-        {
-          request,
-          workspace,
-          tokens,
-          borrowed,
-          available: grants.available(workspace),
-          lender,
-        },
-        'borrowed tokens',
-      );
-      return true;
+    const lenders: string[] = [];
+    for (const isPartial of [false, true]) {
+      for (const lender of this.candidateLenders(workspace, includesOthers)) {
+        if (isOver()) return false;
+        const spendable = grants.spendable(workspace, clock.now());
+        const missing = Math.max(1, Math.ceil(tokens - spendable));
+        const terms = {workspace, tokens: missing, wished, isPartial};
+        asked.push(lender);
+        const borrowed = await this.ask(lender, terms);
+        if (borrowed > 0) lenders.push(lender);
+        // A concurrent loan may have supplied the tokens.
+        if (!grants.canReserve(workspace, tokens, clock.now())) continue;
+        const available = grants.available(workspace);
+        logger.info(
+          {request, workspace, tokens, borrowed, available, lenders},
+          'borrowed tokens',
+        );
+        return true;
+      }
     }
     logger.info(
-      {request, workspace, tokens, asked},
+      {request, workspace, tokens, asked, lenders},
       'no router lends enough tokens',
     );
     return false;
   }
 
   /** Handles another router's loan request. */
-  lend({address, borrower, workspace, tokens, wished}: LoanRequest): LoanReply {
+  async lend({
+    address,
+    borrower,
+    isPartial = false,
+    ...request
+  }: LoanRequest): Promise<LoanReply> {
     const {clock, logger} = this.options;
     const {grants, life} = this.participant;
+    const {workspace, tokens} = request;
+    const terms = {...request, isPartial};
+    if (tokens > 0) await this.record(terms);
     const before = this.lent.total(address, borrower, workspace);
-    const lent =
-      tokens > 0 ? grants.lend(workspace, tokens, wished, clock.now()) : 0;
+    const lent = tokens > 0 ? grants.lend(terms, clock.now()) : 0;
     const total = before + lent;
     if (lent > 0) {
       this.lent.set(address, borrower, workspace, total);
@@ -133,11 +160,29 @@
     return {lender: life, total};
   }
 
+  /** Has the leader record a loan that the spending limit forbids. */
+  private async record(terms: LoanTerms): Promise<void> {
+    const {clock} = this.options;
+    const {grants, isConnected, report} = this.participant;
+    const tokens = grants.unrecordedLoan(terms, clock.now());
+    if (tokens === 0 || !isConnected()) return;
+    const {workspace} = terms;
+    grants.want(workspace, tokens);
+    const recorded = report().finally(() => grants.want(workspace, -tokens));
+    await new Promise<void>(resolve => {
+      const cancel = clock.setTimer(recordTimeoutMilliseconds, resolve);
+      void recorded.finally(() => {
+        cancel();
+        resolve();
+      });
+    });
+  }
+
   /** Asks once more for all loans without a reply. */
   async collect(): Promise<void> {
     const requests = [...this.uncollected].flatMap(([lender, workspaces]) =>
       [...workspaces.keys()].map(workspace =>
-        this.ask(lender, workspace, 0, 0),
+        this.ask(lender, collection(workspace)),
       ),
     );
     await Promise.all(requests);
@@ -169,20 +214,17 @@
   }
 
   /** Asks one router; returns the number of tokens received. */
-  private async ask(
-    lender: string,
-    workspace: string,
-    tokens: number,
-    wished: number,
-  ): Promise<number> {
+  private async ask(lender: string, terms: LoanTerms): Promise<number> {
     const {loanTimeoutMilliseconds, peerAddress} = this.options;
     const requestNumber = ++this.requests;
+    const {workspace, tokens, wished, isPartial} = terms;
     const request: LoanRequest = {
       address: peerAddress,
       borrower: this.participant.life,
       workspace,
       tokens,
       wished,
+      ...(isPartial && {isPartial}),
     };
     try {
       const reply = await this.calls.call<unknown>(lender, 'lend', request, {
@@ -251,7 +293,7 @@
         logger.info({lender, workspace}, 'loan may be lost: lender is gone');
         return;
       }
-      void this.ask(lender, workspace, 0, 0).then(collected => {
+      void this.ask(lender, collection(workspace)).then(collected => {
         if (collected > 0) {
           logger.info({lender, workspace, collected}, 'collected loan');
         }
@@ -261,6 +303,11 @@
   }
 }
 
+/** Terms that request only the total of a lender's loans. */
+function collection(workspace: string): LoanTerms {
+  return {workspace, tokens: 0, wished: 0, isPartial: false};
+}
+
 function rotated<T>(items: readonly T[], start: number): T[] {
   return [...items.slice(start), ...items.slice(0, start)];
 }
--- a/packages/edge/src/tokenReservation.ts
+++ b/packages/edge/src/tokenReservation.ts
@@ -8,6 +8,12 @@
 import {type RefusalReason} from './refusal.js';
 import {type RoutedRequest} from './routedRequest.js';
 
+/**
+ * Age up to which the leader's word that a total is used up makes it useless to
+ * ask other routers: two report intervals.
+ */
+const remainingValidMilliseconds = 800;
+
 /** Pause before a reservation that exceeded the grant is tried again. */
 const grantRetryIntervalMilliseconds = 30;
 
@@ -53,7 +59,9 @@
 
 /**
  * Reserves tokens of a workspace. If the grant is too small, borrows from the
- * workspace's holders, then requests more from the leader while connected.
+ * workspace's holders, then requests more from the leader while connected. The
+ * leader alone is asked if only the spending limit forbids the reservation, or
+ * if the total doesn't cover it.
  *
  * @param isOver Whether the request has ended in the meantime.
  */
@@ -66,6 +74,9 @@
   const {workspace, tokens} = demand;
   const reservation = grants.reserve(workspace, tokens, clock.now());
   if (reservation !== undefined) return {reservation};
+  if (control.isConnected && needsOnlyLeader(context, demand)) {
+    return reserveFromLeader(context, demand, isOver);
+  }
   const hasBorrowed = await loans.borrow(demand, !control.isConnected, isOver);
   if (isOver()) return refuse(context, demand, 'grantUnavailable');
   if (hasBorrowed) {
@@ -77,6 +88,16 @@
     : refuse(context, demand, 'grantUnavailable');
 }
 
+function needsOnlyLeader(
+  {grants, clock}: ReservationContext,
+  {workspace, tokens}: TokenDemand,
+): boolean {
+  if (grants.available(workspace) >= tokens) return true;
+  const {tokens: remaining, receivedAt} = grants.remaining(workspace);
+  const age = clock.now() - receivedAt;
+  return remaining < tokens && age <= remainingValidMilliseconds;
+}
+
 async function reserveFromLeader(
   context: ReservationContext,
   demand: TokenDemand,
--- a/packages/edge/tests/loans.test.ts
+++ b/packages/edge/tests/loans.test.ts
@@ -64,6 +64,36 @@
     expect(used + held + underWay + unaccounted).toBe(committed);
   });
 
+  // Guards against a request that is refused though its total covers it: the
+  // spending limit lets a holder lend a tenth of its tokens between two reports
+  // (issue 34).
+  it('exceed the spending limit once the leader has recorded them', async () => {
+    const {fleet, borrower} = await createFleet();
+    expect(await fleet.borrow(borrower, 50_000)).toBe(false);
+    fleet.isLeaderReachable = true;
+    expect(await fleet.borrow(borrower, 50_000)).toBe(true);
+    fleet.use(borrower, 50_000);
+    for (const router of fleet.routers) fleet.stop(router);
+    expect(fleet.ungranted).toBe(prepaid - 50_000);
+  });
+
+  // Guards against a request that is refused though its total covers it: no
+  // single router holds as many tokens as it needs (issue 34).
+  it('come from several routers if no single one has enough', async () => {
+    const fleet = new MemoryFleet(5, prepaid);
+    fleet.isLeaderReachable = true;
+    const [borrower, ...lenders] = fleet.routers as [
+      MemoryRouter,
+      ...MemoryRouter[],
+    ];
+    for (const lender of lenders) fleet.fund(lender, 20_000);
+    expect(await fleet.borrow(borrower, 70_000)).toBe(true);
+    fleet.use(borrower, 70_000);
+    for (const router of fleet.routers) fleet.stop(router);
+    expect(fleet.ungranted).toBe(prepaid - 70_000);
+    expect(fleet.summary()).toMatchObject({used: 70_000, underWay: 0});
+  });
+
   it('are collected later, whichever messages are lost', async () => {
     const step = fc.record({
       router: fc.nat(2),
--- a/packages/edge/tests/support/memoryFleet.ts
+++ b/packages/edge/tests/support/memoryFleet.ts
@@ -71,6 +71,8 @@
   readonly book: PrepaidState = emptyPrepaidState();
   readonly routers: MemoryRouter[];
   delivery: LoanDelivery = 'delivered';
+  /** Whether routers can report to the leader while they lend. */
+  isLeaderReachable = false;
   private readonly addresses: string[];
   private readonly planner: GrantPlanner;
   private lives = 0;
@@ -232,8 +234,12 @@
       life: id,
       grants,
       routers: () => this.addresses,
+      isConnected: () => this.isLeaderReachable,
+      report: async () => this.report(router),
     });
-    return {address, id, grants, loans, startedAt: Math.floor(clock.now())};
+    const startedAt = Math.floor(clock.now());
+    const router: MemoryRouter = {address, id, grants, loans, startedAt};
+    return router;
   }
 
   private calls(): PeerCallClient {
@@ -246,7 +252,7 @@
       if (lender === undefined || this.delivery === 'requestLost') {
         throw new Error('the request was lost');
       }
-      const reply = lender.loans.lend(request);
+      const reply = await lender.loans.lend(request);
       if (this.delivery === 'replyLost') throw new Error('the reply was lost');
       return reply;
     };
--- a/packages/fleet/src/heldGrants.ts
+++ b/packages/fleet/src/heldGrants.ts
@@ -78,6 +78,17 @@
   reportedAt?: number;
 }
 
+/** Terms of a loan that another router asks for. Amounts are in tokens. */
+export interface LoanTerms {
+  workspace: string;
+  /** Tokens that the borrower's request lacks. */
+  tokens: number;
+  /** The most that is of use to the borrower soon. */
+  wished: number;
+  /** Whether fewer than `tokens` are of use, as others lend the rest. */
+  isPartial: boolean;
+}
+
 /**
  * All grants of one router incarnation. Times are by its monotonic clock, in
  * milliseconds.
@@ -170,28 +181,40 @@
 
   /**
    * Lends tokens to another router and returns their number: at least `tokens`,
-   * or 0. They are deducted here before the borrower gets the reply, so that
-   * they are never counted at both.
-   *
-   * @param tokens Least size of the loan.
-   * @param requested Requested size of the loan.
+   * or 0, or fewer if the loan may be partial. They are deducted here before the
+   * borrower gets the reply, so that they are never counted at both.
    */
-  lend(
-    workspace: string,
-    tokens: number,
-    requested: number,
-    now: number,
-  ): number {
+  lend({workspace, tokens, wished, isPartial}: LoanTerms, now: number): number {
+    if (this.isClosing) return 0;
     const grant = this.grantOf(workspace);
     const spendable = Math.floor(this.spendableOf(grant, now));
-    if (this.isClosing || spendable < tokens) return 0;
+    const isCovered = spendable >= tokens;
     const maxLent = Math.max(tokens, Math.floor(spendable * maxLentShare));
-    const lent = Math.min(requested, maxLent);
+    const rest = isPartial ? spendable : 0;
+    const lent = isCovered ? Math.min(wished, maxLent) : rest;
+    if (lent === 0) return 0;
     grant.lent += lent;
     grant.isChanged = true;
     return lent;
   }
 
+  /**
+   * Returns the tokens that the leader must record as wanted here before a loan
+   * is given, as the spending limit forbids it until then; 0 if the loan needs no
+   * record, or if the grant doesn't cover it either.
+   */
+  unrecordedLoan(
+    {workspace, tokens, isPartial}: LoanTerms,
+    now: number,
+  ): number {
+    if (this.isClosing || this.isSuperseded) return 0;
+    const grant = this.grantOf(workspace);
+    if (this.spendableOf(grant, now) >= tokens) return 0;
+    const covered = Math.max(0, Math.floor(available(grant)));
+    if (covered >= tokens) return tokens;
+    return isPartial ? covered : 0;
+  }
+
   /** Adds tokens that another router lent. */
   borrow(workspace: string, tokens: number): void {
     const grant = this.grantOf(workspace);
--- a/packages/fleet/tests/prepaidAccounts.test.ts
+++ b/packages/fleet/tests/prepaidAccounts.test.ts
@@ -203,6 +203,7 @@
     from: fc.nat(2),
     tokens: fc.integer({min: 1, max: 20_000}),
     wished: fc.integer({min: 1, max: 20_000}),
+    isPartial: fc.boolean(),
     isLost: fc.boolean(),
   }),
   fc.record({
@@ -263,12 +264,13 @@
             } else if (step.kind === 'loan') {
               const lender = routers[step.from]!;
               const {tokens, wished} = step;
-              const lent = lender.grants.lend(
+              const terms = {
                 workspace,
                 tokens,
-                Math.max(tokens, wished),
-                now,
-              );
+                wished: Math.max(tokens, wished),
+                isPartial: step.isPartial,
+              };
+              const lent = lender.grants.lend(terms, now);
               if (!step.isLost) router.grants.borrow(workspace, lent);
             } else if (step.kind === 'changeLeader') {
               clocks.leaderName = `leader-${++leaders}`;
