refactor: one way for topics in the watch call, without an import circle

Limits of servers were wired into the watch call by hand at both ends, and serverPool and serverLimits imported each other. A topic now reports and applies fields of the call (edge/watchTopic, control/watchTopic); ServerLimits gets the servers that it needs as an option, and the pool creates the limit of a new server itself. No change of behaviour.

--- a/packages/control/src/controlNode.ts
+++ b/packages/control/src/controlNode.ts
@@ -41,6 +41,7 @@
 import {ControlService} from './controlService.js';
 import {waitForDiskSpace} from './diskSpace.js';
 import {GrantService} from './grantService.js';
+import {LimitTopic} from './limitTopic.js';
 import {ReplicaGroup} from './replicaGroup.js';
 import {ServerChangeRecorder} from './serverChangeRecorder.js';
 import {WatchService} from './watchService.js';
@@ -100,12 +101,9 @@
       },
     });
     const group = await ReplicaGroup.open(options, client, storage, state);
-    const watchService = new WatchService(
-      options,
-      group,
-      directory,
-      new LimitShares(directory.epoch),
-    );
+    const watchService = new WatchService(options, group, directory, [
+      new LimitTopic(clock, group, new LimitShares(directory.epoch)),
+    ]);
     const changeRecorder = new ServerChangeRecorder(options, group);
     Object.assign(parts, {watch: watchService, recorder: changeRecorder});
     if (state.current !== undefined) {
--- a/packages/control/src/watchService.ts
+++ b/packages/control/src/watchService.ts
@@ -2,22 +2,18 @@
  * @fileoverview Notifies routers of changes of the configuration and the
  * backend servers by long polling.
  */
-import {bootstrapTerm} from '@dogwoodtrestle/consensus';
-import {
-  changesBetween,
-  type LimitShares,
-  type ServerDirectory,
-} from '@dogwoodtrestle/fleet';
+import {changesBetween, type ServerDirectory} from '@dogwoodtrestle/fleet';
 import {
   type ConfigurationUpdate,
   type FleetConfiguration,
-  type LimitNotice,
   type WatchReply,
   type WatchRequest,
+  type WatchUpdate,
 } from '@dogwoodtrestle/schema';
 
 import {type ControlOptions} from './controlOptions.js';
 import {type ReplicaGroup} from './replicaGroup.js';
+import {type WatchTopic} from './watchTopic.js';
 
 /** Number of retained configurations; older ones get a full update. */
 const maxVersions = 8;
@@ -49,7 +45,7 @@
     >,
     private readonly group: ReplicaGroup,
     private readonly directory: ServerDirectory,
-    private readonly limitShares: LimitShares,
+    private readonly topics: readonly WatchTopic[],
   ) {}
 
   /** Peer addresses of recently seen routers, sorted. */
@@ -86,15 +82,17 @@
     const {watchMilliseconds} = this.options;
     if (!this.group.isLeader) return this.group.leaderHint();
     this.recordRouter(request);
-    this.recordLimits(request);
+    // Each topic records the request, whether or not another one has news.
+    const hasNews = this.topics.filter(topic => topic.record(request));
+    if (hasNews.length > 0) this.notifyWatchers();
     if (!this.hasChanges(request)) await this.waitForChange(watchMilliseconds);
     if (!this.group.isLeader) return this.group.leaderHint();
     this.recordRouter(request);
-    return {
+    const notices = this.topics.map(topic => topic.notice(request));
+    const update: WatchUpdate = {
       kind: 'update',
       configuration: this.buildUpdate(request.configurationVersion),
       directory: this.directory.changesSince(request.epoch, request.revision),
-      limits: this.limitNotices(request.router),
       replicas: this.group.addresses,
       routers: this.routers.size,
       peersRevision: this.addressesRevision,
@@ -103,23 +101,8 @@
           ? undefined
           : this.addresses,
     };
-  }
-
-  /** Records limits of backend servers; all routers hear of a change at once. */
-  private recordLimits({router, limits = []}: WatchRequest): void {
-    const now = this.options.clock.now();
-    const {term} = this.group;
-    const isFirst = term === bootstrapTerm + 1;
-    this.limitShares.enterTerm({term, isFirst}, now);
-    if (this.limitShares.record(router, limits, now)) this.notifyWatchers();
-  }
-
-  /** Returns all limits, with the router's leases if this process may grant any. */
-  private limitNotices(router: string): LimitNotice[] | undefined {
-    if (!this.group.leadsWithQuorum) return undefined;
-    const now = this.options.clock.now();
-    const notices = this.limitShares.notices(router, now);
-    return notices.length > 0 ? notices : undefined;
+    for (const notice of notices) Object.assign(update, notice);
+    return update;
   }
 
   private recordRouter({router, address}: WatchRequest): void {
--- a/packages/control/tests/watchService.test.ts
+++ b/packages/control/tests/watchService.test.ts
@@ -4,6 +4,7 @@
 import {type LimitReport, type WatchRequest} from '@dogwoodtrestle/schema';
 import {describe, expect, it} from 'vitest';
 
+import {LimitTopic} from '../src/limitTopic.js';
 import {type ReplicaGroup} from '../src/replicaGroup.js';
 import {WatchService} from '../src/watchService.js';
 
@@ -24,7 +25,13 @@
     options,
     leader as ReplicaGroup,
     new ServerDirectory('epoch', {}, () => undefined),
-    new LimitShares('epoch'),
+    [
+      new LimitTopic(
+        systemClock,
+        leader as ReplicaGroup,
+        new LimitShares('epoch'),
+      ),
+    ],
   );
 }
 
--- a/packages/edge/src/controlPlaneClient.ts
+++ b/packages/edge/src/controlPlaneClient.ts
@@ -15,14 +15,14 @@
   type ClockReading,
   type FleetConfiguration,
   type LeaderHint,
-  type LimitNotice,
-  type LimitReport,
   type RouterLife,
   type WatchReply,
+  type WatchRequest,
   type WatchUpdate,
 } from '@dogwoodtrestle/schema';
 
 import {type EdgeOptions} from './edgeOptions.js';
+import {type WatchTopic} from './watchTopic.js';
 
 /** Pause before the next control process is tried. */
 const retryDelayMilliseconds = 60;
@@ -46,10 +46,8 @@
 export interface ControlPlaneListener {
   /** Called with new and changed records of backend servers. */
   onServers(records: BackendServerRecord[]): void;
-  /** Called with each update, after the records, with all limits of servers. */
-  onLimits(notices: LimitNotice[], time: LeaseRequestTime): void;
-  /** Returns the limits of servers that this router knows. */
-  limitReports(): LimitReport[];
+  /** Further subjects, applied after the records. */
+  topics: readonly WatchTopic[];
 }
 
 /** Follows the leader of the control processes. */
@@ -201,22 +199,27 @@
     return {sentAt: clock.now(), wallSentAt: clock.wallNow()};
   }
 
-  private requestUpdate(address: string): Promise<WatchReply> {
+  private async requestUpdate(address: string): Promise<WatchReply> {
     const {watchTimeoutMilliseconds, peerAddress} = this.options;
-    return this.calls.call<WatchReply>(
-      address,
-      'watch',
-      {
-        router: this.routerId,
-        address: peerAddress,
-        configurationVersion: this.configuration?.version ?? 0,
-        epoch: this.epoch,
-        revision: this.revision,
-        peersRevision: this.peersSource === address ? this.peersRevision : -1,
-        limits: this.listener.limitReports(),
-      },
-      {timeoutMilliseconds: watchTimeoutMilliseconds},
-    );
+    const {epoch} = this;
+    const reports = this.listener.topics.map(topic => topic.report(epoch));
+    const request: WatchRequest = {
+      router: this.routerId,
+      address: peerAddress,
+      configurationVersion: this.configuration?.version ?? 0,
+      epoch,
+      revision: this.revision,
+      peersRevision: this.peersSource === address ? this.peersRevision : -1,
+    };
+    for (const {fields} of reports) Object.assign(request, fields);
+    const reply = await this.calls.call<WatchReply>(address, 'watch', request, {
+      timeoutMilliseconds: watchTimeoutMilliseconds,
+    });
+    if (reply.kind === 'update') {
+      const replier = reply.directory?.epoch ?? epoch;
+      for (const {onReceived} of reports) onReceived?.(replier);
+    }
+    return reply;
   }
 
   private applyUpdate(
@@ -244,7 +247,7 @@
       this.revision = revision;
       this.listener.onServers(records);
     }
-    this.listener.onLimits(update.limits ?? [], time);
+    for (const topic of this.listener.topics) topic.apply(update, time);
     if (update.configuration === undefined) return;
     const next = applyChanges(this.configuration, update.configuration);
     if (next === undefined) return;
--- a/packages/edge/src/edgeNode.ts
+++ b/packages/edge/src/edgeNode.ts
@@ -74,6 +74,13 @@
       'dogwoodtrestle_server_connections_total',
       'Connections made to backend servers.',
     );
+    const pool = new ServerPool({
+      logger,
+      clock,
+      connectTimeoutMilliseconds: options.connectTimeoutMilliseconds,
+      suspectAfterMilliseconds: options.suspectAfterMilliseconds,
+      onConnect: () => connections.add(),
+    });
     const limits: ServerLimits = new ServerLimits({
       logger,
       metrics,
@@ -84,13 +91,7 @@
         routerCount: control.routerCount,
       }),
       isConnected: () => control.isConnected,
-    });
-    const pool: ServerPool = new ServerPool({
-      logger,
-      limits,
-      connectTimeoutMilliseconds: options.connectTimeoutMilliseconds,
-      suspectAfterMilliseconds: options.suspectAfterMilliseconds,
-      onConnect: () => connections.add(),
+      servers: pool,
     });
     const life = {
       instance: options.instance,
@@ -113,11 +114,7 @@
       grants,
       {
         onServers,
-        onLimits: (notices, time) => {
-          limits.applyNotices(notices, time, id => pool.find(id));
-          limits.refresh(pool.all());
-        },
-        limitReports: () => limits.reports(pool.all()),
+        topics: [limits],
       },
     );
     const loans = new Loans(options, this.calls, {
--- a/packages/edge/src/serverLimits.ts
+++ b/packages/edge/src/serverLimits.ts
@@ -8,7 +8,7 @@
   type LeaseRequestTime,
   type LimitChange,
   type LimitView,
-  RequestLimit,
+  type RequestLimit,
   type RouterPosition,
   type StatementContext,
 } from '@dogwoodtrestle/fleet';
@@ -18,9 +18,14 @@
   type Logger,
   type MetricsRegistry,
 } from '@dogwoodtrestle/runtime';
-import {type LimitNotice, type LimitReport} from '@dogwoodtrestle/schema';
+import {
+  type BackendServerRecord,
+  type LimitNotice,
+  type LimitReport,
+  type WatchUpdate,
+} from '@dogwoodtrestle/schema';
 
-import {type PooledServer} from './serverPool.js';
+import {type WatchReport, type WatchTopic} from './watchTopic.js';
 import {type StatedLimit} from './wireCodec.js';
 
 /**
@@ -36,6 +41,18 @@
   server: string;
 }
 
+/** A backend server and its limit. */
+export interface LimitedServer {
+  readonly record: BackendServerRecord;
+  readonly limit: RequestLimit;
+}
+
+/** The backend servers that this router knows. */
+export interface LimitedServers {
+  find(id: string): LimitedServer | undefined;
+  all(): Iterable<LimitedServer>;
+}
+
 /** Options of the limits. */
 export interface ServerLimitsOptions {
   logger: Logger;
@@ -45,6 +62,7 @@
   position: () => RouterPosition;
   /** Whether a leader has replied recently. */
   isConnected: () => boolean;
+  servers: LimitedServers;
 }
 
 /** Minimum interval between log lines on one server's unreadable values. */
@@ -63,7 +81,7 @@
 const maxDemand = 1_000_000;
 
 /** Limits of all servers of a router. */
-export class ServerLimits {
+export class ServerLimits implements WatchTopic {
   private readonly changes: Counter;
   private readonly decisions: Counter;
   private readonly unreadableLoggedAt = new Map<string, number>();
@@ -81,9 +99,15 @@
     );
   }
 
-  /** Creates the limit of a new incarnation of a server. */
-  create(): RequestLimit {
-    return new RequestLimit(() => this.options.clock.wallNow());
+  /** Returns what the leader needs to know of the limits. */
+  report(): WatchReport {
+    return {fields: {limits: this.reports()}};
+  }
+
+  /** Applies the leader's notices to the servers that they name. */
+  apply({limits = []}: WatchUpdate, time: LeaseRequestTime): void {
+    this.applyNotices(limits, time);
+    this.refresh();
   }
 
   /** Records that a request looks for a server of a service. */
@@ -98,7 +122,7 @@
 
   /** Records what the response to a request states. */
   recordResponse(
-    server: PooledServer,
+    server: LimitedServer,
     request: string,
     stated: StatedLimit | undefined,
     context: StatementContext,
@@ -109,15 +133,14 @@
     this.reportChange(server, change, {request, previous, text});
   }
 
-  /** Applies the leader's notices to the servers that they name. */
-  applyNotices(
+  private applyNotices(
     notices: readonly LimitNotice[],
     time: LeaseRequestTime,
-    find: (id: string) => PooledServer | undefined,
   ): void {
-    const now = this.options.clock.now();
+    const {clock, servers} = this.options;
+    const now = clock.now();
     for (const {server: id, startedAt, observation, lease} of notices) {
-      const server = find(id);
+      const server = servers.find(id);
       if (server?.record.startedAt !== startedAt) continue;
       const {perSecond, ageMilliseconds} = observation;
       const {known} = server.limit;
@@ -129,9 +152,10 @@
   }
 
   /** Updates the parts without a lease, and drops limits nobody states. */
-  refresh(servers: Iterable<PooledServer>): void {
-    const now = this.options.clock.now();
-    for (const server of servers) {
+  private refresh(): void {
+    const {clock, servers} = this.options;
+    const now = clock.now();
+    for (const server of servers.all()) {
       const {known} = server.limit;
       if (known.perSecond === undefined) continue;
       const previous = known.perSecond;
@@ -142,11 +166,11 @@
     }
   }
 
-  /** Returns what the leader needs to know of the limits. */
-  reports(servers: Iterable<PooledServer>): LimitReport[] {
-    const now = this.options.clock.now();
+  private reports(): LimitReport[] {
+    const {clock, servers} = this.options;
+    const now = clock.now();
     const reports: LimitReport[] = [];
-    for (const {limit, record} of servers) {
+    for (const {limit, record} of servers.all()) {
       const {observation} = limit.known;
       if (observation === undefined) continue;
       const {perSecond, observedAt, source} = observation;
@@ -168,7 +192,7 @@
 
   /** Takes a request from the limit of a server that it is sent to. */
   recordSent(
-    server: PooledServer,
+    server: LimitedServer,
     decisions: LimitDecision[],
     now: number,
   ): void {
@@ -179,7 +203,7 @@
 
   /** Counts a decision and adds it to those of its request. */
   recordDecision(
-    server: PooledServer,
+    server: LimitedServer,
     decision: LimitDecisionKind,
     decisions: LimitDecision[],
   ): void {
@@ -195,7 +219,7 @@
     return Math.min(demand, maxDemand);
   }
 
-  private setBasePart({record, limit}: PooledServer): void {
+  private setBasePart({record, limit}: LimitedServer): void {
     const {perSecond} = limit.known;
     if (perSecond === undefined) return;
     const position = this.options.position();
@@ -203,7 +227,7 @@
   }
 
   private reportChange(
-    server: PooledServer,
+    server: LimitedServer,
     change: LimitChange | undefined,
     details: {request?: string; previous?: number; text?: string},
   ): void {
--- a/packages/edge/src/serverPool.ts
+++ b/packages/edge/src/serverPool.ts
@@ -8,14 +8,13 @@
   CircuitBreaker,
   type ServerCandidate,
   type ServerSignal,
-  type RequestLimit,
+  RequestLimit,
 } from '@dogwoodtrestle/fleet';
 import {OutlierDetector} from '@dogwoodtrestle/routing';
-import {type Logger} from '@dogwoodtrestle/runtime';
+import {type Clock, type Logger} from '@dogwoodtrestle/runtime';
 import {type BackendServerRecord} from '@dogwoodtrestle/schema';
 
 import {ServerConnections} from './serverConnections.js';
-import {type ServerLimits} from './serverLimits.js';
 
 /** Time for which a prompt part sent to a server counts as cached there. */
 const partCacheMilliseconds = 10_000;
@@ -95,7 +94,7 @@
 /** Options of a server pool. */
 export interface ServerPoolOptions {
   logger: Logger;
-  limits: ServerLimits;
+  clock: Clock;
   connectTimeoutMilliseconds: number;
   /** Silence after which a server with open requests is suspect. */
   suspectAfterMilliseconds: number;
@@ -306,7 +305,7 @@
       connectTimeoutMilliseconds,
       onConnect,
     });
-    const limit = this.options.limits.create();
+    const limit = new RequestLimit(() => this.options.clock.wallNow());
     this.servers.set(record.id, new PooledServer(record, connections, limit));
   }
 
