fix(fleet): a router at which a workspace's requests enter holds tokens for them

Cause: all its callers are at one router of 91. Its link of 7 Mbit/s is full of their prompts, so its loans (80 ms), reports (0.7 s) and watch calls (1.6 s) time out: it was out of the leader's reach from the eleventh second to the end, 25 s, and refused 1,986 requests for want of tokens while 6.9 million were unspent. It held a second of its own demand; the rest of the workspace's tokens were with five other routers.

What remains: such a router still has the processor and the link of one machine; routerBusy and late requests are the larger part of what is left.

--- a/packages/bench/src/grants/grantModel.ts
+++ b/packages/bench/src/grants/grantModel.ts
@@ -45,6 +45,11 @@
    * each request reaches a router of its own.
    */
   callers?: number;
+  /**
+   * Whether all callers of the first customer send to the first router. In the
+   * spans, the link of that router is too busy for calls to other processes.
+   */
+  crowded?: {spans: readonly TimeSpan[]};
 }
 
 /** A policy for sizing grants. */
@@ -75,6 +80,8 @@
    * that were served.
    */
   worstServedShare: number;
+  /** Requests of the first customer that its total covers, and those served. */
+  firstCustomer: CustomerRequests;
   loans: number;
   /** Reports that the leader had to record while a request waited. */
   urgentReports: number;
@@ -88,7 +95,7 @@
 }
 
 /** Requests of one customer that its total covers. */
-interface CustomerRequests {
+export interface CustomerRequests {
   served: number;
   falselyRefused: number;
 }
@@ -155,6 +162,7 @@
     falselyRefusedAfterLoss: 0,
     overspent: 0,
     worstServedShare: 1,
+    firstCustomer: {served: 0, falselyRefused: 0},
     loans: 0,
     urgentReports: 0,
   };
@@ -207,6 +215,7 @@
       const excess = used - (this.prepaid.get(customer) ?? 0);
       this.outcome.overspent += Math.max(0, excess);
     }
+    this.outcome.firstCustomer = this.requestsOf(this.customers[0] ?? '');
     for (const {served, falselyRefused} of this.requests.values()) {
       const share = served / Math.max(1, served + falselyRefused);
       const {worstServedShare} = this.outcome;
@@ -246,6 +255,8 @@
 
   private routerFor(customer: string): Router | undefined {
     const callers = this.callers.get(customer);
+    const isFirst = customer === this.customers[0];
+    if (isFirst && this.day.crowded !== undefined) return this.routers[0];
     const index =
       callers === undefined
         ? weightedIndex(this.routerWeights, this.random)
@@ -324,6 +335,7 @@
   }
 
   private borrow(router: Router, customer: string, tokens: number): boolean {
+    if (this.isCrowded(router)) return false;
     const {grants} = router;
     const wished = grants.loanSize(customer, tokens, this.now);
     const lenders = this.holders
@@ -364,7 +376,7 @@
 
   private report(router: Router, isComplete: boolean): void {
     const {usages, reportedAt} = router.grants.report(isComplete, this.now);
-    if (this.isPartitioned) return;
+    if (this.isPartitioned || this.isCrowded(router)) return;
     const {id, instance, startedAt} = router;
     const clock = `boot-${this.bootCount}`;
     this.planner.recordReport(id, usages, this.now);
@@ -446,6 +458,14 @@
     }
   }
 
+  /** Whether a router can't call other processes now. */
+  private isCrowded(router: Router): boolean {
+    const spans = this.day.crowded?.spans ?? [];
+    return (
+      router === this.routers[0] && spans.some(span => isWithin(this.now, span))
+    );
+  }
+
   private get isPartitioned(): boolean {
     return this.day.partitions.some(span => isWithin(this.now, span));
   }
--- a/packages/bench/tests/grants.test.ts
+++ b/packages/bench/tests/grants.test.ts
@@ -123,3 +123,30 @@
     expect(worstServedShare).toBeGreaterThan(servedShare / 4);
   });
 });
+
+/** A link that is too busy for 3 s, and then again after a second. */
+const crowdedSpans = Array.from({length: 7}, (_, index) => ({
+  from: 6_000 + index * 4_000,
+  to: 9_000 + index * 4_000,
+}));
+
+// Guards against a workspace whose requests all enter at one router and which is
+// refused for want of tokens, as the router's link is too busy for loans (issue
+// 34).
+describe('a customer whose callers are all at one router', () => {
+  it.each(fleets)('is served while its link is busy: $routers', fleet => {
+    const day = {
+      ...fleet,
+      crowded: {spans: crowdedSpans},
+      durationMilliseconds: 36_000,
+    };
+    const {firstCustomer, overspent} = simulateGrantDay(
+      grantDay(day),
+      grantPolicies['holders that lend'],
+    );
+    expect(overspent).toBe(0);
+    // A link that is free for a quarter of the time may cost as much at most.
+    const {served, falselyRefused} = firstCustomer;
+    expect(served / (served + falselyRefused)).toBeGreaterThan(0.75);
+  });
+});
--- a/packages/fleet/src/grantPlanner.ts
+++ b/packages/fleet/src/grantPlanner.ts
@@ -164,12 +164,14 @@
   ): number {
     const {workspace, rate} = usage;
     const demand = this.demands.get(workspace);
-    const holders = this.holders.of(workspace, this.routers());
+    const routers = this.routers();
+    const holders = this.holders.of(workspace, routers);
     return grantTarget(
       {
         rate,
         totalRate: demand?.rate ?? rate,
         recentTotalRate: demand?.recentRate ?? rate,
+        concentration: demand?.concentration(routers.length) ?? 0,
         isHolder: holders.includes(address),
         holders: holders.length,
         ungranted: this.ungranted(workspace),
--- a/packages/fleet/src/grantSizing.ts
+++ b/packages/fleet/src/grantSizing.ts
@@ -4,9 +4,10 @@
  *
  * All routers together hold what the workspace uses during the longest expected
  * partition. Each router holds a short time of its own demand; the rest is held
- * by the workspace's holders, which lend it to the others. Tokens held by a
- * router are lost when its instance loses power, so no more than that is
- * granted. Demand is summed over all routers before it is projected, as a single
+ * by the workspace's holders, which lend it to the others. If the demand enters
+ * at few routers, these hold a part of the rest themselves: the link of such a
+ * router may be too busy for loans. Tokens held by a router are lost when its
+ * instance loses power, so no more than that is granted. Demand is summed over all routers before it is projected, as a single
  * router receives too few large requests for an estimate.
  */
 
@@ -18,6 +19,8 @@
   totalRate: number;
   /** Demand of the last few seconds at all routers of the workspace. */
   recentTotalRate: number;
+  /** From 0, if the demand enters evenly, to 1 if it does at one router. */
+  concentration: number;
   /** Whether this router is one of the workspace's holders. */
   isHolder: boolean;
   /** Number of holders of the workspace. */
@@ -34,6 +37,8 @@
   horizonSeconds: number;
   /** Seconds of its own demand that each router holds. */
   ownSeconds: number;
+  /** Largest part of the rest that is held where the demand enters. */
+  maxEntryShare: number;
   /** Factor of the recent demand, which varies by chance. */
   recentShare: number;
   /** Largest part of the unspent tokens that all routers hold together. */
@@ -47,6 +52,7 @@
   horizonSeconds: 11.5,
   // Covers the time until a loan is arranged.
   ownSeconds: 1,
+  maxEntryShare: 0.5,
   recentShare: 0.85,
   dividedShare: 0.97,
 };
@@ -57,25 +63,28 @@
     rate,
     totalRate,
     recentTotalRate,
+    concentration,
     isHolder,
     holders,
     ungranted,
-    held,
+    held: heldByAll,
   }: GrantDemand,
   options: Partial<GrantSizingOptions> = {},
 ): number {
-  const {horizonSeconds, ownSeconds, recentShare, dividedShare} = {
-    ...defaultGrantSizingOptions,
-    ...options,
-  };
+  const settings = {...defaultGrantSizingOptions, ...options};
+  const {horizonSeconds, ownSeconds, recentShare, dividedShare} = settings;
   const expected = Math.max(totalRate, recentShare * recentTotalRate);
   const wanted = expected * horizonSeconds;
-  const shared = Math.min(wanted, dividedShare * (ungranted + held));
+  const shared = Math.min(wanted, dividedShare * (ungranted + heldByAll));
   // When tokens are scarce, holders get a larger part of them, since small
   // remainders at many routers cover no request.
   const sufficiency = wanted > 0 ? shared / wanted : 1;
   const ownTotal = expected * ownSeconds * sufficiency ** 2;
-  const own = totalRate > 0 ? (ownTotal * rate) / totalRate : 0;
-  const pooled = Math.max(0, shared - ownTotal);
-  return Math.floor(own + (isHolder ? pooled / Math.max(1, holders) : 0));
+  const share = totalRate > 0 ? rate / totalRate : 0;
+  const rest = Math.max(0, shared - ownTotal);
+  const entryShare = Math.min(settings.maxEntryShare, concentration);
+  const atEntry = rest * entryShare * sufficiency ** 2;
+  const pooled = rest - atEntry;
+  const held = isHolder ? pooled / Math.max(1, holders) : 0;
+  return Math.floor((ownTotal + atEntry) * share + held);
 }
--- a/packages/fleet/src/workspaceDemand.ts
+++ b/packages/fleet/src/workspaceDemand.ts
@@ -18,6 +18,7 @@
   private readonly routers = new Map<string, RouterDemand>();
   private rateSum = 0;
   private recentRateSum = 0;
+  private rateSquareSum = 0;
 
   /** Usual demand at all routers, in tokens per second. */
   get rate(): number {
@@ -29,6 +30,18 @@
     return Math.max(0, this.recentRateSum);
   }
 
+  /**
+   * Returns how few of a number of routers the demand enters at: from 0, if it
+   * enters evenly, to 1 for a single router. This is the normalized Herfindahl
+   * index of the routers' shares.
+   */
+  concentration(routers: number): number {
+    if (this.rate === 0 || routers <= 1) return 0;
+    const index = this.rateSquareSum / this.rate ** 2;
+    const even = 1 / routers;
+    return Math.min(1, Math.max(0, (index - even) / (1 - even)));
+  }
+
   /** Replaces the demand of a router by that of a new report. */
   record(
     router: string,
@@ -38,6 +51,7 @@
     this.remove(router);
     this.routers.set(router, {rate, recentRate, reportedAt: now});
     this.rateSum += rate;
+    this.rateSquareSum += rate ** 2;
     this.recentRateSum += recentRate;
   }
 
@@ -54,6 +68,7 @@
     if (known === undefined) return;
     this.routers.delete(router);
     this.rateSum -= known.rate;
+    this.rateSquareSum -= known.rate ** 2;
     this.recentRateSum -= known.recentRate;
   }
 }
--- a/packages/fleet/tests/decisions.test.ts
+++ b/packages/fleet/tests/decisions.test.ts
@@ -117,6 +117,7 @@
     rate: 1_000,
     totalRate: 6_000,
     recentTotalRate: 6_000,
+    concentration: 0,
     isHolder: true,
     holders: 5,
     ungranted: 1_000_000,
@@ -146,6 +147,13 @@
     expect(totalTarget(surge)).toBeGreaterThan(2 * totalTarget(demand));
   });
 
+  it('gives half of the rest to the only router that requests enter at', () => {
+    const only = {...others, rate: others.totalRate, concentration: 1};
+    const target = grantTarget(only);
+    expect(target).toBeGreaterThan(5 * only.rate);
+    expect(target).toBeLessThan(7 * only.rate);
+  });
+
   it('gives a router that is no holder its own demand only', () => {
     const target = grantTarget(others);
     expect(target).toBeGreaterThan(0.5 * others.rate);
