feat: prompt parts that crash backend servers are found and refused by all routers

Cause: a crash takes down all that is open at a server, and each router sees its own requests only. Nobody joined what they saw, and a request whose server had crashed was sent on to the next.

Fix: a router that sees connections broken before an answer has gone far opens one connection to the server; if it is refused, or a successor is announced, the server crashed. The parts of the prompts that were open there go to the leader in the watch call. It joins reports by server incarnation: crashes within 200 ms count once, retries of a prompt count once, and any router that had a whole answer to a prompt with a part clears it. After four crashes with three prompts, and half a second for routers to answer, the part is blocked in the replicated log: for the workspace that sent it, or for all once a second one did, so that no caller gets another's part blocked. Routers refuse such requests at once with 503 promptBlocked. A request whose server crashed is sent on once at the most, and not with a suspected part. A trial, one request of one router, comes after 2 minutes, then ever more rarely. Operators list and lift blocks: GET and DELETE /blocked-parts.

--- a/packages/control/src/controlNode.ts
+++ b/packages/control/src/controlNode.ts
@@ -24,6 +24,7 @@
 import {
   type AnnouncementItem,
   type BackendServerRecord,
+  type BlockedPart,
   checkedHandler,
   type FleetConfiguration,
   type Member,
@@ -39,6 +40,7 @@
   defaultControlOptions,
 } from './controlOptions.js';
 import {ControlService} from './controlService.js';
+import {CrashTopic} from './crashTopic.js';
 import {waitForDiskSpace} from './diskSpace.js';
 import {GrantService} from './grantService.js';
 import {LimitTopic} from './limitTopic.js';
@@ -99,10 +101,24 @@
         const now = clock.now();
         for (const record of records) applyServerRecord(directory, record, now);
       },
+      onBlockedPart: (part, blocked) => {
+        const isBlocked = blocked !== undefined;
+        logger.info(
+          {part, ...blocked},
+          isBlocked ? 'prompt part blocked' : 'prompt part unblocked',
+        );
+        parts.watch?.notifyWatchers();
+      },
     });
     const group = await ReplicaGroup.open(options, client, storage, state);
+    const crashes = new CrashTopic(
+      {clock, logger, metrics, onNews: () => parts.watch?.notifyWatchers()},
+      group,
+      state,
+    );
     const watchService = new WatchService(options, group, directory, [
       new LimitTopic(clock, group, new LimitShares(directory.epoch)),
+      crashes,
     ]);
     const changeRecorder = new ServerChangeRecorder(options, group);
     Object.assign(parts, {watch: watchService, recorder: changeRecorder});
@@ -167,6 +183,7 @@
         source: string;
       }) => service.proposeConfiguration(configuration, source),
       readConfiguration: () => service.readAsLeader(),
+      unblockPart: ({part}: {part: string}) => service.proposeUnblock(part),
     };
     const [host = '', port = '0'] = options.peerAddress.split(':');
     const peerServer = new PeerCallServer({
@@ -205,6 +222,11 @@
     return viewIncarnations(this.state, workspace);
   }
 
+  /** Blocked parts of prompts in the state of this replica. */
+  get blockedParts(): BlockedPart[] {
+    return this.state.blockedParts.state.parts;
+  }
+
   /** Whether this process leads the group. */
   get isLeader(): boolean {
     return this.group.isLeader;
--- a/packages/control/src/controlService.ts
+++ b/packages/control/src/controlService.ts
@@ -15,6 +15,7 @@
   type Departure,
   type FleetConfiguration,
   type PutConfiguration,
+  type UnblockPart,
 } from '@dogwoodtrestle/schema';
 
 import {
@@ -36,6 +37,12 @@
   | {kind: 'none'}
   | {kind: 'unavailable'; reason: string};
 
+/** Result of unblocking a part of prompts. */
+export type UnblockResult =
+  | {kind: 'unblocked'}
+  | {kind: 'notBlocked'}
+  | {kind: 'unavailable'; reason: string};
+
 /** Handles requests of operators and backend servers. */
 export class ControlService {
   private readonly putCounter: Counter;
@@ -145,6 +152,27 @@
     }
   }
 
+  /** Unblocks a part of prompts for an operator. */
+  unblockPart(part: string): Promise<UnblockResult> {
+    return this.runAtLeader<UnblockResult>(
+      () => this.proposeUnblock(part),
+      'unblockPart',
+      {part},
+    );
+  }
+
+  /** Proposes to unblock a part of prompts; only the leader can. */
+  async proposeUnblock(part: string): Promise<UnblockResult> {
+    const command: UnblockPart = {kind: 'unblockPart', part};
+    try {
+      const [wasBlocked] = await this.group.replica.propose([command]);
+      this.options.logger.info({part, wasBlocked}, 'operator unblocked a part');
+      return {kind: wasBlocked === true ? 'unblocked' : 'notBlocked'};
+    } catch (error) {
+      return {kind: 'unavailable', reason: String(error)};
+    }
+  }
+
   /** Reads the configuration behind a read barrier; only the leader can. */
   async readAsLeader(): Promise<ReadResult> {
     try {
--- a/packages/edge/src/attempt.ts
+++ b/packages/edge/src/attempt.ts
@@ -22,8 +22,11 @@
   | {kind: 'notSent'; reason: string}
   /** The server stated that it did not execute the request. */
   | {kind: 'notExecuted'; status: number}
-  /** The server may have executed the request. */
-  | {kind: 'unknown'; reason: string};
+  /**
+   * The server may have executed the request. Its connection `isClosed` if the
+   * server closed it, or reset it.
+   */
+  | {kind: 'unknown'; reason: string; isClosed?: boolean};
 
 /** Receives the response; `onFailed` or `onEnd` is called last, and once. */
 export interface AttemptListener {
@@ -245,7 +248,8 @@
       return;
     }
     if (this.head === undefined || this.connection.wasReset) {
-      this.failAndClose({kind: 'unknown', reason: 'connection was reset'});
+      const reason = 'connection was reset';
+      this.failAndClose({kind: 'unknown', reason, isClosed: true});
       return;
     }
     this.isOver = true;
@@ -273,7 +277,9 @@
     const reason = error.message;
     if (!this.isSent) this.input.onSignal({kind: 'unreachable'});
     this.failAndClose(
-      this.isSent ? {kind: 'unknown', reason} : {kind: 'notSent', reason},
+      this.isSent
+        ? {kind: 'unknown', reason, isClosed: true}
+        : {kind: 'notSent', reason},
     );
   }
 
--- a/packages/edge/src/attemptProgress.ts
+++ b/packages/edge/src/attemptProgress.ts
@@ -3,6 +3,7 @@
  */
 import {type Attempt} from './attempt.js';
 import {type EventScanner} from './eventScanner.js';
+import {type OpenPrompt} from './serverCrashes.js';
 import {type ServerObservers} from './serverObservers.js';
 import {type PooledServer} from './serverPool.js';
 import {type ResponseHead} from './wireCodec.js';
@@ -12,6 +13,8 @@
   server: PooledServer;
   attempt?: Attempt;
   observers?: ServerObservers;
+  /** Set while a prompt with shared parts is open at the server. */
+  prompt?: OpenPrompt;
   startedAt: number;
   /** Time of the last complete event, or of the last byte of another response. */
   progressAt: number;
@@ -44,3 +47,23 @@
     hasFirstEvent: false,
   };
 }
+
+/** How an attempt ended: the server `broke` off, or gave a `whole` answer. */
+export type AttemptEnd = 'broke' | 'whole' | 'other';
+
+/**
+ * Classifies an attempt whose response has ended. Without a length, the end of
+ * a connection may be that of the answer or that of the server.
+ */
+export function classifyAttemptEnd({
+  status,
+  head,
+  scanner,
+  hasFirstEvent,
+}: AttemptProgress): AttemptEnd {
+  const isUnframed = head?.isUnframed === true;
+  const isInsideEvent = scanner?.isInsideEvent === true;
+  if (isUnframed && (isInsideEvent || !hasFirstEvent)) return 'broke';
+  const isWhole = status < 300 && !isUnframed && !isInsideEvent;
+  return isWhole ? 'whole' : 'other';
+}
--- a/packages/edge/src/edgeContext.ts
+++ b/packages/edge/src/edgeContext.ts
@@ -17,6 +17,8 @@
 import {type ControlPlaneClient} from './controlPlaneClient.js';
 import {type EdgeOptions} from './edgeOptions.js';
 import {type Loans} from './loans.js';
+import {type PromptParts} from './promptParts.js';
+import {type ServerCrashes} from './serverCrashes.js';
 import {type ServerLimits} from './serverLimits.js';
 import {type ServerPool} from './serverPool.js';
 
@@ -39,6 +41,8 @@
   retryBudget: WindowedRetryBudget;
   pool: ServerPool;
   limits: ServerLimits;
+  crashes: ServerCrashes;
+  promptParts: PromptParts;
   control: ControlPlaneClient;
   loans: Loans;
   metrics: RequestMetrics;
--- a/packages/edge/src/edgeNode.ts
+++ b/packages/edge/src/edgeNode.ts
@@ -34,9 +34,11 @@
   type EdgeStartOptions,
 } from './edgeOptions.js';
 import {Loans} from './loans.js';
+import {PromptParts} from './promptParts.js';
 import {type RefusalReason} from './refusal.js';
 import {RequestHandler} from './requestHandler.js';
 import {RequestPipeline} from './requestPipeline.js';
+import {ServerCrashes} from './serverCrashes.js';
 import {ServerLimits} from './serverLimits.js';
 import {ServerPool} from './serverPool.js';
 import {type CallerRequest} from './wireCodec.js';
@@ -104,7 +106,10 @@
         logger.info({server}, 'backend server changed');
       }
       pool.update(records);
+      crashes.observeRecords(records);
     };
+    const crashes = new ServerCrashes({clock, logger, metrics});
+    const promptParts = new PromptParts(clock, logger);
     const routerId = randomUUID();
     const control: ControlPlaneClient = new ControlPlaneClient(
       options,
@@ -114,7 +119,7 @@
       grants,
       {
         onServers,
-        topics: [limits],
+        topics: [limits, crashes, promptParts],
       },
     );
     const loans = new Loans(options, this.calls, {
@@ -141,6 +146,8 @@
       grants,
       pool,
       limits,
+      crashes,
+      promptParts,
       control,
       loans,
       retryBudget: new WindowedRetryBudget(options.retryBudget),
--- a/packages/edge/src/refusal.ts
+++ b/packages/edge/src/refusal.ts
@@ -17,6 +17,7 @@
   | 'serversRefused'
   | 'serversBusy'
   | 'serversLimited'
+  | 'promptBlocked'
   | 'outOfTime'
   | 'outcomeUnknown'
   | 'timedOut';
@@ -79,6 +80,13 @@
     // Replaced by the time until the first server may take a request.
     retryAfterSeconds: 0.5,
   },
+  promptBlocked: {
+    status: 503,
+    message:
+      'A part of the prompt has crashed servers; the request has not run.',
+    // No sooner than a server may be tried with it again.
+    retryAfterSeconds: 120,
+  },
   outOfTime: {
     status: 503,
     message: 'No time is left for the request; it has not run.',
--- a/packages/edge/src/requestHandler.ts
+++ b/packages/edge/src/requestHandler.ts
@@ -7,15 +7,21 @@
 import {type ResponseTimes} from '@dogwoodtrestle/fleet';
 
 import {Attempt, type AttemptFailure} from './attempt.js';
-import {type AttemptProgress, createProgress} from './attemptProgress.js';
+import {
+  type AttemptProgress,
+  classifyAttemptEnd,
+  createProgress,
+} from './attemptProgress.js';
 import {type CallerExchange} from './callerExchange.js';
 import {type EdgeContext} from './edgeContext.js';
 import {EventScanner} from './eventScanner.js';
 import {createForwardInstructions} from './forwardInstructions.js';
+import {PromptGuard} from './promptGuard.js';
 import {type RefusalReason, retryAfterFor} from './refusal.js';
 import {recordRequest, type RequestSummary} from './requestSummary.js';
 import {RequestTokens} from './requestTokens.js';
 import {
+  type BufferedResponse,
   classifyResponse,
   impliesNotRun,
   type ResponseCompletion,
@@ -43,24 +49,19 @@
  */
 const cancelTimeoutMilliseconds = 250;
 
-/** A server's complete response; a failed one is kept as a fallback. */
-interface BufferedResponse {
-  status: number;
-  head: ResponseHead;
-  body: Buffer;
-}
-
 /** Forwards one request and writes its response. */
 export class RequestHandler {
   private readonly deadline: number;
   private readonly isRetryable: boolean;
   private readonly isStream: boolean;
   private readonly promptTokens: number;
+  private readonly responseTimes: ResponseTimes;
   private readonly triedServers = new Set<string>();
   private readonly triedAddresses: string[] = [];
   private readonly limitDecisions: LimitDecision[] = [];
   private current?: AttemptProgress;
   private readonly tokens: RequestTokens;
+  private readonly guard: PromptGuard;
   /** Ends the request's admission. */
   private release?: () => void;
   private sentAttempts = 0;
@@ -96,7 +97,9 @@
     private readonly onFinished: () => void,
   ) {
     const {route, request, receivedAt} = input;
+    this.responseTimes = context.pool.responseTimes(input.service);
     this.tokens = new RequestTokens(context, input);
+    this.guard = new PromptGuard(context, input);
     const remaining = request.timeRemainingMilliseconds ?? Infinity;
     this.deadline = receivedAt + Math.min(route.timeoutMilliseconds, remaining);
     this.isStream = route.kind === 'streaming';
@@ -113,6 +116,7 @@
       this.timeOut(),
     );
     this.cancelTimers.push(timer);
+    if (this.refuseIfBlocked()) return;
     this.release = admission.admit(this.input.workspace?.name ?? '');
     if (this.release === undefined) {
       this.refuse('routerBusy', retryAfterFor('routerBusy', options.random));
@@ -127,7 +131,17 @@
     else this.sendNext();
   }
 
+  /** Refuses a request with a blocked part of its prompt; it has not run. */
+  private refuseIfBlocked(): boolean {
+    const part = this.guard.findBlocked();
+    if (part === undefined) return false;
+    this.log('prompt part is blocked', {part});
+    this.fail('promptBlocked');
+    return true;
+  }
+
   private sendNext(): void {
+    if (this.refuseIfBlocked()) return;
     const now = this.context.clock.now();
     if (this.deadline - now < minSendTimeMilliseconds) {
       this.fail('outOfTime');
@@ -166,6 +180,7 @@
     const progress = createProgress(server, now);
     this.current = progress;
     server.begin(progress, this.promptTokens, now);
+    this.guard.begin(progress);
     limits.recordSent(server, this.limitDecisions, now);
     progress.observers = createServerObservers(this.context, request, progress);
     const isCurrent = () => this.current === progress && !this.isOver;
@@ -253,6 +268,7 @@
     }
     const now = this.context.clock.now();
     this.events += count;
+    if (progress.prompt !== undefined) progress.prompt.events += count;
     progress.progressAt = now;
     if (!progress.hasFirstEvent) {
       progress.hasFirstEvent = true;
@@ -269,6 +285,7 @@
 
   private receiveEnd(progress: AttemptProgress): void {
     const {status, head = emptyResponseHead, held, scanner} = progress;
+    this.guard.end(progress, classifyAttemptEnd(progress));
     this.detach(progress, status >= 500 ? 'failure' : 'success');
     const end = classifyResponse({
       status,
@@ -317,6 +334,7 @@
           progress.server.lastByteAt,
           progress.startedAt,
         );
+        this.guard.end(progress, failure.isClosed === true ? 'broke' : 'other');
         this.detach(progress, 'failure');
         this.handleUnknown(failure.reason);
     }
@@ -334,6 +352,7 @@
     const {route, service} = this.input;
     const now = clock.now();
     if (this.sentAttempts >= route.maxAttempts) return false;
+    if (!this.guard.mayResend()) return false;
     if (this.deadline - now < minSendTimeMilliseconds) return false;
     const server = this.chooseServer(now);
     if (server === undefined) return false;
@@ -383,10 +402,6 @@
     this.handleUnknown(reason);
   }
 
-  private get responseTimes(): ResponseTimes {
-    return this.context.pool.responseTimes(this.input.service);
-  }
-
   private detach(
     progress: AttemptProgress,
     outcome?: 'success' | 'failure',
@@ -396,6 +411,7 @@
     const {server, hasFirstEvent} = progress;
     const now = this.context.clock.now();
     server.end(hasFirstEvent ? 0 : this.promptTokens, now);
+    this.guard.end(progress, 'other');
     progress.observers?.onSignal({kind: 'ended'});
     if (outcome !== undefined) this.context.pool.record(server, outcome, now);
   }
--- a/packages/edge/src/responseCompletion.ts
+++ b/packages/edge/src/responseCompletion.ts
@@ -2,6 +2,15 @@
  * @fileoverview Classifies the end of a backend server's response.
  */
 
+import {type ResponseHead} from './wireCodec.js';
+
+/** A server's complete response; a failed one is kept as a fallback. */
+export interface BufferedResponse {
+  status: number;
+  head: ResponseHead;
+  body: Buffer;
+}
+
 /** State of a backend server's response after its end. */
 export interface EndedResponse {
   status: number;
--- a/packages/edge/src/serverSelection.ts
+++ b/packages/edge/src/serverSelection.ts
@@ -77,7 +77,7 @@
 }
 
 /** The parts of a prompt that other requests may share: all but the last. */
-function sharedParts(generation?: GenerationParameters): PromptPart[] {
+export function sharedParts(generation?: GenerationParameters): PromptPart[] {
   return generation?.parts.slice(0, -1) ?? [];
 }
 
--- /dev/null
+++ b/packages/fleet/src/blockedParts.ts
@@ -0,0 +1,66 @@
+/**
+ * @fileoverview Parts of prompts that crash backend servers, in the replicated
+ * state. Requests with one of them are refused until it is unblocked.
+ */
+import {
+  type BlockedPart,
+  type BlockedParts,
+  type BlockPart,
+} from '@dogwoodtrestle/schema';
+
+/** Most blocked parts; the oldest ones are unblocked beyond it. */
+const maxBlockedParts = 500;
+
+/** Blocked parts by id. */
+export class BlockedPartList {
+  private readonly parts = new Map<string, BlockedPart>();
+  private revision = 0;
+
+  /** The list as a JSON value. */
+  get state(): BlockedParts {
+    return {revision: this.revision, parts: [...this.parts.values()]};
+  }
+
+  /** Replaces the list by one of a snapshot. */
+  restore({revision, parts}: BlockedParts): void {
+    this.revision = revision;
+    this.parts.clear();
+    for (const blocked of parts) this.parts.set(blocked.part, blocked);
+  }
+
+  /** Returns a blocked part. */
+  find(part: string): BlockedPart | undefined {
+    return this.parts.get(part);
+  }
+
+  /**
+   * Blocks a part, for one workspace or for all; one that is blocked for another
+   * workspace is then blocked for all.
+   *
+   * @param now Time by the replicated log, in milliseconds.
+   */
+  block({part, workspace, crashes}: BlockPart, now: number): BlockedPart {
+    const known = this.parts.get(part);
+    const isSame = known === undefined || known.workspace === workspace;
+    const blocked: BlockedPart = {
+      part,
+      ...(isSame && workspace !== undefined && {workspace}),
+      blockedAt: known?.blockedAt ?? now,
+      crashes: crashes + (known?.crashes ?? 0),
+    };
+    this.parts.set(part, blocked);
+    this.revision++;
+    if (this.parts.size > maxBlockedParts) {
+      const [oldest] = this.parts.keys();
+      this.parts.delete(oldest ?? '');
+    }
+    return blocked;
+  }
+
+  /** Unblocks a part; returns whether it was blocked. */
+  unblock(part: string): boolean {
+    if (!this.parts.delete(part)) return false;
+    this.revision++;
+    return true;
+  }
+}
--- a/packages/fleet/src/fleetState.ts
+++ b/packages/fleet/src/fleetState.ts
@@ -4,12 +4,15 @@
  */
 import {
   type BackendServerRecord,
+  type BlockedPart,
+  type BlockedParts,
   type Entry,
   type FleetCommand,
   type FleetConfiguration,
   type PutConfiguration,
 } from '@dogwoodtrestle/schema';
 
+import {BlockedPartList} from './blockedParts.js';
 import {
   emptyPrepaidState,
   type PrepaidState,
@@ -40,6 +43,8 @@
   held?: ActiveConfiguration;
   book: PrepaidState;
   servers: BackendServerRecord[];
+  /** Missing before version 3. */
+  blockedParts?: BlockedParts;
 }
 
 type CommandHandlers = {
@@ -53,6 +58,8 @@
 export interface FleetListener {
   onConfiguration(configuration: FleetConfiguration): void;
   onServers(records: readonly BackendServerRecord[]): void;
+  /** Called when a part of prompts is blocked, or unblocked. */
+  onBlockedPart?(part: string, blocked: BlockedPart | undefined): void;
 }
 
 /** Most servers kept; the least recently recorded ones are removed. */
@@ -75,8 +82,19 @@
         now,
       ),
     noteServers: ({records}) => this.recordServers(records),
+    blockPart: (command, now) => {
+      const blocked = this.blockedPartList.block(command, now);
+      this.listener?.onBlockedPart?.(command.part, blocked);
+      return blocked;
+    },
+    unblockPart: ({part}) => {
+      const wasBlocked = this.blockedPartList.unblock(part);
+      if (wasBlocked) this.listener?.onBlockedPart?.(part, undefined);
+      return wasBlocked;
+    },
   };
 
+  private readonly blockedPartList = new BlockedPartList();
   private servers = new Map<string, BackendServerRecord>();
 
   constructor(private readonly listener?: FleetListener) {}
@@ -91,6 +109,11 @@
     return this.prepaidState;
   }
 
+  /** Parts of prompts that crash backend servers; changed by `apply`. */
+  get blockedParts(): Pick<BlockedPartList, 'state' | 'find'> {
+    return this.blockedPartList;
+  }
+
   /**
    * Prepaid total of a workspace in tokens; Infinity where it is unlimited, 0
    * for an unknown workspace.
@@ -123,6 +146,7 @@
       held: this.active,
       book: this.prepaidState,
       servers,
+      blockedParts: this.blockedPartList.state,
     } satisfies Snapshot;
   }
 
@@ -133,9 +157,10 @@
    */
   restore(snapshot: unknown): void {
     const copy = structuredClone(snapshot) as Snapshot;
-    const {version, held, book, servers} = copy;
+    const {version, held, book, servers, blockedParts} = copy;
     this.prepaidState = upgradePrepaidState(book, version);
     this.active = held;
+    this.blockedPartList.restore(blockedParts ?? {revision: 0, parts: []});
     this.servers = new Map(servers.map(record => [record.id, record]));
     if (held !== undefined) {
       this.listener?.onConfiguration(held.configuration);
--- a/packages/fleet/src/index.ts
+++ b/packages/fleet/src/index.ts
@@ -1,8 +1,10 @@
 /** @fileoverview Public API of the package. */
+export * from './blockedParts.js';
 export * from './budgetView.js';
 export * from './checkConfiguration.js';
 export * from './concurrencyLimit.js';
 export * from './configurationChanges.js';
+export * from './crashingParts.js';
 export * from './decayingRate.js';
 export * from './fleetState.js';
 export * from './grantPlanner.js';
--- a/packages/fleet/src/stateVersions.ts
+++ b/packages/fleet/src/stateVersions.ts
@@ -5,6 +5,7 @@
  * Version 1 counted loans as spent by the lender, did not record who borrowed
  * them, and had a different spending limit. So the unspent tokens of its
  * incarnations count as spent when these end, unless they were returned.
+ * Version 2 had no blocked parts of prompts.
  */
 import {type RecordUsage, type UsageEntry} from '@dogwoodtrestle/schema';
 import ModernError from 'modern-errors';
@@ -19,7 +20,10 @@
 } from './prepaidAccounts.js';
 
 /** Version of the replicated state that this program writes. */
-export const stateVersion = 2;
+export const stateVersion = 3;
+
+/** Versions whose prepaid state is that of this program. */
+const samePrepaidVersions: readonly number[] = [2, stateVersion];
 
 /** Thrown for state that a later version of the program wrote. */
 export const UnknownStateVersion: new (message: string) => Error =
@@ -61,8 +65,8 @@
   state: unknown,
   version: number | undefined,
 ): PrepaidState {
-  if (version === stateVersion) return state as PrepaidState;
   if (version !== undefined) {
+    if (samePrepaidVersions.includes(version)) return state as PrepaidState;
     const unknown: Error = new UnknownStateVersion(
       `the replicated state has version ${version}; this program reads up to ${stateVersion}`,
     );
--- a/packages/fleet/tests/stateVersions.test.ts
+++ b/packages/fleet/tests/stateVersions.test.ts
@@ -183,6 +183,6 @@
 describe('state of a later version', () => {
   it('is rejected with a message that names both versions', () => {
     const snapshot = {...createVersion1Snapshot(), version: stateVersion + 1};
-    expect(() => restore(snapshot)).toThrow(/version 3.*reads up to 2/);
+    expect(() => restore(snapshot)).toThrow(/version 4.*reads up to 3/);
   });
 });
