fix(edge): an earlier refusal on a kept connection is not that of the next request

A faulty server wrote an earlier refusal once more, without an attempt id, on a kept connection.

A refusal without an id now counts only for the first request on a connection; on a reused one the outcome is unknown.

--- a/packages/edge/src/attempt.ts
+++ b/packages/edge/src/attempt.ts
@@ -94,6 +94,11 @@
     return this.isSent;
   }
 
+  /** Whether the connection carried another request before. */
+  private get isReused(): boolean {
+    return this.connection.requests > 1;
+  }
+
   /** Resumes reading after `onData` returned false. */
   resume(): void {
     this.resumeBody?.();
@@ -187,10 +192,15 @@
       });
       return;
     }
-    if (
-      status === 421 ||
-      (head.isNotExecuted && notExecutedStatuses.has(status))
-    ) {
+    const isRefusal =
+      status === 421 || (head.isNotExecuted && notExecutedStatuses.has(status));
+    if (isRefusal && head.attemptId === undefined && this.isReused) {
+      // It may be an earlier refusal once more.
+      const reason = 'refusal without id on a reused connection';
+      this.failAndClose({kind: 'unknown', reason});
+      return;
+    }
+    if (isRefusal) {
       const refusal: AttemptFailure = {kind: 'notExecuted', status};
       this.refusal = refusal;
       this.cancelRefusalTimer = clock.setTimer(refusalBodyMilliseconds, () => {
@@ -224,7 +234,9 @@
   private receiveLateHead(status: number, rawHeaders: string[]): void {
     const head = this.input.codec.decodeResponse(rawHeaders);
     this.reportSignals(status, head);
-    this.onResult?.(status !== 421 && !head.isNotExecuted);
+    const isCertain = head.attemptId !== undefined || !this.isReused;
+    const isRefusal = status === 421 || head.isNotExecuted;
+    this.onResult?.(!isRefusal || !isCertain);
   }
 
   private reportSignals(status: number, head: ResponseHead): void {
--- a/packages/edge/src/serverConnections.ts
+++ b/packages/edge/src/serverConnections.ts
@@ -30,6 +30,8 @@
   /** The peer reset it: a response that it ended is incomplete. */
   wasReset: boolean;
   isClosed: boolean;
+  /** Requests that it was acquired for. */
+  requests: number;
 }
 
 /** Pool of the connections to one server. */
@@ -45,7 +47,9 @@
 
   /** Returns the idle connection used last, or a new one. */
   acquire(): ServerConnection {
-    return this.idle.pop() ?? this.create();
+    const connection = this.idle.pop() ?? this.create();
+    connection.requests++;
+    return connection;
   }
 
   /** Returns a connection to the pool after a complete response. */
@@ -82,6 +86,7 @@
       }),
       wasReset: false,
       isClosed: false,
+      requests: 0,
     };
     connection.client.on('disconnect', () => this.markClosed(connection));
     return connection;
