--- /dev/null
+++ b/packages/fleet/tests/blockedParts.test.ts
@@ -0,0 +1,81 @@
+/** @fileoverview Blocked parts of prompts in the replicated state. */
+import {type FleetCommand} from '@dogwoodtrestle/schema';
+import {describe, expect, it} from 'vitest';
+
+import {FleetState} from '../src/index.js';
+
+function apply(state: FleetState, ...commands: FleetCommand[]): unknown[] {
+  return state.apply({
+    index: 1,
+    term: 1,
+    timestamp: 1_000,
+    commands,
+  } as unknown as Parameters<FleetState['apply']>[0]);
+}
+
+const block = (part: string, workspace?: string): FleetCommand => ({
+  kind: 'blockPart',
+  part,
+  workspace,
+  crashes: 4,
+});
+
+describe('a blocked part', () => {
+  // Guards against blocks that a restart of every process ends (issue 34).
+  it('survives a snapshot, with its revision', () => {
+    const state = new FleetState();
+    apply(state, block('p-1', 'desk'), block('p-2'));
+    const copy = new FleetState();
+    copy.restore(JSON.parse(JSON.stringify(state.snapshot())));
+    expect(copy.blockedParts.state).toEqual(state.blockedParts.state);
+    expect(copy.blockedParts.state).toMatchObject({
+      revision: 2,
+      parts: [{part: 'p-1', workspace: 'desk'}, {part: 'p-2'}],
+    });
+  });
+
+  it('is missing in a snapshot of version 2', () => {
+    const snapshot = new FleetState().snapshot() as Record<string, unknown>;
+    const older: Record<string, unknown> = {...snapshot, version: 2};
+    delete older['blockedParts'];
+    const state = new FleetState();
+    state.restore(older);
+    expect(state.blockedParts.state).toEqual({revision: 0, parts: []});
+  });
+
+  it('holds for all once a second workspace sent it', () => {
+    const state = new FleetState();
+    apply(state, block('p-1', 'desk'), block('p-1', 'camp'));
+    expect(state.blockedParts.find('p-1')).not.toHaveProperty('workspace');
+    apply(state, block('p-1', 'desk'));
+    expect(state.blockedParts.find('p-1')).not.toHaveProperty('workspace');
+  });
+
+  it('ends when it is unblocked, and the listener hears of both', () => {
+    const heard: Array<[string, boolean]> = [];
+    const state = new FleetState({
+      onConfiguration: () => undefined,
+      onServers: () => undefined,
+      onBlockedPart: (part, blocked) =>
+        heard.push([part, blocked !== undefined]),
+    });
+    const unblock: FleetCommand = {kind: 'unblockPart', part: 'p-1'};
+    expect(apply(state, block('p-1'), unblock, unblock).slice(1)).toEqual([
+      true,
+      false,
+    ]);
+    expect(heard).toEqual([
+      ['p-1', true],
+      ['p-1', false],
+    ]);
+  });
+
+  it('yields to newer ones beyond the limit', () => {
+    const state = new FleetState();
+    for (let count = 0; count <= 500; count++) {
+      apply(state, block(`p-${count}`));
+    }
+    expect(state.blockedParts.state.parts).toHaveLength(500);
+    expect(state.blockedParts.find('p-0')).toBeUndefined();
+  });
+});
