--- a/packages/control/src/watchService.ts
+++ b/packages/control/src/watchService.ts
@@ -82,9 +82,9 @@
     const {watchMilliseconds} = this.options;
     if (!this.group.isLeader) return this.group.leaderHint();
     this.recordRouter(request);
-    // Each topic records the request, whether or not another one has news.
-    const hasNews = this.topics.filter(topic => topic.record(request));
-    if (hasNews.length > 0) this.notifyWatchers();
+    // Every topic records the request, also after another one has news.
+    const topicsWithNews = this.topics.filter(topic => topic.record(request));
+    if (topicsWithNews.length > 0) this.notifyWatchers();
     if (!this.hasChanges(request)) await this.waitForChange(watchMilliseconds);
     if (!this.group.isLeader) return this.group.leaderHint();
     this.recordRouter(request);
