fix(edge): late replies of other processes count, and a busy link is no partition

Cause: a call that has no reply within a fixed time is ended, and with it the reply. Where the link delays each reply by more than that (loans 80 ms, reports 0.7 s, watch calls 1.6 s, connections 0.4 s), no call ever succeeds, however often it is repeated. Class: fixed time limits below the delay of a queue.

Fix: these times now say when another call is made, not when the first one ends. Replies count whenever they come, in the order of their calls; three calls of a kind are pending at most. Connections to other processes are attempted again beside the first attempt. The connect timeout to servers follows measured times. A router commits its demand ahead for as long as reports usually take, and a request waits for twice that, a second at most. Replies to reports count as contact.

--- a/packages/edge/src/controlPlaneClient.ts
+++ b/packages/edge/src/controlPlaneClient.ts
@@ -8,7 +8,11 @@
   type LeaseRequestTime,
   RouteTable,
 } from '@dogwoodtrestle/fleet';
-import {type PeerCallClient, sleep} from '@dogwoodtrestle/runtime';
+import {
+  type PeerCallClient,
+  settledWithin,
+  sleep,
+} from '@dogwoodtrestle/runtime';
 import {
   type BackendServerRecord,
   checkedMessage,
@@ -16,12 +20,14 @@
   type FleetConfiguration,
   type LeaderHint,
   type RouterLife,
+  type UsageReply,
   type WatchReply,
   type WatchRequest,
   type WatchUpdate,
 } from '@dogwoodtrestle/schema';
 
 import {type EdgeOptions} from './edgeOptions.js';
+import {type ReplyCounter} from './replyCounter.js';
 import {type WatchTopic} from './watchTopic.js';
 
 /** Pause before the next control process is tried. */
@@ -42,6 +48,25 @@
 /** Time without contact after which the control processes are unreachable. */
 const contactTimeoutMilliseconds = 2_500;
 
+/**
+ * Time after which a call is given up. Without a reply within the shorter
+ * timeouts of the options others are called as well, but a late reply counts:
+ * on a busy link each one is late.
+ */
+const callLimitMilliseconds = 6_000;
+
+/**
+ * Calls of one kind without a reply. The oldest one is given up for a new one, so
+ * that few connections are occupied when a partition ends.
+ */
+const maxPendingCalls = 3;
+
+/** Weight of a new sample in the usual time until a report is confirmed. */
+const reportDelayWeight = 0.25;
+
+/** Longest time for which demand is committed in advance. */
+const maxAheadMilliseconds = 2_500;
+
 /** Receives changes other than those of the configuration. */
 export interface ControlPlaneListener {
   /** Called with new and changed records of backend servers. */
@@ -71,8 +96,18 @@
   private reportedAt = -Infinity;
   private isReporting = false;
   private reportWaiters: Array<() => void> = [];
+  /** Calls without a reply, the oldest first. */
+  private readonly pendingReports = new Set<AbortController>();
+  private readonly pendingWatchCalls = new Set<AbortController>();
+  /** Usual time until a report is confirmed. */
+  private reportDelay = 0;
+  private watchCalls = 0;
+  /** Number of the newest watch call whose reply was applied. */
+  private appliedWatchCall = 0;
   /** Last reading of a leader's clock, and the monotonic time of its arrival. */
   private lastLeaderTime?: {reading: ClockReading; at: number};
+  /** When the report with that reading was sent. */
+  private leaderTimeSentAt = -Infinity;
 
   constructor(
     private readonly options: EdgeOptions,
@@ -82,6 +117,7 @@
     private readonly life: RouterLife,
     private readonly grants: HeldGrants,
     private readonly listener: ControlPlaneListener,
+    private readonly replies: ReplyCounter,
   ) {}
 
   /** The active configuration; undefined before the first one. */
@@ -112,6 +148,11 @@
     return this.options.clock.now() - this.lastContactAt;
   }
 
+  /** Usual time until a leader has confirmed a report, in milliseconds. */
+  get reportDelayMilliseconds(): number {
+    return this.reportDelay;
+  }
+
   /** Starts to watch for changes and to report usage. */
   start(): void {
     void this.watch();
@@ -150,18 +191,8 @@
     await this.findLeader();
     while (!this.isStopped) {
       const address = this.leader ?? this.nextReplicaAddress();
-      try {
-        const time = this.requestTime();
-        const reply = await this.requestUpdate(address);
-        if (reply.kind === 'update') {
-          this.applyUpdate(reply, address, time);
-          continue;
-        }
-        this.applyHint(reply, address);
-      } catch (error) {
-        this.options.logger.debug({err: error, address}, 'watch failed');
-        if (this.leader === address) this.leader = undefined;
-      }
+      const isUpdated = await this.callForUpdate(address);
+      if (isUpdated) continue;
       this.detectContactLoss();
       await sleep(this.options.clock, retryDelayMilliseconds);
     }
@@ -179,19 +210,53 @@
   }
 
   private async probeForLeader(): Promise<void> {
-    const {clock, logger} = this.options;
     while (!this.isStopped && this.leader === undefined) {
-      const address = this.nextReplicaAddress();
-      try {
-        const time = this.requestTime();
-        const reply = await this.requestUpdate(address);
-        if (reply.kind === 'update') this.applyUpdate(reply, address, time);
-        else if (this.leader === undefined) this.applyHint(reply, address);
-      } catch (error) {
-        logger.debug({err: error, address}, 'watch failed');
+      await this.callForUpdate(this.nextReplicaAddress());
+      if (this.leader === undefined) {
+        await sleep(this.options.clock, retryDelayMilliseconds);
+      }
+    }
+  }
+
+  /**
+   * Sends a watch call, and applies the reply whenever it comes.
+   *
+   * @returns Whether the reply came in time and was an update.
+   */
+  private async callForUpdate(address: string): Promise<boolean> {
+    const {clock, watchTimeoutMilliseconds} = this.options;
+    const call = this.watchOnce(address);
+    if (await settledWithin(clock, call, watchTimeoutMilliseconds)) return call;
+    // Replies to reports show that the leader is reached, if slowly.
+    const isSilent = this.contactAgeMilliseconds >= watchTimeoutMilliseconds;
+    if (isSilent && this.leader === address) this.leader = undefined;
+    return false;
+  }
+
+  private async watchOnce(address: string): Promise<boolean> {
+    const number = ++this.watchCalls;
+    const pending = addPending(this.pendingWatchCalls);
+    try {
+      const time = this.requestTime();
+      const reply = await this.requestUpdate(address, pending.signal);
+      // A later call may have been replied to before this one.
+      if (number < this.appliedWatchCall) return false;
+      if (reply.kind === 'update') {
+        this.appliedWatchCall = number;
+        this.applyUpdate(reply, address, time);
+        return true;
       }
-      if (this.leader === undefined) await sleep(clock, retryDelayMilliseconds);
+      if (this.leader === undefined || this.leader === address) {
+        this.applyHint(reply, address);
+      }
+    } catch (error) {
+      this.options.logger.debug({err: error, address}, 'watch failed');
+      const isNewest = number === this.watchCalls;
+      if (isNewest && this.leader === address) this.leader = undefined;
+    } finally {
+      this.pendingWatchCalls.delete(pending);
     }
+    return false;
   }
 
   private requestTime(): LeaseRequestTime {
@@ -199,8 +264,11 @@
     return {sentAt: clock.now(), wallSentAt: clock.wallNow()};
   }
 
-  private async requestUpdate(address: string): Promise<WatchReply> {
-    const {watchTimeoutMilliseconds, peerAddress} = this.options;
+  private async requestUpdate(
+    address: string,
+    signal: AbortSignal,
+  ): Promise<WatchReply> {
+    const {peerAddress} = this.options;
     const {epoch} = this;
     const reports = this.listener.topics.map(topic => topic.report(epoch));
     const request: WatchRequest = {
@@ -212,9 +280,16 @@
       peersRevision: this.peersSource === address ? this.peersRevision : -1,
     };
     for (const {fields} of reports) Object.assign(request, fields);
-    const reply = await this.calls.call<WatchReply>(address, 'watch', request, {
-      timeoutMilliseconds: watchTimeoutMilliseconds,
+    const call = this.calls.call<WatchReply>(address, 'watch', request, {
+      timeoutMilliseconds: callLimitMilliseconds,
+      signal,
     });
+    const {watchTimeoutMilliseconds} = this.options;
+    const reply = await this.replies.count(
+      'watch',
+      call,
+      watchTimeoutMilliseconds,
+    );
     if (reply.kind === 'update') {
       const replier = reply.directory?.epoch ?? epoch;
       for (const {onReceived} of reports) onReceived?.(replier);
@@ -227,13 +302,9 @@
     address: string,
     time: LeaseRequestTime,
   ): void {
-    const {clock, logger} = this.options;
+    const {logger} = this.options;
     this.leader = address;
-    this.lastContactAt = clock.now();
-    if (this.isLost) {
-      this.isLost = false;
-      logger.info({leader: address}, 'control processes are reached');
-    }
+    this.recordContact(address);
     this.replicas = update.replicas;
     if (update.peers !== undefined) {
       this.peers = update.peers;
@@ -269,6 +340,14 @@
     this.leader = leader === asked ? undefined : leader;
   }
 
+  private recordContact(leader: string): void {
+    const {clock, logger} = this.options;
+    this.lastContactAt = clock.now();
+    if (!this.isLost) return;
+    this.isLost = false;
+    logger.info({leader}, 'control processes are reached');
+  }
+
   private detectContactLoss(): void {
     if (
       this.isLost ||
@@ -324,19 +403,32 @@
     }
   }
 
+  /** Sends a report; resolves at its reply, or once that is late. */
   private async sendReport(): Promise<void> {
-    const {clock, logger, reportTimeoutMilliseconds} = this.options;
+    const {clock, reportTimeoutMilliseconds} = this.options;
     const {leader} = this;
     if (leader === undefined) return;
+    const report = this.callWithReport(leader);
+    await settledWithin(clock, report, reportTimeoutMilliseconds);
+  }
+
+  private async callWithReport(leader: string): Promise<void> {
+    const {clock, logger, reportTimeoutMilliseconds} = this.options;
     const isFullReport =
       !this.grants.hasUnreported ||
       this.reportsSent++ % fullReportInterval === 0;
-    this.reportedAt = clock.now();
+    const sentAt = clock.now();
+    this.reportedAt = sentAt;
     const leaderTime = this.leaderTime();
     const reportedWallAt = Math.floor(clock.wallNow());
-    const {usages, reportedAt} = this.grants.report(isFullReport, clock.now());
+    const {usages, reportedAt} = this.grants.report(
+      isFullReport,
+      sentAt,
+      this.aheadMilliseconds,
+    );
+    const pending = addPending(this.pendingReports);
     try {
-      const response = await this.calls.call<unknown>(
+      const call = this.calls.call<unknown>(
         leader,
         'usage',
         {
@@ -349,24 +441,65 @@
           leaderTime,
           usages,
         },
-        {timeoutMilliseconds: reportTimeoutMilliseconds},
+        {timeoutMilliseconds: callLimitMilliseconds, signal: pending.signal},
+      );
+      const response = await this.replies.count(
+        'usage',
+        call,
+        reportTimeoutMilliseconds,
+      );
+      this.applyUsageReply(
+        checkedMessage('UsageReply', response),
+        leader,
+        sentAt,
       );
-      const reply = checkedMessage('UsageReply', response);
-      if (reply.kind === 'grants') {
-        if (reply.isOver === true) this.stopSpending();
-        this.grants.confirm(reply.reportedAt);
-        if (reply.leaderTime !== undefined) {
-          this.lastLeaderTime = {reading: reply.leaderTime, at: clock.now()};
-        }
-        for (const offer of reply.offers) {
-          this.grants.accept(offer, clock.now());
-        }
-        return;
-      }
-      this.applyHint(reply, leader);
     } catch (error) {
       logger.debug({err: error, leader}, 'usage report failed');
+      this.reportsSent = 0;
+    } finally {
+      this.pendingReports.delete(pending);
+    }
+  }
+
+  private applyUsageReply(
+    reply: UsageReply,
+    leader: string,
+    sentAt: number,
+  ): void {
+    const {clock} = this.options;
+    if (reply.kind !== 'grants') {
+      if (this.leader === leader) this.applyHint(reply, leader);
+      this.reportsSent = 0;
+      return;
+    }
+    const delay = clock.now() - sentAt;
+    this.reportDelay += reportDelayWeight * (delay - this.reportDelay);
+    if (this.leader === leader) this.recordContact(leader);
+    if (reply.isOver === true) this.stopSpending();
+    this.grants.confirm(reply.reportedAt);
+    const {leaderTime} = reply;
+    if (leaderTime !== undefined && sentAt >= this.leaderTimeSentAt) {
+      this.leaderTimeSentAt = sentAt;
+      this.lastLeaderTime = {reading: leaderTime, at: clock.now()};
     }
-    this.reportsSent = 0;
+    for (const offer of reply.offers) this.grants.accept(offer, sentAt);
+  }
+
+  /** Time beyond a report interval until a report is confirmed. */
+  private get aheadMilliseconds(): number {
+    const ahead = this.reportDelay - this.options.reportIntervalMilliseconds;
+    return Math.min(maxAheadMilliseconds, Math.max(0, ahead));
+  }
+}
+
+/** Adds a call to the pending ones; the oldest one ends if there are too many. */
+function addPending(pending: Set<AbortController>): AbortController {
+  const [oldest] = pending;
+  if (oldest !== undefined && pending.size >= maxPendingCalls) {
+    pending.delete(oldest);
+    oldest.abort();
   }
+  const controller = new AbortController();
+  pending.add(controller);
+  return controller;
 }
--- a/packages/edge/src/edgeNode.ts
+++ b/packages/edge/src/edgeNode.ts
@@ -36,6 +36,7 @@
 import {Loans} from './loans.js';
 import {PromptParts} from './promptParts.js';
 import {type RefusalReason} from './refusal.js';
+import {ReplyCounter} from './replyCounter.js';
 import {RequestHandler} from './requestHandler.js';
 import {RequestPipeline} from './requestPipeline.js';
 import {ServerCrashes} from './serverCrashes.js';
@@ -58,6 +59,9 @@
 /** Interval at which a stopping router checks for open requests. */
 const drainPollIntervalMilliseconds = 50;
 
+/** Attempts to connect to another process before the call fails. */
+const connectAttempts = 4;
+
 /** A running router. */
 export class EdgeNode {
   private readonly context: EdgeContext;
@@ -70,7 +74,10 @@
 
   private constructor(private readonly options: EdgeOptions) {
     const {clock, logger, metrics, proxy} = options;
-    this.calls = new PeerCallClient({localAddress: proxy?.localAddress});
+    this.calls = new PeerCallClient({
+      localAddress: proxy?.localAddress,
+      connectAttempts,
+    });
     const grants = new HeldGrants();
     const connections = metrics.counter(
       'dogwoodtrestle_server_connections_total',
@@ -80,6 +87,7 @@
       logger,
       clock,
       connectTimeoutMilliseconds: options.connectTimeoutMilliseconds,
+      maxConnectTimeoutMilliseconds: options.maxConnectTimeoutMilliseconds,
       suspectAfterMilliseconds: options.suspectAfterMilliseconds,
       onConnect: () => connections.add(),
     });
@@ -111,6 +119,7 @@
     const crashes = new ServerCrashes({clock, logger, metrics});
     const promptParts = new PromptParts(clock, logger);
     const routerId = randomUUID();
+    const replies = new ReplyCounter(options);
     const control: ControlPlaneClient = new ControlPlaneClient(
       options,
       this.calls,
@@ -121,14 +130,16 @@
         onServers,
         topics: [limits, crashes, promptParts],
       },
+      replies,
     );
-    const loans = new Loans(options, this.calls, {
+    const participant = {
       life: routerId,
       grants,
       routers: () => control.routers,
       isConnected: () => control.isConnected,
       report: () => control.report(),
-    });
+    };
+    const loans = new Loans(options, this.calls, participant, replies);
     const [host = '', port = '0'] = options.peerAddress.split(':');
     this.listener = new PeerCallServer({
       host,
--- a/packages/edge/src/edgeOptions.ts
+++ b/packages/edge/src/edgeOptions.ts
@@ -17,18 +17,25 @@
 export interface EdgeTuning {
   /** Limits of retries as a share of requests. */
   retryBudget: Partial<WindowedRetryBudgetOptions>;
-  /** Timeout of a watch call; longer than the leader may delay its reply. */
+  /**
+   * Time after which another watch call is sent; longer than the leader may delay
+   * its reply.
+   */
   watchTimeoutMilliseconds: number;
-  /** Timeout of a usage report. */
+  /** Time after which a usage report is late, and another one is sent. */
   reportTimeoutMilliseconds: number;
   /** Interval of usage reports. */
   reportIntervalMilliseconds: number;
-  /** Maximum time for which a request waits for a larger grant. */
+  /** Time for which a request waits for a larger grant. */
   grantWaitMilliseconds: number;
-  /** Timeout of a loan request. */
+  /** Limit of that time where replies of the leader are slow. */
+  maxGrantWaitMilliseconds: number;
+  /** Time after which the next lender is asked for a loan. */
   loanTimeoutMilliseconds: number;
   /** Timeout of a connection to a backend server. */
   connectTimeoutMilliseconds: number;
+  /** Limit of that time where connections are usually slow. */
+  maxConnectTimeoutMilliseconds: number;
   /** Silence after which a server with open requests is suspect. */
   suspectAfterMilliseconds: number;
   /** Timeout between events, after which a stream is retried elsewhere. */
@@ -81,8 +88,10 @@
   reportTimeoutMilliseconds: 700,
   reportIntervalMilliseconds: 400,
   grantWaitMilliseconds: 250,
+  maxGrantWaitMilliseconds: 1_000,
   loanTimeoutMilliseconds: 80,
   connectTimeoutMilliseconds: 400,
+  maxConnectTimeoutMilliseconds: 2_000,
   suspectAfterMilliseconds: 900,
   eventGapTimeoutMilliseconds: 1_000,
   // The load balancer removes a router after two failed checks, one a second.
--- a/packages/edge/src/loans.ts
+++ b/packages/edge/src/loans.ts
@@ -14,7 +14,11 @@
   type LoanTerms,
   TokenHolders,
 } from '@dogwoodtrestle/fleet';
-import {type Counter, type PeerCallClient} from '@dogwoodtrestle/runtime';
+import {
+  type Counter,
+  type PeerCallClient,
+  settledWithin,
+} from '@dogwoodtrestle/runtime';
 import {
   checkedMessage,
   type LoanReply,
@@ -23,10 +27,17 @@
 
 import {type EdgeOptions} from './edgeOptions.js';
 import {LoanTotals} from './loanTotals.js';
+import {type ReplyCounter} from './replyCounter.js';
 
 /** Time for which a router that did not reply is not asked again. */
 const unansweredBackoffMilliseconds = 1_500;
 
+/**
+ * Time after which a loan request is given up. The next lender is asked much
+ * sooner, but a late reply counts: on a busy link each one is late.
+ */
+const loanLimitMilliseconds = 2_500;
+
 /**
  * Time for which a lender waits until the leader has recorded a loan; below the
  * time for which the borrower waits for its reply.
@@ -77,6 +88,8 @@
     Map<string, UncollectedLoan>
   >();
   private requests = 0;
+  /** Number of loan requests without a reply, by workspace. */
+  private readonly pending = new Map<string, number>();
   private readonly holders = new TokenHolders();
   private readonly lent = new LoanTotals();
   private readonly borrowed = new LoanTotals();
@@ -85,6 +98,7 @@
     private readonly options: EdgeOptions,
     private readonly calls: PeerCallClient,
     private readonly participant: LoanParticipant,
+    private readonly replies: ReplyCounter,
   ) {
     this.loans = options.metrics.counter(
       'dogwoodtrestle_loans_total',
@@ -118,7 +132,7 @@
         const missing = Math.max(1, Math.ceil(tokens - spendable));
         const terms = {workspace, tokens: missing, wished, isPartial};
         asked.push(lender);
-        const borrowed = await this.ask(lender, terms);
+        const borrowed = await this.askInTime(lender, terms);
         if (borrowed > 0) lenders.push(lender);
         // A concurrent loan may have supplied the tokens.
         if (!grants.canReserve(workspace, tokens, clock.now())) continue;
@@ -137,6 +151,11 @@
     return false;
   }
 
+  /** Whether a lender may still reply to a request for tokens of a workspace. */
+  isPending(workspace: string): boolean {
+    return (this.pending.get(workspace) ?? 0) > 0;
+  }
+
   /** Handles another router's loan request. */
   async lend({
     address,
@@ -213,6 +232,33 @@
     );
   }
 
+  /** Asks one router; returns the number of tokens received, 0 if it is late. */
+  private async askInTime(lender: string, terms: LoanTerms): Promise<number> {
+    const {clock, loanTimeoutMilliseconds} = this.options;
+    const {workspace} = terms;
+    this.countPending(workspace, 1);
+    const reply = this.ask(lender, terms).finally(() =>
+      this.countPending(workspace, -1),
+    );
+    if (await settledWithin(clock, reply, loanTimeoutMilliseconds)) {
+      return reply;
+    }
+    this.avoid(lender);
+    return 0;
+  }
+
+  private countPending(workspace: string, change: number): void {
+    const count = (this.pending.get(workspace) ?? 0) + change;
+    if (count === 0) this.pending.delete(workspace);
+    else this.pending.set(workspace, count);
+  }
+
+  /** Asks others than a lender that has not replied, for a while. */
+  private avoid(lender: string): void {
+    const until = this.options.clock.now() + unansweredBackoffMilliseconds;
+    this.unansweredUntil.set(lender, until);
+  }
+
   /** Asks one router; returns the number of tokens received. */
   private async ask(lender: string, terms: LoanTerms): Promise<number> {
     const {loanTimeoutMilliseconds, peerAddress} = this.options;
@@ -227,9 +273,14 @@
       ...(isPartial && {isPartial}),
     };
     try {
-      const reply = await this.calls.call<unknown>(lender, 'lend', request, {
-        timeoutMilliseconds: loanTimeoutMilliseconds,
+      const call = this.calls.call<unknown>(lender, 'lend', request, {
+        timeoutMilliseconds: loanLimitMilliseconds,
       });
+      const reply = await this.replies.count(
+        'lend',
+        call,
+        loanTimeoutMilliseconds,
+      );
       const loan = checkedMessage('LoanReply', reply);
       this.unansweredUntil.delete(lender);
       const workspaces = this.uncollected.get(lender);
@@ -237,10 +288,11 @@
       if (failed < requestNumber) workspaces?.delete(workspace);
       return this.acceptTotal(lender, workspace, loan);
     } catch (error) {
-      const {clock, logger} = this.options;
-      const until = clock.now() + unansweredBackoffMilliseconds;
-      this.unansweredUntil.set(lender, until);
-      logger.info({err: error, lender, workspace}, 'loan request failed');
+      this.avoid(lender);
+      this.options.logger.info(
+        {err: error, lender, workspace},
+        'loan request failed',
+      );
       // Later requests may reach the lender before this one.
       if (tokens > 0) this.recordUncollected(lender, workspace, this.requests);
       return 0;
--- a/packages/edge/src/serverConnections.ts
+++ b/packages/edge/src/serverConnections.ts
@@ -4,12 +4,21 @@
  */
 import {type Socket} from 'node:net';
 
-import {type ConnectCallback, openSocket} from '@dogwoodtrestle/runtime';
+import {
+  type AdaptiveTimeout,
+  type Clock,
+  type ConnectCallback,
+  openSocket,
+} from '@dogwoodtrestle/runtime';
 import {Client} from 'undici';
 
 /** Options of the connections to one server. */
 export interface ServerConnectionsOptions {
-  connectTimeoutMilliseconds: number;
+  clock: Clock;
+  /** Timeout of a connection; shared by all servers, as they share a link. */
+  connectTimeout: AdaptiveTimeout;
+  /** Time for which a late connection is awaited, to measure its time. */
+  maxConnectTimeoutMilliseconds: number;
   /** Called when a new connection is made. */
   onConnect: () => void;
 }
@@ -96,12 +105,26 @@
     connection: ServerConnection,
     callback: ConnectCallback,
   ): void {
-    this.options.onConnect();
+    const {clock, connectTimeout, maxConnectTimeoutMilliseconds, onConnect} =
+      this.options;
+    onConnect();
+    const startedAt = clock.now();
+    let isLate = false;
     const socket = openSocket(
       this.address,
-      {timeoutMilliseconds: this.options.connectTimeoutMilliseconds},
-      callback,
+      {timeoutMilliseconds: maxConnectTimeoutMilliseconds},
+      (...outcome) => {
+        cancelTimer();
+        const [error, opened] = outcome;
+        if (error === null) connectTimeout.record(clock.now() - startedAt);
+        if (isLate) opened?.destroy();
+        else callback(...outcome);
+      },
     );
+    const cancelTimer = clock.setTimer(connectTimeout.milliseconds, () => {
+      isLate = true;
+      callback(new Error('connection attempt timed out'), null);
+    });
     connection.socket = socket;
     socket.on('error', (error: NodeJS.ErrnoException) => {
       // undici destroys a connection that the peer closed with this error.
--- a/packages/edge/src/serverPool.ts
+++ b/packages/edge/src/serverPool.ts
@@ -11,7 +11,11 @@
   RequestLimit,
 } from '@dogwoodtrestle/fleet';
 import {OutlierDetector} from '@dogwoodtrestle/routing';
-import {type Clock, type Logger} from '@dogwoodtrestle/runtime';
+import {
+  AdaptiveTimeout,
+  type Clock,
+  type Logger,
+} from '@dogwoodtrestle/runtime';
 import {type BackendServerRecord} from '@dogwoodtrestle/schema';
 
 import {ServerConnections} from './serverConnections.js';
@@ -96,6 +100,7 @@
   logger: Logger;
   clock: Clock;
   connectTimeoutMilliseconds: number;
+  maxConnectTimeoutMilliseconds: number;
   /** Silence after which a server with open requests is suspect. */
   suspectAfterMilliseconds: number;
   /** Called when a new connection is made. */
@@ -117,7 +122,14 @@
 
   private readonly responseTimesByService = new Map<string, ResponseTimes>();
 
-  constructor(private readonly options: ServerPoolOptions) {}
+  private readonly connectTimeout: AdaptiveTimeout;
+
+  constructor(private readonly options: ServerPoolOptions) {
+    this.connectTimeout = new AdaptiveTimeout({
+      minMilliseconds: options.connectTimeoutMilliseconds,
+      maxMilliseconds: options.maxConnectTimeoutMilliseconds,
+    });
+  }
 
   /** Returns the times to the first event of a service's responses. */
   responseTimes(service: string): ResponseTimes {
@@ -300,9 +312,11 @@
   }
 
   private add(record: BackendServerRecord): void {
-    const {connectTimeoutMilliseconds, onConnect} = this.options;
+    const {clock, maxConnectTimeoutMilliseconds, onConnect} = this.options;
     const connections = new ServerConnections(record.address, {
-      connectTimeoutMilliseconds,
+      clock,
+      connectTimeout: this.connectTimeout,
+      maxConnectTimeoutMilliseconds,
       onConnect,
     });
     const limit = new RequestLimit(() => this.options.clock.wallNow());
--- a/packages/edge/src/tokenReservation.ts
+++ b/packages/edge/src/tokenReservation.ts
@@ -17,6 +17,9 @@
 /** Pause before a reservation that exceeded the grant is tried again. */
 const grantRetryIntervalMilliseconds = 30;
 
+/** Interval at which a waiting request looks for tokens of late loans. */
+const grantPollMilliseconds = 60;
+
 /** Tokens to reserve; undefined if the workspace has no prepaid total. */
 export function tokensToReserve({
   workspace,
@@ -44,6 +47,8 @@
   remaining: number;
   /** Age of `remaining`; missing if the leader was never heard. */
   remainingAgeMilliseconds?: number;
+  /** Usual time until the leader confirms a report. */
+  reportDelayMilliseconds: number;
 }
 
 /** The reservation, or why there is none. */
@@ -59,8 +64,8 @@
 
 /**
  * Reserves tokens of a workspace. If the grant is too small, borrows from the
- * workspace's holders, then requests more from the leader while connected. The
- * leader alone is asked if only the spending limit forbids the reservation, or
+ * workspace's holders, then requests more from the leader while connected, and
+ * waits for late replies. The leader alone is asked if only the spending limit forbids the reservation, or
  * if the total doesn't cover it.
  *
  * @param isOver Whether the request has ended in the meantime.
@@ -75,7 +80,7 @@
   const reservation = grants.reserve(workspace, tokens, clock.now());
   if (reservation !== undefined) return {reservation};
   if (control.isConnected && needsOnlyLeader(context, demand)) {
-    return reserveFromLeader(context, demand, isOver);
+    return awaitTokens(context, demand, isOver);
   }
   const hasBorrowed = await loans.borrow(demand, !control.isConnected, isOver);
   if (isOver()) return refuse(context, demand, 'grantUnavailable');
@@ -83,8 +88,8 @@
     const reservation = grants.reserve(workspace, tokens, clock.now(), true);
     if (reservation !== undefined) return {reservation};
   }
-  return control.isConnected
-    ? reserveFromLeader(context, demand, isOver)
+  return control.isConnected || loans.isPending(workspace)
+    ? awaitTokens(context, demand, isOver)
     : refuse(context, demand, 'grantUnavailable');
 }
 
@@ -93,33 +98,39 @@
   {workspace, tokens}: TokenDemand,
 ): boolean {
   if (grants.available(workspace) >= tokens) return true;
-  const {tokens: remaining, receivedAt} = grants.remaining(workspace);
-  const age = clock.now() - receivedAt;
+  const {tokens: remaining, askedAt} = grants.remaining(workspace);
+  const age = clock.now() - askedAt;
   return remaining < tokens && age <= remainingValidMilliseconds;
 }
 
-async function reserveFromLeader(
+/** Waits for tokens of the leader, and of loans whose reply is late. */
+async function awaitTokens(
   context: ReservationContext,
   demand: TokenDemand,
   isOver: () => boolean,
 ): Promise<ReservationResult> {
-  const {grants, clock, control, options} = context;
+  const {grants, clock, control, loans} = context;
   const {workspace, tokens} = demand;
   const askedAt = clock.now();
-  const limit = askedAt + options.grantWaitMilliseconds;
+  const limit = askedAt + waitMilliseconds(context);
   grants.want(workspace, tokens);
   try {
     while (!isOver()) {
       const rest = limit - clock.now();
-      await Promise.race([control.report(), pause(context, rest)]);
+      const poll = pause(context, Math.min(rest, grantPollMilliseconds));
+      await (control.isConnected
+        ? Promise.race([control.report(), poll])
+        : poll);
       const now = clock.now();
       const reservation = grants.reserve(workspace, tokens, now, true);
       if (reservation !== undefined) return {reservation};
-      const {tokens: remaining, receivedAt} = grants.remaining(workspace);
-      if (receivedAt >= askedAt && remaining < tokens) {
+      const {tokens: remaining, askedAt: remainingAt} =
+        grants.remaining(workspace);
+      if (remainingAt >= askedAt && remaining < tokens) {
         return refuse(context, demand, 'prepaidExhausted');
       }
-      if (now >= limit || !control.isConnected) break;
+      const maySupply = control.isConnected || loans.isPending(workspace);
+      if (now >= limit || !maySupply) break;
       await pause(
         context,
         Math.min(grantRetryIntervalMilliseconds, limit - now),
@@ -131,14 +142,25 @@
   }
 }
 
+/** Time that a request waits: longer where replies of the leader are slow. */
+function waitMilliseconds({control, options}: ReservationContext): number {
+  const {grantWaitMilliseconds, maxGrantWaitMilliseconds} = options;
+  // A report that is under way doesn't name the request's tokens yet.
+  const wait = 2 * control.reportDelayMilliseconds;
+  return Math.min(
+    maxGrantWaitMilliseconds,
+    Math.max(grantWaitMilliseconds, wait),
+  );
+}
+
 function refuse(
-  {grants, clock}: ReservationContext,
+  {grants, clock, control}: ReservationContext,
   {workspace, tokens: needed}: TokenDemand,
   refusal: RefusalReason,
 ): ReservationResult {
   const now = clock.now();
-  const {tokens: remaining, receivedAt} = grants.remaining(workspace);
-  const age = now - receivedAt;
+  const {tokens: remaining, askedAt} = grants.remaining(workspace);
+  const age = now - askedAt;
   const shortage = {
     needed,
     available: Math.round(grants.available(workspace)),
@@ -147,6 +169,7 @@
     remainingAgeMilliseconds: Number.isFinite(age)
       ? Math.round(age)
       : undefined,
+    reportDelayMilliseconds: Math.round(control.reportDelayMilliseconds),
   };
   return {refusal, shortage};
 }
--- a/packages/edge/tests/support/memoryFleet.ts
+++ b/packages/edge/tests/support/memoryFleet.ts
@@ -22,6 +22,7 @@
 
 import {defaultEdgeOptions, type EdgeOptions} from '../../src/edgeOptions.js';
 import {Loans} from '../../src/loans.js';
+import {ReplyCounter} from '../../src/replyCounter.js';
 
 /** The fleet's only workspace. */
 export const workspace = 'desk';
@@ -230,13 +231,15 @@
       random: () => 0,
     };
     const id = `${address}/${this.lives++}`;
-    const loans = new Loans(options, this.calls(), {
+    const participant = {
       life: id,
       grants,
       routers: () => this.addresses,
       isConnected: () => this.isLeaderReachable,
       report: async () => this.report(router),
-    });
+    };
+    const replies = new ReplyCounter(options);
+    const loans = new Loans(options, this.calls(), participant, replies);
     const startedAt = Math.floor(clock.now());
     const router: MemoryRouter = {address, id, grants, loans, startedAt};
     return router;
--- a/packages/fleet/src/heldGrants.ts
+++ b/packages/fleet/src/heldGrants.ts
@@ -28,8 +28,8 @@
   wanted: number;
   /** Unspent tokens of the workspace over all routers, as last received. */
   remaining: number;
-  /** Time at which `remaining` was received. */
-  receivedAt: number;
+  /** Time at which the leader was asked for `remaining`. */
+  remainingAt: number;
   /** Usual and recent demand, in tokens per second. */
   slowRate: DecayingRate;
   fastRate: DecayingRate;
@@ -37,8 +37,8 @@
   isChanged: boolean;
   /** The newest commitment that is known to be recorded. */
   confirmed?: GrantCommitment;
-  /** A later commitment that may or may not be recorded. */
-  pending?: GrantCommitment;
+  /** Later commitments that may or may not be recorded, the oldest first. */
+  pending: GrantCommitment[];
 }
 
 /** A commitment for one workspace. Its time is running time. */
@@ -64,6 +64,9 @@
 /** Seconds of its own demand that a router borrows beyond a request's need. */
 const extraLoanSeconds = 0.5;
 
+/** Unconfirmed commitments that are remembered for one workspace. */
+const maxPendingCommitments = 16;
+
 /** Tokens reserved for a request; settled once. */
 export interface Reservation {
   workspace: string;
@@ -98,7 +101,7 @@
   private readonly runningTime = new RunningTime();
   private isClosing = false;
   private isSuperseded = false;
-  /** Time of a commitment that may or may not be recorded. */
+  /** Time of the newest commitment, while no leader has replied since. */
   private unconfirmedAt?: number;
 
   /** Returns all tokens that are not reserved, now and as requests end. */
@@ -249,18 +252,20 @@
     grant.isChanged = true;
   }
 
-  /** Unspent tokens of a workspace over all routers, and when it was received. */
-  remaining(workspace: string): {tokens: number; receivedAt: number} {
-    const {remaining, receivedAt} = this.grantOf(workspace);
-    return {tokens: remaining, receivedAt};
+  /** Unspent tokens of a workspace over all routers, and when it was asked for. */
+  remaining(workspace: string): {tokens: number; askedAt: number} {
+    const {remaining, remainingAt} = this.grantOf(workspace);
+    return {tokens: remaining, askedAt: remainingAt};
   }
 
   /**
    * Creates a report, and makes a new commitment unless one is unconfirmed.
    *
    * @param isComplete Whether to include workspaces that have not changed.
+   * @param aheadMilliseconds Time for which the demand is committed in advance,
+   *     as reports take that much longer than usual to be confirmed.
    */
-  report(isComplete: boolean, now: number): GrantReport {
+  report(isComplete: boolean, now: number, aheadMilliseconds = 0): GrantReport {
     const isCommitment = this.unconfirmedAt === undefined;
     const reportedAt = Math.floor(now);
     const at = this.runningTime.at(now);
@@ -268,8 +273,12 @@
     for (const [workspace, grant] of this.grants) {
       const rate = grant.slowRate.value(now);
       const recentRate = grant.fastRate.value(now);
-      const {used, lent, borrowed, returned, reserved, wanted} = grant;
-      const cover = Math.max(0, available(grant));
+      const {used, lent, borrowed, returned, reserved} = grant;
+      const unreserved = Math.max(0, available(grant));
+      const ahead = Math.floor((recentRate * aheadMilliseconds) / 1_000);
+      const inAdvance = Math.min(unreserved, ahead);
+      const cover = unreserved - inAdvance;
+      const wanted = grant.wanted + inAdvance;
       const isIncluded = isComplete || grant.isChanged;
       if (isIncluded) {
         const totals = {used, lent, borrowed, returned};
@@ -280,9 +289,11 @@
       const committed = used + lent + reserved + wanted;
       // A workspace that isn't included renews its commitment with the same
       // amounts.
-      grant.pending = isIncluded
+      const commitment = isIncluded
         ? {at, reportedAt, committed, cover, borrowed}
         : grant.confirmed && {...grant.confirmed, at, reportedAt};
+      if (commitment !== undefined) grant.pending.push(commitment);
+      if (grant.pending.length > maxPendingCommitments) grant.pending.shift();
       if (isIncluded) grant.isChanged = false;
     }
     if (!isCommitment) return {usages};
@@ -291,7 +302,8 @@
   }
 
   /**
-   * Records that the leader has recorded a report.
+   * Records that the leader has recorded a report. Replies may overtake each
+   * other.
    *
    * @param reportedAt That of the report; undefined if it made no commitment.
    */
@@ -302,24 +314,36 @@
       this.unconfirmedAt = undefined;
       return;
     }
-    this.unconfirmedAt = undefined;
+    if (reportedAt === this.unconfirmedAt) this.unconfirmedAt = undefined;
     for (const grant of this.grants.values()) {
-      if (grant.pending?.reportedAt !== reportedAt) continue;
-      grant.confirmed = grant.pending;
-      grant.pending = undefined;
+      const confirmed = grant.pending.find(
+        commitment => commitment.reportedAt === reportedAt,
+      );
+      if (confirmed === undefined) continue;
+      grant.confirmed = confirmed;
+      // The leader no longer records earlier ones.
+      grant.pending = grant.pending.filter(
+        commitment => commitment.reportedAt > reportedAt,
+      );
     }
   }
 
-  /** Applies an offer of the leader, and returns surplus tokens. */
+  /**
+   * Applies an offer of the leader, and returns surplus tokens. Of an offer that
+   * a later one has overtaken, only the granted total counts.
+   *
+   * @param askedAt When the report was sent that the leader replied to.
+   */
   accept(
     {workspace, granted, target, remaining}: GrantOffer,
-    now: number,
+    askedAt: number,
   ): void {
     const grant = this.grantOf(workspace);
     grant.isChanged ||= granted > grant.granted;
     grant.granted = Math.max(grant.granted, granted);
+    if (askedAt < grant.remainingAt) return;
     grant.remaining = remaining;
-    grant.receivedAt = now;
+    grant.remainingAt = askedAt;
     this.returnSurplus(grant, this.isClosing ? 0 : target * keepFactor);
   }
 
@@ -355,10 +379,11 @@
         reserved: 0,
         wanted: 0,
         remaining: 0,
-        receivedAt: -Infinity,
+        remainingAt: -Infinity,
         slowRate: new DecayingRate(slowWindowMilliseconds),
         fastRate: new DecayingRate(fastWindowMilliseconds),
         isChanged: true,
+        pending: [],
       };
       this.grants.set(workspace, grant);
     }
@@ -384,5 +409,5 @@
   // Before the first commitment nothing may be spent of the grant, as the
   // leader would return all of it to the total.
   const limit = confirmed === undefined ? borrowed : limitBy(confirmed);
-  return pending === undefined ? limit : Math.min(limit, limitBy(pending));
+  return Math.min(limit, ...pending.map(limitBy));
 }
--- a/packages/fleet/tests/prepaidAccounts.test.ts
+++ b/packages/fleet/tests/prepaidAccounts.test.ts
@@ -61,24 +61,33 @@
   return router;
 }
 
-/** Sends a report as a router does; the request or the reply may be lost. */
-function report(
+/** A report on its way to the leader, or its reply on the way back. */
+interface MessageInTransit {
+  router: RouterFixture;
+  deliver: (now: number) => MessageInTransit | undefined;
+}
+
+/** Sends a report as a router does; delivered once, its reply is in transit. */
+function sendReport(
   state: PrepaidState,
   router: RouterFixture,
   now: number,
-  delivery: 'whole' | 'replyLost' | 'requestLost',
-  target = 20_000,
-  clocks = correctClocks,
-): void {
-  const {usages, reportedAt} = router.grants.report(true, now);
-  if (delivery === 'requestLost') return;
+  {target = 20_000, clocks = correctClocks, aheadMilliseconds = 0} = {},
+): MessageInTransit {
+  const {usages, reportedAt} = router.grants.report(
+    true,
+    now,
+    aheadMilliseconds,
+  );
   const {instance, boot, startedAt, wallStartedAt} = router;
   const incarnation = {instance, clock: boot, startedAt, wallStartedAt};
-  const leaderTime = {
+  const readLeader = (at: number) => ({
     clock: clocks.leaderName,
-    steady: Math.floor(now),
-    wall: Math.floor(now) - clocks.leader,
-  };
+    steady: Math.floor(at),
+    wall: Math.floor(at) - clocks.leader,
+  });
+  const leaderTime = readLeader(now);
+  const reportedWallAt = Math.floor(now) - (clocks.instances[instance] ?? 0);
   const entries = usages.map(usage => ({
     workspace: usage.workspace,
     used: usage.used,
@@ -98,29 +107,50 @@
         usage.borrowed,
     ),
   }));
-  const {outcomes, breaches} = recordUsage(
-    state,
-    {
-      kind: 'recordUsage',
-      router: router.name,
-      life: incarnation,
-      reportedAt,
-      reportedWallAt: Math.floor(now) - (clocks.instances[instance] ?? 0),
-      leaderTime,
-      recordedAt: leaderTime,
-      entries,
-    },
-    () => prepaid,
-    now,
-  );
-  expect(breaches).toEqual([]);
-  expectBalanced(state);
-  if (delivery === 'replyLost') return;
-  router.grants.confirm(reportedAt);
-  for (const {granted} of outcomes) {
-    const remaining = ungranted(state.accounts[workspace], prepaid);
-    router.grants.accept({workspace, granted, target, remaining}, now);
-  }
+  const record = (at: number): MessageInTransit => {
+    const {outcomes, breaches} = recordUsage(
+      state,
+      {
+        kind: 'recordUsage',
+        router: router.name,
+        life: incarnation,
+        reportedAt,
+        reportedWallAt,
+        leaderTime,
+        recordedAt: readLeader(at),
+        entries,
+      },
+      () => prepaid,
+      at,
+    );
+    expect(breaches).toEqual([]);
+    expectBalanced(state);
+    const accept = () => {
+      router.grants.confirm(reportedAt);
+      for (const {granted} of outcomes) {
+        const remaining = ungranted(state.accounts[workspace], prepaid);
+        router.grants.accept({workspace, granted, target, remaining}, now);
+      }
+      return undefined;
+    };
+    return {router, deliver: accept};
+  };
+  return {router, deliver: record};
+}
+
+/** Sends a report; the request or the reply may be lost. */
+function report(
+  state: PrepaidState,
+  router: RouterFixture,
+  now: number,
+  delivery: 'whole' | 'replyLost' | 'requestLost',
+  target = 20_000,
+  clocks = correctClocks,
+): void {
+  const request = sendReport(state, router, now, {target, clocks});
+  if (delivery === 'requestLost') return;
+  const reply = request.deliver(now);
+  if (delivery === 'whole') reply?.deliver(now);
 }
 
 /** Checks that the sums of an account match the totals of its incarnations. */
@@ -185,6 +215,13 @@
       'requestLost' as const,
     ),
   }),
+  fc.record({
+    kind: fc.constant('slowReport' as const),
+    router: fc.nat(2),
+    aheadMilliseconds: fc.nat(3_000),
+  }),
+  fc.record({kind: fc.constant('deliver' as const), message: fc.nat(20)}),
+  fc.record({kind: fc.constant('deliver' as const), message: fc.nat(20)}),
   fc.record({kind: fc.constant('kill' as const), router: fc.nat(2)}),
   fc.record({
     kind: fc.constant('losePower' as const),
@@ -213,6 +250,8 @@
 );
 
 describe('prepaid totals', () => {
+  // Guards against double spending also by replies that come late or overtake
+  // each other (issue 37).
   it('are never exceeded when messages are lost and routers fail', () => {
     fc.assert(
       fc.property(
@@ -230,6 +269,8 @@
           const routers = ['a', 'b', 'c'].map(name =>
             createRouter(name, incarnation, now),
           );
+          /** Messages that are slow, and may overtake each other. */
+          const inTransit: MessageInTransit[] = [];
           const endAll = (router: RouterFixture) => {
             // Open requests of a dead router may have used all reserved tokens.
             for (const {tokens} of router.open) used += tokens;
@@ -240,8 +281,19 @@
               now += step.milliseconds;
               continue;
             }
+            if (step.kind === 'deliver') {
+              const index = step.message % Math.max(1, inTransit.length);
+              const [message] = inTransit.splice(index, 1);
+              const reply = message?.deliver(now);
+              if (reply !== undefined) inTransit.push(reply);
+              continue;
+            }
             const router = routers[step.router]!;
-            if (step.kind === 'request') {
+            if (step.kind === 'slowReport') {
+              const {aheadMilliseconds} = step;
+              const options = {clocks, aheadMilliseconds};
+              inTransit.push(sendReport(state, router, now, options));
+            } else if (step.kind === 'request') {
               const reservation = router.grants.reserve(
                 workspace,
                 step.tokens,
@@ -283,6 +335,11 @@
                 (clocks.instances[instance] ?? 0) + milliseconds;
             } else {
               endAll(router);
+              if (step.kind === 'losePower') {
+                // What its instance has not yet sent is lost.
+                const others = inTransit.filter(one => one.router !== router);
+                inTransit.splice(0, inTransit.length, ...others);
+              }
               now += step.kind === 'kill' ? 1 : step.downMilliseconds;
               const boot =
                 step.kind === 'kill' ? router.boot : `boot-${++boots}`;
@@ -297,7 +354,7 @@
           expect(used).toBeLessThanOrEqual(prepaid);
         },
       ),
-      {numRuns: 400, seed: 20261204},
+      {numRuns: 1_000, seed: 20261204},
     );
   });
 
--- a/packages/runtime/src/index.ts
+++ b/packages/runtime/src/index.ts
@@ -1,4 +1,8 @@
 /** @fileoverview Public API of the package. */
+export {
+  AdaptiveTimeout,
+  type AdaptiveTimeoutOptions,
+} from './adaptiveTimeout.js';
 export {type Clock, sleep, systemClock} from './clock.js';
 export {type Logger, silentLogger} from './logger.js';
 export {
@@ -22,4 +26,5 @@
   type PeerCallServerOptions,
   type PeerProxy,
 } from './peerCallServer.js';
+export {settledWithin} from './settledWithin.js';
 export {PeriodicTask, type PeriodicTaskOptions} from './periodicTask.js';
--- a/packages/runtime/src/peerCallClient.ts
+++ b/packages/runtime/src/peerCallClient.ts
@@ -7,7 +7,7 @@
  */
 import {Pool} from 'undici';
 
-import {openSocket} from './openSocket.js';
+import {openSocketInAttempts} from './openSocketInAttempts.js';
 
 /** A call failed without a valid reply; the peer may have executed it. */
 export class PeerCallError extends Error {
@@ -17,13 +17,21 @@
 /** Options of one call. */
 export interface CallOptions {
   timeoutMilliseconds: number;
+  /** Ends the call before its timeout. */
+  signal?: AbortSignal;
 }
 
 /** Options of the connection pools. */
 export interface PeerCallClientOptions {
   /** Limit of connections per address; each carries one call at a time. */
   connectionsPerAddress: number;
+  /** Time for one attempt to connect. */
   connectTimeoutMilliseconds: number;
+  /**
+   * Attempts to connect. The earlier ones go on beside the next one: on a busy
+   * link an attempt takes longer than one to an unreachable peer should.
+   */
+  connectAttempts: number;
   /** Number of addresses above which idle connections are closed. */
   maxAddresses: number;
   /** Source address of the calls; chosen by the system if missing. */
@@ -35,6 +43,7 @@
   connectionsPerAddress: 6,
   // Several round trips between failure domains a few milliseconds apart.
   connectTimeoutMilliseconds: 400,
+  connectAttempts: 1,
   // Routers lend tokens to each other, in fleets of hundreds of routers.
   maxAddresses: 256,
 };
@@ -71,17 +80,19 @@
     address: string,
     method: string,
     message: unknown,
-    {timeoutMilliseconds}: CallOptions,
+    {timeoutMilliseconds, signal}: CallOptions,
   ): Promise<T> {
     const peer = this.getOrOpenPeer(address);
     peer.pendingCalls++;
+    const timeout = AbortSignal.timeout(timeoutMilliseconds);
     try {
       const response = await peer.pool.request({
         method: 'POST',
         path: `/${method}`,
         headers: {'content-type': 'application/json'},
         body: JSON.stringify(message),
-        signal: AbortSignal.timeout(timeoutMilliseconds),
+        signal:
+          signal === undefined ? timeout : AbortSignal.any([timeout, signal]),
       });
       const text = await response.body.text();
       if (response.statusCode !== 200) {
@@ -112,17 +123,17 @@
       return existing;
     }
     this.closeLeastRecentlyUsed();
-    const {connectionsPerAddress, connectTimeoutMilliseconds, localAddress} =
-      this.options;
+    const {connectionsPerAddress, localAddress} = this.options;
     const socketOptions = {
-      timeoutMilliseconds: connectTimeoutMilliseconds,
+      timeoutMilliseconds: this.options.connectTimeoutMilliseconds,
+      attempts: this.options.connectAttempts,
       localAddress,
     };
     const pool = new Pool(`http://${address}`, {
       connections: connectionsPerAddress,
       pipelining: 1,
       connect: (_, callback) => {
-        openSocket(address, socketOptions, callback);
+        openSocketInAttempts(address, socketOptions, callback);
       },
       headersTimeout: 0,
       bodyTimeout: 0,
