fix(fleet): a late first report ends no later incarnation of its instance

Callers would see: a router that has just been restarted refuses everything for want of tokens until it is restarted again. Cause: the first report of the killed process reaches the leader after that of its successor; an incarnation that was not known ended all others of its instance. Now one that started earlier by the same monotonic clock, and by the wall clock, counts as ended itself. After a loss of power the monotonic clock starts anew and can't tell; such a report could only come from the buffers of a leader that stood still, which is left open.

--- a/packages/fleet/src/prepaidAccounts.ts
+++ b/packages/fleet/src/prepaidAccounts.ts
@@ -253,7 +253,10 @@
   account.committed += granted;
 }
 
-/** Returns an incarnation; a new one ends the others of its instance. */
+/**
+ * Returns an incarnation. A new one ends the others of its instance, unless its
+ * first report comes after that of its successor.
+ */
 function openIncarnation(
   state: PrepaidState,
   command: RecordUsage,
@@ -263,8 +266,12 @@
   const {router, life} = command;
   const known = state.routers[router];
   if (known !== undefined) return known;
+  const hasSuccessor = Object.values(state.routers).some(other =>
+    isLater(other.life, life),
+  );
   for (const [other, incarnation] of Object.entries(state.routers)) {
-    if (incarnation.life.instance === life.instance && !incarnation.isOver) {
+    const isSameInstance = incarnation.life.instance === life.instance;
+    if (isSameInstance && !incarnation.isOver && !hasSuccessor) {
       ended.push(endIncarnation(state, other, incarnation, command));
     }
     const age = now - incarnation.changedAt;
@@ -275,13 +282,29 @@
   const incarnation: RouterIncarnation = {
     life,
     promisedAt: {at: life.startedAt, wallAt: life.wallStartedAt},
-    isOver: false,
+    isOver: hasSuccessor,
     changedAt: now,
   };
   state.routers[router] = incarnation;
   return incarnation;
 }
 
+/**
+ * Whether an incarnation started later than another one of its instance. After a
+ * loss of power the monotonic clock may keep its id and read less, so the wall
+ * clock must agree.
+ */
+function isLater(life: RouterLife, other: RouterLife): boolean {
+  if (life.instance !== other.instance || life.clock !== other.clock) {
+    return false;
+  }
+  const {wallStartedAt = -Infinity} = life;
+  return (
+    life.startedAt > other.startedAt &&
+    wallStartedAt > (other.wallStartedAt ?? Infinity)
+  );
+}
+
 /** Returns the tokens that an incarnation can't have spent before its end. */
 function endIncarnation(
   state: PrepaidState,
--- a/packages/fleet/tests/prepaidAccounts.test.ts
+++ b/packages/fleet/tests/prepaidAccounts.test.ts
@@ -358,6 +358,18 @@
     );
   });
 
+  // Guards against a running router that spends nothing more, as the first
+  // report of the process before it comes after its own (issue 37).
+  it('end no incarnation by a late report of the one before it', () => {
+    const state = emptyPrepaidState();
+    const late = sendReport(state, createRouter('a', 0, 1_000), 1_000);
+    const running = createRouter('a', 1, 2_000);
+    report(state, running, 2_000, 'whole');
+    late.deliver(2_100);
+    expect(state.routers['a/1']?.isOver).toBe(false);
+    expect(state.routers['a/0']?.isOver).toBe(true);
+  });
+
   it('report an incarnation that spends after it was replaced', () => {
     const state = emptyPrepaidState();
     const incarnation = (startedAt: number) => ({
