--- a/packages/bench/src/crashes/crashModel.ts
+++ b/packages/bench/src/crashes/crashModel.ts
@@ -1,13 +1,13 @@
 /**
  * @fileoverview Simulates the crashes of backend servers on one day, in virtual
- * time and with the fleet package's search for parts of prompts that crash them.
+ * time and with the fleet package's search for what crashes them.
  *
- * Each router sees its own prompts and reports a crash with its next call to the
- * leader, at most a second later. Answers, and what the leader says, travel the
- * same way. Routers retry once, unless a part is suspected, and callers once
- * more.
+ * Each router sees its own prompts and reports a crash at once. Answers travel
+ * with its next call to the leader, a second later or once it notifies all
+ * routers. Routers retry once,
+ * unless a subject is suspected, and callers once more.
  */
-import {CrashingParts} from '@dogwoodtrestle/fleet';
+import {CrashingSubjects, requestSubject} from '@dogwoodtrestle/fleet';
 
 import {exponential, seededRandom} from '../util/random.js';
 
@@ -28,7 +28,11 @@
   crashingFrom: number;
   /** Share of the requests that has one of these parts. */
   crashingShare: number;
-  /** Time after the fifth crash from which arrivals count as late. */
+  /** Requests that crash servers and come again, from the same time on. */
+  crashingRequests: number;
+  /** How often each of them comes. */
+  crashingRequestsPerSecond: number;
+  /** Time after a crash by the users' rules from which arrivals are late. */
   contactMilliseconds: number;
 }
 
@@ -41,11 +45,22 @@
    * time after its fifth crash.
    */
   lateArrivals: number[];
-  /** Blocked parts that crash no server. */
+  /** Crashes by each crashing request. */
+  requestCrashes: number[];
+  /**
+   * Arrivals of each crashing request at servers later than the contact time
+   * after its third crash.
+   */
+  lateRequests: number[];
+  /** Blocked requests whose prompt has a crashing part. */
+  blockedCarriers: number;
+  /** Blocked subjects that crash no server. */
   falselyBlocked: string[];
 }
 
 interface Prompt {
+  /** Identity of the request, which repeats of it share. */
+  subject: string;
   parts: string[];
   workspace: string;
   router: number;
@@ -66,9 +81,19 @@
 const workspaces = 24;
 const maxAttempts = 4;
 const callMilliseconds = 1_000;
+
+/** Time in which the leader's reply reaches a router, and its next call returns. */
+const notifyMilliseconds = 50;
+
+/** Time in which a router checks a server that broke off, and reports it. */
+const reportMilliseconds = 100;
 const downMilliseconds = 3_000;
 const rollingGapMilliseconds = 700;
 
+/** Share of the requests that are repeated reads, and how many of these differ. */
+const repeatedShare = 0.1;
+const repeatedReads = 40;
+
 /** Popular first parts, as those of a system prompt, and parts of sessions. */
 const popularParts = 3;
 const sessionParts = 1_500;
@@ -80,7 +105,7 @@
 
 class CrashDaySimulation {
   private readonly random: () => number;
-  private readonly search = new CrashingParts();
+  private readonly search = new CrashingSubjects();
   private readonly downUntil: number[];
   private readonly starts: number[];
   private open: OpenAttempt[] = [];
@@ -90,13 +115,18 @@
   private readonly nextCalls: number[];
   private readonly crashTimes: number[][];
   private readonly lateArrivals: number[];
+  private readonly requestCrashTimes: number[][];
+  private readonly lateRequests: number[];
+  private readonly nextRepeats: number[];
   private readonly blocked = new Map<string, number>();
   private readonly plannedCrashes: Array<{at: number; servers: number[]}> = [];
+  /** Requests whose prompt has a crashing part. */
+  private readonly carriers = new Set<string>();
   private prompts = 0;
   private now = 0;
 
   constructor(private readonly day: CrashDay) {
-    const {seed, servers, routers, crashingParts} = day;
+    const {seed, servers, routers, crashingParts, crashingRequests} = day;
     this.random = seededRandom(seed);
     this.downUntil = Array.from({length: servers}, () => 0);
     this.starts = Array.from({length: servers}, () => 1);
@@ -109,6 +139,12 @@
     );
     this.lateArrivals = Array.from({length: crashingParts}, () => 0);
     this.crashTimes = Array.from({length: crashingParts}, () => []);
+    this.requestCrashTimes = Array.from({length: crashingRequests}, () => []);
+    this.lateRequests = Array.from({length: crashingRequests}, () => 0);
+    this.nextRepeats = Array.from(
+      {length: crashingRequests},
+      () => day.crashingFrom + this.random() * 1_000,
+    );
     for (const kind of day.ordinary) this.plan(kind);
   }
 
@@ -125,18 +161,26 @@
         this.send(this.createPrompt());
         nextArrival += exponential(requestsPerSecond, this.random) * 1_000;
       }
+      this.repeatCrashingRequests();
       const due = this.waiting.filter(({at}) => at <= this.now);
       this.waiting = this.waiting.filter(({at}) => at > this.now);
       for (const {prompt} of due) this.send(prompt);
       this.progress();
       this.exchange();
     }
-    const crashing = this.crashTimes.map((_, index) => crashingPart(index));
+    const crashing = [
+      ...this.crashTimes.map((_, index) => crashingPart(index)),
+      ...this.requestCrashTimes.map((_, index) => crashingRequest(index)),
+    ];
+    const blocked = [...this.blocked.keys()];
     return {
       crashes: this.crashTimes.map(({length}) => length),
       lateArrivals: this.lateArrivals,
-      falselyBlocked: [...this.blocked.keys()].filter(
-        part => !crashing.includes(part),
+      requestCrashes: this.requestCrashTimes.map(({length}) => length),
+      lateRequests: this.lateRequests,
+      blockedCarriers: blocked.filter(one => this.carriers.has(one)).length,
+      falselyBlocked: blocked.filter(
+        one => !crashing.includes(one) && !this.carriers.has(one),
       ),
     };
   }
@@ -184,7 +228,32 @@
     const workspace = `w-${Math.floor(this.random() ** 3 * workspaces)}`;
     const router = this.pick(routers);
     const hash = ++this.prompts;
-    return {parts: [popular, own], workspace, router, attempts: 0, hash};
+    if (this.random() < repeatedShare) {
+      const read = requestSubject(`read-${this.pick(repeatedReads)}`);
+      return {subject: read, parts: [], workspace, router, attempts: 0, hash};
+    }
+    const parts = [popular, own];
+    const subject = requestSubject(String(hash));
+    if (isCrashing && crashingParts > 0) this.carriers.add(subject);
+    return {subject, parts, workspace, router, attempts: 0, hash};
+  }
+
+  /** Sends each crashing request again when it is due, at any router. */
+  private repeatCrashingRequests(): void {
+    this.nextRepeats.forEach((at, index) => {
+      if (at > this.now) return;
+      const rate = this.day.crashingRequestsPerSecond;
+      this.nextRepeats[index] =
+        this.now + exponential(rate, this.random) * 1_000;
+      this.send({
+        subject: crashingRequest(index),
+        parts: [`popular-${index % popularParts}`, `session-${index}`],
+        workspace: `w-${index}`,
+        router: this.pick(this.day.routers),
+        attempts: 0,
+        hash: -1 - index,
+      });
+    });
   }
 
   private pick(count: number): number {
@@ -192,7 +261,7 @@
   }
 
   private send(prompt: Prompt): void {
-    if (prompt.parts.some(part => this.blocked.has(part))) return;
+    if (subjectsOf(prompt).some(one => this.blocked.has(one))) return;
     const up = this.downUntil
       .map((until, server) => ({until, server}))
       .filter(({until}) => until <= this.now);
@@ -214,7 +283,13 @@
     });
   }
 
-  private countLate({parts}: Prompt): void {
+  private countLate({parts, subject}: Prompt): void {
+    this.requestCrashTimes.forEach((times, index) => {
+      const third = times[2] ?? Infinity;
+      const isLate = this.now > third + this.day.contactMilliseconds;
+      if (!isLate || subject !== crashingRequest(index)) return;
+      this.lateRequests[index] = (this.lateRequests[index] ?? 0) + 1;
+    });
     this.crashTimes.forEach((times, index) => {
       const fifth = times[4] ?? Infinity;
       const isLate = this.now > fifth + this.day.contactMilliseconds;
@@ -230,15 +305,19 @@
       const index = this.crashTimes.findIndex((_, part) =>
         prompt.parts.includes(crashingPart(part)),
       );
-      if (index < 0) continue;
+      const request = this.requestCrashTimes.findIndex(
+        (_, one) => prompt.subject === crashingRequest(one),
+      );
+      if (index < 0 && request < 0) continue;
       this.crashTimes[index]?.push(this.now);
+      this.requestCrashTimes[request]?.push(this.now);
       this.crash(server);
     }
     const ended = this.open.filter(({endsAt}) => endsAt <= this.now);
     this.open = this.open.filter(({endsAt}) => endsAt > this.now);
     for (const {prompt} of ended) {
       const answered = this.answered[prompt.router];
-      for (const part of prompt.parts) answered?.set(part, this.now);
+      for (const one of subjectsOf(prompt)) answered?.set(one, this.now);
     }
   }
 
@@ -255,28 +334,50 @@
     this.open = this.open.filter(attempt => attempt.server !== server);
     const crashedAt = this.now;
     const suspects = this.search.suspects();
+    const seen = new Map<number, Prompt[]>();
     for (const {prompt, firstEventAt} of broken) {
-      const isSuspect = prompt.parts.some(part => suspects.includes(part));
+      const isSuspect = subjectsOf(prompt).some(one => suspects.includes(one));
       const isRetriedByCaller = isSuspect || prompt.attempts % 2 === 0;
       const delay = isRetriedByCaller ? 600 + 800 * this.random() : 20;
       this.waiting.push({prompt, at: this.now + delay});
       if (firstEventAt + 100 <= this.now) continue;
-      const {router, parts, workspace, hash} = prompt;
-      const send = () => {
-        const open = parts.map(id => ({
-          id,
-          workspaces: [workspace],
-          prompts: [hash],
-        }));
-        const age = this.now - crashedAt;
-        const name = `s-${server}`;
-        this.search.record(
-          {server: name, startedAt, ageMilliseconds: age, parts: open},
-          this.now,
-        );
-      };
-      this.reports.push({at: this.nextCalls[router] ?? 0, send});
+      const {router} = prompt;
+      seen.set(router, [...(seen.get(router) ?? []), prompt]);
     }
+    for (const prompts of seen.values()) {
+      const send = () =>
+        this.reportCrash(server, startedAt, crashedAt, prompts);
+      this.reports.push({at: this.now + reportMilliseconds, send});
+    }
+  }
+
+  /** Reports a crash to the leader, as the router's control client does. */
+  private reportCrash(
+    server: number,
+    startedAt: number,
+    crashedAt: number,
+    prompts: readonly Prompt[],
+  ): void {
+    const parts = prompts.flatMap(prompt =>
+      subjectsOf(prompt).map(id => ({
+        id,
+        workspaces: [prompt.workspace],
+        prompts: [prompt.hash],
+      })),
+    );
+    const ageMilliseconds = this.now - crashedAt;
+    const report = {server: `s-${server}`, startedAt, ageMilliseconds, parts};
+    const isExplained = parts.some(({id}) => this.blocked.has(id));
+    if (isExplained) this.search.explain(report, this.now);
+    else if (this.search.record(report, this.now).length > 0) this.notify();
+  }
+
+  /** Replies to all routers, which then call again. */
+  private notify(): void {
+    this.nextCalls.forEach((at, router) => {
+      const next = this.now + notifyMilliseconds * (1 + this.random());
+      this.nextCalls[router] = Math.min(at, next);
+    });
   }
 
   /** Calls of routers to the leader: what they report, and answer. */
@@ -285,18 +386,18 @@
       if (at > this.now) return;
       this.nextCalls[router] = this.now + callMilliseconds;
       const answered = this.answered[router];
-      for (const part of this.search.suspects()) {
-        const answeredAt = answered?.get(part) ?? -Infinity;
+      for (const subject of this.search.suspects()) {
+        const answeredAt = answered?.get(subject) ?? -Infinity;
         if (this.now - answeredAt > 30_000) continue;
-        this.search.recordAnswer(part, this.now);
+        this.search.recordAnswer(subject, this.now);
       }
     });
     for (const {at, send} of this.reports) if (at <= this.now) send();
     const rest = this.reports.filter(({at}) => at > this.now);
     this.reports.splice(0, this.reports.length, ...rest);
-    for (const {part} of this.search.decided(this.now)) {
-      this.search.forget(part);
-      if (!this.blocked.has(part)) this.blocked.set(part, this.now);
+    for (const {subject} of this.search.decided(this.now)) {
+      this.search.forget(subject, this.now);
+      if (!this.blocked.has(subject)) this.blocked.set(subject, this.now);
     }
   }
 }
@@ -304,3 +405,12 @@
 function crashingPart(index: number): string {
   return `crashing-${index}`;
 }
+
+function crashingRequest(index: number): string {
+  return requestSubject(`crashing-${index}`);
+}
+
+/** What may crash a server that runs the request. */
+function subjectsOf({subject, parts}: Prompt): string[] {
+  return [subject, ...parts];
+}
--- a/packages/bench/tests/crashes.test.ts
+++ b/packages/bench/tests/crashes.test.ts
@@ -1,6 +1,6 @@
 /**
- * @fileoverview Tests the search for parts of prompts that crash servers on
- * drawn days, without a network.
+ * @fileoverview Tests the search for requests and parts of prompts that crash
+ * servers on drawn days, without a network.
  */
 import {describe, expect, it} from 'vitest';
 
@@ -18,7 +18,7 @@
   {routers: 400, servers: 80, requestsPerSecond: 400},
 ];
 
-/** Requests with a part that may reach servers late, by the users' rule. */
+/** Requests that may reach servers late, by the users' rules. */
 const allowedLateArrivals = 3;
 
 const kinds: OrdinaryCrash[] = [
@@ -41,6 +41,8 @@
     crashingParts: 0,
     crashingFrom: 4_000,
     crashingShare: 0.015,
+    crashingRequests: 0,
+    crashingRequestsPerSecond: 0.9,
     contactMilliseconds: 3_000,
     ...fleet,
     ...changes,
@@ -74,11 +76,49 @@
         crashingFrom: 1_000 + 400 * (seed % 10),
         ordinary: seed % 3 === 0 ? ['domain', 'flapping'] : [],
       });
-      const {lateArrivals, falselyBlocked} = simulateCrashDay(day);
+      const {lateArrivals, falselyBlocked, blockedCarriers} =
+        simulateCrashDay(day);
       expect({seed, falselyBlocked}).toEqual({seed, falselyBlocked: []});
+      // Requests with the part are refused for the part.
+      expect(blockedCarriers).toBeLessThanOrEqual(allowedLateArrivals);
       for (const count of lateArrivals) {
         expect(count).toBeLessThanOrEqual(allowedLateArrivals);
       }
     }
   });
 });
+
+/** How often crashing requests come in a second; on the issue's day, 0.9. */
+const rates = [0.3, 0.9, 1.8];
+
+/** Crashes of others on days with requests that crash servers. */
+const ordinaryMixes: ReadonlyArray<readonly OrdinaryCrash[]> = [
+  [],
+  ['single'],
+  ['domain'],
+  ['flapping'],
+];
+
+// Guards against one request that comes again and crashes one server after the
+// other, as its identity is followed nowhere (issue 37).
+describe('a request that crashes servers and comes again', () => {
+  it.each(fleets)('is known soon: $routers routers', fleet => {
+    for (let seed = 1; seed <= drawnDays; seed++) {
+      const crashingRequests = 1 + (seed % 2);
+      const rate = rates[seed % rates.length] ?? 1;
+      const day = createDay(fleet, {
+        seed,
+        crashingRequests,
+        crashingRequestsPerSecond: rate / crashingRequests,
+        crashingFrom: 1_000 + 400 * (seed % 10),
+        ordinary: ordinaryMixes[seed % ordinaryMixes.length],
+      });
+      const {lateRequests, lateArrivals, falselyBlocked} =
+        simulateCrashDay(day);
+      expect({seed, falselyBlocked}).toEqual({seed, falselyBlocked: []});
+      for (const count of [...lateRequests, ...lateArrivals]) {
+        expect(count).toBeLessThanOrEqual(allowedLateArrivals);
+      }
+    }
+  });
+});
--- a/packages/control/src/controlNode.ts
+++ b/packages/control/src/controlNode.ts
@@ -101,11 +101,11 @@
         const now = clock.now();
         for (const record of records) applyServerRecord(directory, record, now);
       },
-      onBlockedPart: (part, blocked) => {
+      onBlockedPart: (subject, blocked) => {
         const isBlocked = blocked !== undefined;
         logger.info(
-          {part, ...blocked},
-          isBlocked ? 'prompt part blocked' : 'prompt part unblocked',
+          {subject, ...blocked},
+          isBlocked ? 'crash subject blocked' : 'crash subject unblocked',
         );
         parts.watch?.notifyWatchers();
       },
@@ -222,7 +222,7 @@
     return viewIncarnations(this.state, workspace);
   }
 
-  /** Blocked parts of prompts in the state of this replica. */
+  /** Blocked parts of prompts and requests in the state of this replica. */
   get blockedParts(): BlockedPart[] {
     return this.state.blockedParts.state.parts;
   }
--- a/packages/control/src/controlService.ts
+++ b/packages/control/src/controlService.ts
@@ -152,7 +152,7 @@
     }
   }
 
-  /** Unblocks a part of prompts for an operator. */
+  /** Lifts the block of a part of prompts or of a request for an operator. */
   unblockPart(part: string): Promise<UnblockResult> {
     return this.runAtLeader<UnblockResult>(
       () => this.proposeUnblock(part),
@@ -161,12 +161,15 @@
     );
   }
 
-  /** Proposes to unblock a part of prompts; only the leader can. */
+  /** Proposes to lift a block; only the leader can. */
   async proposeUnblock(part: string): Promise<UnblockResult> {
     const command: UnblockPart = {kind: 'unblockPart', part};
     try {
       const [wasBlocked] = await this.group.replica.propose([command]);
-      this.options.logger.info({part, wasBlocked}, 'operator unblocked a part');
+      this.options.logger.info(
+        {subject: part, wasBlocked},
+        'operator lifted a block',
+      );
       return {kind: wasBlocked === true ? 'unblocked' : 'notBlocked'};
     } catch (error) {
       return {kind: 'unavailable', reason: String(error)};
--- a/packages/control/src/crashTopic.ts
+++ b/packages/control/src/crashTopic.ts
@@ -1,17 +1,19 @@
 /**
  * @fileoverview Crashes of backend servers in the watch call: routers report
- * what was open at them, and the leader blocks parts of prompts that crash
- * servers. Blocks are in the replicated log; evidence is in memory, and routers
- * report it again to a new leader.
+ * what was open at them, and the leader blocks requests and parts of prompts that
+ * crash servers. Blocks are in the replicated log; evidence is in memory, and
+ * routers report it again to a new leader.
  *
- * From time to time one router may send one request with a blocked part, to see
- * whether servers still crash.
+ * From time to time one router may send one request with a blocked subject, to
+ * see whether servers still crash.
  */
 import {
-  type CrashingPart,
-  CrashingParts,
-  defaultCrashingPartsOptions,
+  type CrashingSubject,
+  CrashingSubjects,
+  type CrashSubjectKind,
+  defaultCrashingSubjectsOptions,
   type FleetState,
+  subjectKind,
 } from '@dogwoodtrestle/fleet';
 import {
   type Clock,
@@ -39,6 +41,12 @@
 /** Limit of that time. */
 const maxTrialIntervalMilliseconds = 3_600_000;
 
+/** Log message for a subject that is about to be blocked. */
+const crashMessages: Readonly<Record<CrashSubjectKind, string>> = {
+  part: 'prompt part crashes servers',
+  request: 'request crashes servers',
+};
+
 /** Options of the topic. */
 export interface CrashTopicOptions {
   clock: Clock;
@@ -48,18 +56,18 @@
   onNews: () => void;
 }
 
-/** When the next trial of a blocked part is due. */
+/** When the next trial of a blocked subject is due. */
 interface Trial {
   /** Monotonic time in milliseconds. */
   dueAt: number;
   intervalMilliseconds: number;
 }
 
-/** Joins the routers' evidence, and blocks and unblocks parts. */
+/** Joins the routers' evidence, and blocks and unblocks subjects. */
 export class CrashTopic implements WatchTopic {
-  private readonly parts = new CrashingParts();
+  private readonly subjects = new CrashingSubjects();
   private readonly trials = new Map<string, Trial>();
-  /** Parts of which a change is being recorded. */
+  /** Subjects of which a change is being recorded. */
   private readonly pending = new Set<string>();
   private readonly events: Counter;
 
@@ -69,8 +77,8 @@
     private readonly state: Pick<FleetState, 'blockedParts'>,
   ) {
     this.events = options.metrics.counter(
-      'dogwoodtrestle_prompt_part_events_total',
-      'Parts of prompts that this process as leader suspected, found answered, blocked or unblocked.',
+      'dogwoodtrestle_crash_subject_events_total',
+      'Requests and parts of prompts that this process as leader suspected, found answered, blocked or unblocked, by kind.',
     );
   }
 
@@ -78,11 +86,11 @@
     const {clock, logger} = this.options;
     const now = clock.now();
     const suspected = crashes.flatMap(crash => this.recordCrash(crash, now));
-    for (const part of answeredParts) this.recordAnswer(part, now);
+    for (const subject of answeredParts) this.recordAnswer(subject, now);
     if (suspected.length > 0) {
-      this.events.add({event: 'suspected'}, suspected.length);
-      logger.info({parts: suspected}, 'prompt parts suspected');
-      const {answerMilliseconds} = defaultCrashingPartsOptions;
+      for (const subject of suspected) this.count('suspected', subject);
+      logger.info({subjects: suspected}, 'subjects suspected to crash servers');
+      const {answerMilliseconds} = defaultCrashingSubjectsOptions;
       clock.setTimer(answerMilliseconds, () => this.decide());
     }
     this.decide();
@@ -90,7 +98,7 @@
   }
 
   notice({blockedRevision}: WatchRequest): Partial<WatchUpdate> {
-    const suspectParts = this.parts.suspects();
+    const suspectParts = this.subjects.suspects();
     const blockedParts = this.state.blockedParts.state;
     const trialParts = this.takeTrials();
     return {
@@ -100,44 +108,57 @@
     };
   }
 
-  /** Returns parts that are suspected since this crash. */
+  /** Returns subjects that are suspected since this crash. */
   private recordCrash(crash: CrashReport, now: number): string[] {
-    const open = crash.parts.filter(({id, workspaces}) => {
+    let isExplained = false;
+    for (const {id, workspaces} of crash.parts) {
       const blocked = this.state.blockedParts.find(id);
-      if (blocked === undefined) return true;
+      if (blocked === undefined) continue;
+      isExplained = true;
       const isOther = workspaces.some(name => name !== blocked.workspace);
       if (blocked.workspace !== undefined && isOther) {
         void this.propose({kind: 'blockPart', part: id, crashes: 1});
       }
-      return false;
-    });
-    return this.parts.record({...crash, parts: open}, now);
+    }
+    if (isExplained) {
+      this.subjects.explain(crash, now);
+      return [];
+    }
+    return this.subjects.record(crash, now);
   }
 
-  private recordAnswer(part: string, now: number): void {
-    this.parts.recordAnswer(part, now);
-    this.events.add({event: 'answered'});
-    if (this.state.blockedParts.find(part) === undefined) return;
-    this.options.logger.info({part}, 'blocked prompt part was answered whole');
-    void this.propose({kind: 'unblockPart', part});
+  private recordAnswer(subject: string, now: number): void {
+    this.subjects.recordAnswer(subject, now);
+    this.count('answered', subject);
+    if (this.state.blockedParts.find(subject) === undefined) return;
+    this.options.logger.info({subject}, 'blocked subject was answered whole');
+    void this.propose({kind: 'unblockPart', part: subject});
+  }
+
+  private count(event: string, subject: string): void {
+    this.events.add({event, kind: subjectKind(subject)});
   }
 
   private decide(): void {
     if (!this.group.isLeader) return;
-    for (const found of this.parts.decided(this.options.clock.now())) {
+    for (const found of this.subjects.decided(this.options.clock.now())) {
       void this.block(found);
     }
   }
 
-  private async block(found: CrashingPart): Promise<void> {
-    const {part, workspace, crashes, servers} = found;
-    if (this.pending.has(part)) return;
-    this.options.logger.warn(
-      {part, workspace, crashes, servers},
-      'prompt part crashes servers',
-    );
-    const command: BlockPart = {kind: 'blockPart', part, workspace, crashes};
-    if (await this.propose(command)) this.parts.forget(part);
+  private async block(found: CrashingSubject): Promise<void> {
+    const {subject, workspace, crashes} = found;
+    if (this.pending.has(subject)) return;
+    const {clock, logger} = this.options;
+    logger.warn(found, crashMessages[subjectKind(subject)]);
+    const command: BlockPart = {
+      kind: 'blockPart',
+      part: subject,
+      workspace,
+      crashes,
+    };
+    const isRecorded = await this.propose(command);
+    if (isRecorded) this.subjects.forget(subject, clock.now());
   }
 
   /** Returns whether the change is recorded; the evidence stays if it isn't. */
@@ -147,14 +168,13 @@
     this.pending.add(part);
     try {
       await this.group.replica.propose([command]);
-      const event = kind === 'blockPart' ? 'blocked' : 'unblocked';
-      this.events.add({event});
+      this.count(kind === 'blockPart' ? 'blocked' : 'unblocked', part);
       this.options.onNews();
       return true;
     } catch (error) {
       this.options.logger.warn(
-        {err: error, part, kind},
-        'change of a prompt part was not recorded',
+        {err: error, subject: part, kind},
+        'change of a blocked subject was not recorded',
       );
       return false;
     } finally {
@@ -162,7 +182,7 @@
     }
   }
 
-  /** Returns the parts whose trial is due; the asking router gets it. */
+  /** Returns the subjects whose trial is due; the asking router gets it. */
   private takeTrials(): string[] {
     const {clock, logger} = this.options;
     const now = clock.now();
@@ -185,7 +205,10 @@
         trial.intervalMilliseconds * 2,
       );
       trial.dueAt = now + trial.intervalMilliseconds;
-      logger.info({part}, 'one request with a blocked prompt part is allowed');
+      logger.info(
+        {subject: part},
+        'one request with a blocked subject is allowed',
+      );
       return [part];
     });
   }
--- a/packages/edge/src/attemptProgress.ts
+++ b/packages/edge/src/attemptProgress.ts
@@ -3,7 +3,7 @@
  */
 import {type Attempt} from './attempt.js';
 import {type EventScanner} from './eventScanner.js';
-import {type OpenPrompt} from './serverCrashes.js';
+import {type OpenRequest} from './serverCrashes.js';
 import {type ServerObservers} from './serverObservers.js';
 import {type PooledServer} from './serverPool.js';
 import {type ResponseHead} from './wireCodec.js';
@@ -13,8 +13,8 @@
   server: PooledServer;
   attempt?: Attempt;
   observers?: ServerObservers;
-  /** Set while a prompt with shared parts is open at the server. */
-  prompt?: OpenPrompt;
+  /** Set while the request is open at the server. */
+  open?: OpenRequest;
   startedAt: number;
   /** Time of the last complete event, or of the last byte of another response. */
   progressAt: number;
@@ -48,8 +48,11 @@
   };
 }
 
-/** How an attempt ended: the server `broke` off, or gave a `whole` answer. */
-export type AttemptEnd = 'broke' | 'whole' | 'other';
+/**
+ * How an attempt ended: the server `broke` off, or gave a `whole` answer, or a
+ * whole response of another status, `failed`.
+ */
+export type AttemptEnd = 'broke' | 'whole' | 'failed' | 'other';
 
 /**
  * Classifies an attempt whose response has ended. Without a length, the end of
@@ -64,6 +67,6 @@
   const isUnframed = head?.isUnframed === true;
   const isInsideEvent = scanner?.isInsideEvent === true;
   if (isUnframed && (isInsideEvent || !hasFirstEvent)) return 'broke';
-  const isWhole = status < 300 && !isUnframed && !isInsideEvent;
-  return isWhole ? 'whole' : 'other';
+  if (isUnframed || isInsideEvent) return 'other';
+  return status < 300 ? 'whole' : 'failed';
 }
--- a/packages/edge/src/controlPlaneClient.ts
+++ b/packages/edge/src/controlPlaneClient.ts
@@ -233,6 +233,11 @@
     return false;
   }
 
+  /** Sends another watch call at once, as a topic has to report. */
+  callAtOnce(): void {
+    if (this.leader !== undefined) void this.watchOnce(this.leader);
+  }
+
   private async watchOnce(address: string): Promise<boolean> {
     const number = ++this.watchCalls;
     const pending = addPending(this.pendingWatchCalls);
--- a/packages/edge/src/edgeContext.ts
+++ b/packages/edge/src/edgeContext.ts
@@ -17,7 +17,7 @@
 import {type ControlPlaneClient} from './controlPlaneClient.js';
 import {type EdgeOptions} from './edgeOptions.js';
 import {type Loans} from './loans.js';
-import {type PromptParts} from './promptParts.js';
+import {type CrashSubjects} from './crashSubjects.js';
 import {type ServerCrashes} from './serverCrashes.js';
 import {type ServerLimits} from './serverLimits.js';
 import {type ServerPool} from './serverPool.js';
@@ -42,7 +42,7 @@
   pool: ServerPool;
   limits: ServerLimits;
   crashes: ServerCrashes;
-  promptParts: PromptParts;
+  crashSubjects: CrashSubjects;
   control: ControlPlaneClient;
   loans: Loans;
   metrics: RequestMetrics;
--- a/packages/edge/src/edgeNode.ts
+++ b/packages/edge/src/edgeNode.ts
@@ -34,7 +34,7 @@
   type EdgeStartOptions,
 } from './edgeOptions.js';
 import {Loans} from './loans.js';
-import {PromptParts} from './promptParts.js';
+import {CrashSubjects} from './crashSubjects.js';
 import {type RefusalReason} from './refusal.js';
 import {ReplyCounter} from './replyCounter.js';
 import {RequestHandler} from './requestHandler.js';
@@ -116,8 +116,13 @@
       pool.update(records);
       crashes.observeRecords(records);
     };
-    const crashes = new ServerCrashes({clock, logger, metrics});
-    const promptParts = new PromptParts(clock, logger);
+    const crashes = new ServerCrashes({
+      clock,
+      logger,
+      metrics,
+      onCrash: () => control.callAtOnce(),
+    });
+    const crashSubjects = new CrashSubjects(clock, logger);
     const routerId = randomUUID();
     const replies = new ReplyCounter(options);
     const control: ControlPlaneClient = new ControlPlaneClient(
@@ -128,7 +133,7 @@
       grants,
       {
         onServers,
-        topics: [limits, crashes, promptParts],
+        topics: [limits, crashes, crashSubjects],
       },
       replies,
     );
@@ -158,7 +163,7 @@
       pool,
       limits,
       crashes,
-      promptParts,
+      crashSubjects,
       control,
       loans,
       retryBudget: new WindowedRetryBudget(options.retryBudget),
--- a/packages/edge/src/refusal.ts
+++ b/packages/edge/src/refusal.ts
@@ -3,6 +3,8 @@
  * request was not executed are used only where no server can have executed it.
  */
 
+import {type CrashSubjectKind, subjectKind} from '@dogwoodtrestle/fleet';
+
 /** Why the router refuses a request or ends it with an error. */
 export type RefusalReason =
   | 'noConfiguration'
@@ -18,6 +20,7 @@
   | 'serversBusy'
   | 'serversLimited'
   | 'promptBlocked'
+  | 'requestBlocked'
   | 'outOfTime'
   | 'outcomeUnknown'
   | 'timedOut';
@@ -90,6 +93,12 @@
     // No sooner than a server may be tried with it again.
     retryAfterSeconds: 120,
   },
+  requestBlocked: {
+    status: 503,
+    message: 'This request has crashed servers before; it has not run.',
+    // No sooner than a server may be tried with it again.
+    retryAfterSeconds: 120,
+  },
   outOfTime: {
     status: 503,
     message: 'No time is left for the request; it has not run.',
@@ -104,6 +113,17 @@
   },
 };
 
+/** Reason for which a request with a blocked subject is refused. */
+const blockedReasons: Readonly<Record<CrashSubjectKind, RefusalReason>> = {
+  part: 'promptBlocked',
+  request: 'requestBlocked',
+};
+
+/** Returns the reason for which a request with a blocked subject is refused. */
+export function blockedReason(subject: string): RefusalReason {
+  return blockedReasons[subjectKind(subject)];
+}
+
 /** Maximum jitter, which spreads the retries of callers refused together. */
 const maxRetryJitterMilliseconds = 300;
 
--- a/packages/edge/src/requestHandler.ts
+++ b/packages/edge/src/requestHandler.ts
@@ -16,8 +16,8 @@
 import {type EdgeContext} from './edgeContext.js';
 import {EventScanner} from './eventScanner.js';
 import {createForwardInstructions} from './forwardInstructions.js';
-import {PromptGuard} from './promptGuard.js';
-import {type RefusalReason, retryAfterFor} from './refusal.js';
+import {blockedReason, type RefusalReason, retryAfterFor} from './refusal.js';
+import {RequestGuard} from './requestGuard.js';
 import {recordRequest, type RequestSummary} from './requestSummary.js';
 import {RequestTokens} from './requestTokens.js';
 import {
@@ -61,7 +61,7 @@
   private readonly limitDecisions: LimitDecision[] = [];
   private current?: AttemptProgress;
   private readonly tokens: RequestTokens;
-  private readonly guard: PromptGuard;
+  private readonly guard: RequestGuard;
   /** Ends the request's admission. */
   private release?: () => void;
   private sentAttempts = 0;
@@ -99,7 +99,7 @@
     const {route, request, receivedAt} = input;
     this.responseTimes = context.pool.responseTimes(input.service);
     this.tokens = new RequestTokens(context, input);
-    this.guard = new PromptGuard(context, input);
+    this.guard = new RequestGuard(context, input);
     const remaining = request.timeRemainingMilliseconds ?? Infinity;
     this.deadline = receivedAt + Math.min(route.timeoutMilliseconds, remaining);
     this.isStream = route.kind === 'streaming';
@@ -131,12 +131,12 @@
     else this.sendNext();
   }
 
-  /** Refuses a request with a blocked part of its prompt; it has not run. */
+  /** Refuses a request that has crashed servers, or whose prompt has. */
   private refuseIfBlocked(): boolean {
-    const part = this.guard.findBlocked();
-    if (part === undefined) return false;
-    this.log('prompt part is blocked', {part});
-    this.fail('promptBlocked');
+    const subject = this.guard.findBlocked();
+    if (subject === undefined) return false;
+    this.log('request is blocked', {subject});
+    this.fail(blockedReason(subject));
     return true;
   }
 
@@ -268,7 +268,7 @@
     }
     const now = this.context.clock.now();
     this.events += count;
-    if (progress.prompt !== undefined) progress.prompt.events += count;
+    if (progress.open !== undefined) progress.open.events += count;
     progress.progressAt = now;
     if (!progress.hasFirstEvent) {
       progress.hasFirstEvent = true;
--- a/packages/edge/src/serverCrashes.ts
+++ b/packages/edge/src/serverCrashes.ts
@@ -1,5 +1,5 @@
 /**
- * @fileoverview Crashes of backend servers as this router sees them: the prompts
+ * @fileoverview Crashes of backend servers as this router sees them: the requests
  * whose connections a server closed before their answers had gone far.
  *
  * Broken connections alone don't tell a crash from a reset. So a connection is
@@ -30,7 +30,7 @@
 /** Time for which a server's successor shows that broken connections were a crash. */
 const successorMilliseconds = 10_000;
 
-/** Events from which an answer has gone so far that its prompt is no cause. */
+/** Events from which an answer has gone so far that its request is no cause. */
 const minHarmlessEvents = 2;
 
 /** Time for which crashes are reported to leaders that have not heard of them. */
@@ -39,32 +39,32 @@
 /** Most crashes that are remembered. */
 const maxCrashes = 64;
 
-/** Most parts in the report of one crash, as many as a report may have. */
-const maxReportedParts = 512;
+/** Most subjects in the report of one crash, as many as a report may have. */
+const maxReportedSubjects = 512;
 
-/** Most prompts that are named for one part. */
+/** Most requests that are named for one subject. */
 const maxReportedPrompts = 4;
 
-/** A prompt that is open at a server. */
-export interface OpenPrompt {
-  /** Ids of the parts that other prompts may share. */
-  parts: readonly string[];
+/** A request that is open at a server. */
+export interface OpenRequest {
+  /** What may crash the server: the request, and the parts of its prompt. */
+  subjects: readonly string[];
   /** Empty for a request without a workspace. */
   workspace: string;
-  /** Hash that retries of the prompt share. */
+  /** Hash that retries of the request share. */
   hash: number;
   /** Complete events of the answer. */
   events: number;
 }
 
-/** How a prompt ended at a server: `broken` if the server closed its connection. */
-export type PromptEnd = 'broken' | 'other';
+/** How a request ended at a server: `broken` if it closed the connection. */
+export type RequestEnd = 'broken' | 'other';
 
-/** Prompts at one incarnation of a server. */
-interface ServerPrompts {
+/** Requests at one incarnation of a server. */
+interface ServerRequests {
   record: BackendServerRecord;
-  open: Set<OpenPrompt>;
-  broken: OpenPrompt[];
+  open: Set<OpenRequest>;
+  broken: OpenRequest[];
   brokenAt?: number;
 }
 
@@ -82,13 +82,15 @@
   clock: Clock;
   logger: Logger;
   metrics: MetricsRegistry;
+  /** Called when a crash is to be reported. */
+  onCrash?: () => void;
   /** Opens a connection to an address; resolves to whether it was refused. */
   isRefused?: (address: string) => Promise<boolean>;
 }
 
 /** Observes crashes and reports them to the leader. */
 export class ServerCrashes implements WatchTopic {
-  private readonly servers = new Map<string, ServerPrompts>();
+  private readonly servers = new Map<string, ServerRequests>();
   private crashes: Crash[] = [];
   private readonly counter: Counter;
   private readonly isRefused: (address: string) => Promise<boolean>;
@@ -96,29 +98,33 @@
   constructor(private readonly options: ServerCrashesOptions) {
     this.counter = options.metrics.counter(
       'dogwoodtrestle_server_crashes_total',
-      'Crashes of backend servers with open prompts of this router, by service.',
+      'Crashes of backend servers with open requests of this router, by service.',
     );
     this.isRefused = options.isRefused ?? isConnectionRefused;
   }
 
-  /** Records that a prompt is sent to a server. */
-  begin(record: BackendServerRecord, prompt: OpenPrompt): void {
+  /** Records that a request is sent to a server. */
+  begin(record: BackendServerRecord, request: OpenRequest): void {
     const key = keyOf(record);
     let server = this.servers.get(key);
     if (server === undefined) {
       server = {record, open: new Set(), broken: []};
       this.servers.set(key, server);
     }
-    server.open.add(prompt);
+    server.open.add(request);
   }
 
-  /** Records the end of a prompt at a server. */
-  end(record: BackendServerRecord, prompt: OpenPrompt, end: PromptEnd): void {
+  /** Records the end of a request at a server. */
+  end(
+    record: BackendServerRecord,
+    request: OpenRequest,
+    end: RequestEnd,
+  ): void {
     const key = keyOf(record);
     const server = this.servers.get(key);
     if (server === undefined) return;
-    server.open.delete(prompt);
-    if (end === 'broken') this.recordBroken(server, prompt);
+    server.open.delete(request);
+    if (end === 'broken') this.recordBroken(server, request);
     if (server.open.size === 0 && server.brokenAt === undefined) {
       this.servers.delete(key);
     }
@@ -156,14 +162,14 @@
   }
 
   apply(): void {
-    // The leader's conclusions concern prompt parts; see `promptParts`.
+    // The leader's conclusions concern subjects; see `crashSubjects`.
   }
 
-  private recordBroken(server: ServerPrompts, prompt: OpenPrompt): void {
+  private recordBroken(server: ServerRequests, request: OpenRequest): void {
     const {clock} = this.options;
     // A server that leaves closes its connections without a crash.
     if (server.record.state === 'left') return;
-    server.broken.push(prompt);
+    server.broken.push(request);
     if (server.brokenAt !== undefined) return;
     server.brokenAt = clock.now();
     clock.setTimer(checkAfterMilliseconds, () => {
@@ -172,31 +178,32 @@
     clock.setTimer(successorMilliseconds, () => this.forgetBroken(server));
   }
 
-  private async check(server: ServerPrompts): Promise<void> {
+  private async check(server: ServerRequests): Promise<void> {
     const {address} = server.record;
     if (await this.isRefused(address)) this.recordCrash(server);
   }
 
-  private recordCrash(server: ServerPrompts): void {
+  private recordCrash(server: ServerRequests): void {
     const {record, broken, open, brokenAt} = server;
     if (brokenAt === undefined || broken.length === 0) return;
-    const prompts = [...broken, ...open];
-    const parts = collectParts(
-      prompts.filter(({events}) => events < minHarmlessEvents),
+    const requests = [...broken, ...open];
+    const parts = collectSubjects(
+      requests.filter(({events}) => events < minHarmlessEvents),
     );
     const {id, startedAt, service} = record;
     this.counter.add({service});
     this.options.logger.info(
-      {server: id, startedAt, service, prompts: prompts.length, parts},
+      {server: id, startedAt, service, requests: requests.length, parts},
       'backend server crashed',
     );
     const receivedBy = new Set<string>();
     const crash = {server: id, startedAt, parts, at: brokenAt, receivedBy};
     this.crashes.push(crash);
     this.forgetBroken(server);
+    this.options.onCrash?.();
   }
 
-  private forgetBroken(server: ServerPrompts): void {
+  private forgetBroken(server: ServerRequests): void {
     server.broken = [];
     server.brokenAt = undefined;
     if (server.open.size === 0) this.servers.delete(keyOf(server.record));
@@ -207,22 +214,24 @@
   return `${id}@${startedAt}`;
 }
 
-/** Returns the parts of prompts, with what sent each of them. */
-function collectParts(prompts: readonly OpenPrompt[]): OpenPart[] {
+/** Returns the subjects of requests, with what sent each of them. */
+function collectSubjects(requests: readonly OpenRequest[]): OpenPart[] {
   const found = new Map<string, {names: Set<string>; hashes: Set<number>}>();
-  for (const {parts, workspace, hash} of prompts) {
-    for (const part of parts) {
-      const open = found.get(part) ?? {names: new Set(), hashes: new Set()};
-      found.set(part, open);
+  for (const {subjects, workspace, hash} of requests) {
+    for (const subject of subjects) {
+      const open = found.get(subject) ?? {names: new Set(), hashes: new Set()};
+      found.set(subject, open);
       open.names.add(workspace);
       if (open.hashes.size < maxReportedPrompts) open.hashes.add(hash);
     }
   }
-  return [...found].slice(0, maxReportedParts).map(([id, {names, hashes}]) => ({
-    id,
-    workspaces: [...names],
-    prompts: [...hashes],
-  }));
+  return [...found]
+    .slice(0, maxReportedSubjects)
+    .map(([id, {names, hashes}]) => ({
+      id,
+      workspaces: [...names],
+      prompts: [...hashes],
+    }));
 }
 
 /** Whether an address refuses a connection, as it does if no process listens. */
--- a/packages/edge/tests/serverCrashes.test.ts
+++ b/packages/edge/tests/serverCrashes.test.ts
@@ -6,7 +6,7 @@
 import {type BackendServerRecord} from '@dogwoodtrestle/schema';
 import {describe, expect, it} from 'vitest';
 
-import {PromptParts} from '../src/promptParts.js';
+import {CrashSubjects} from '../src/crashSubjects.js';
 import {ServerCrashes} from '../src/serverCrashes.js';
 
 const record: BackendServerRecord = {
@@ -49,7 +49,7 @@
     isRefused: () => Promise.resolve(isRefused),
   });
   const breakOff = (id: string, events = 0) => {
-    const prompt = {parts: [id], workspace: 'desk', hash: 1, events};
+    const prompt = {subjects: [id], workspace: 'desk', hash: 1, events};
     crashes.begin(record, prompt);
     crashes.end(record, prompt, 'broken');
   };
@@ -97,7 +97,7 @@
 
 describe('a blocked part', () => {
   function createParts(workspace?: string) {
-    const parts = new PromptParts(createClock(), silentLogger);
+    const parts = new CrashSubjects(createClock(), silentLogger);
     const blocked = {part: 'p-1', blockedAt: 0, crashes: 4, workspace};
     const blockedParts = {revision: 1, parts: [blocked]};
     parts.apply({
@@ -110,7 +110,7 @@
     return parts;
   }
   const prompt = (workspace: string, part = 'p-1') => ({
-    parts: ['shared', part],
+    subjects: ['shared', part],
     workspace,
     trials: new Set<string>(),
   });
--- a/packages/fleet/src/blockedParts.ts
+++ b/packages/fleet/src/blockedParts.ts
@@ -1,6 +1,8 @@
 /**
- * @fileoverview Parts of prompts that crash backend servers, in the replicated
- * state. Requests with one of them are refused until it is unblocked.
+ * @fileoverview Parts of prompts and requests that crash backend servers, in the
+ * replicated state. They are refused until they are unblocked. A request has the
+ * form of a part's id in it, so that earlier versions read the state; see
+ * `crashSubject`.
  */
 import {
   type BlockedPart,
--- /dev/null
+++ b/packages/fleet/src/crashingSubjects.ts
@@ -0,0 +1,361 @@
+/**
+ * @fileoverview Finds parts of prompts and requests that crash backend servers,
+ * from what all routers saw open at the servers that crashed.
+ *
+ * A server's crash ends everything that is open at it, and each router sees its
+ * own requests only. Reports on the same incarnation are joined. A subject is
+ * suspected once it was open at crashes at several different times, and it
+ * crashes servers if there are more and no router has had a whole answer with
+ * it: what is harmless is answered all the time. Servers that crash at the same
+ * time count once, as they do when a failure domain is lost.
+ *
+ * A part crashes servers if different requests with it do; retries of a request
+ * count once. A request does if no other subject was open at all its crashes, as
+ * what was only sent together with it may be. Crashes without a subject raise the
+ * number that it takes, as servers crash for other reasons then. Crashes that a
+ * blocked subject explains count against no other.
+ */
+import {type CrashReport} from '@dogwoodtrestle/schema';
+
+import {type CrashSubjectKind, subjectKind} from './crashSubject.js';
+
+/** Options of the search. */
+export interface CrashingSubjectsOptions {
+  /**
+   * Crashes within this time count as one: less for a request, which is at one
+   * server at a time and may crash the next one soon.
+   */
+  sameTimeMilliseconds: Readonly<Record<CrashSubjectKind, number>>;
+  /** Crashes at different times after which routers are asked for answers. */
+  suspectCrashes: number;
+  /** Crashes at different times after which a subject is blocked. */
+  blockCrashes: Readonly<Record<CrashSubjectKind, number>>;
+  /** Different requests from which a part is blocked; retries are the same. */
+  blockPrompts: number;
+  /** Crashes without a subject that raise the number for it by one. */
+  otherCrashesPerExtra: number;
+  /** Most by which they raise it. */
+  maxExtraCrashes: Readonly<Record<CrashSubjectKind, number>>;
+  /** Time about a subject's crashes in which those without it count. */
+  otherCrashMilliseconds: number;
+  /** Crashes of a request from which it is blocked whatever its parts are. */
+  certainCrashes: number;
+  /** Time for routers to report a whole answer with the subject. */
+  answerMilliseconds: number;
+  /** Time after which a crash no longer counts. */
+  memoryMilliseconds: Readonly<Record<CrashSubjectKind, number>>;
+  /** Time for which a subject that was answered is not suspected again. */
+  answeredMilliseconds: number;
+  /** Most subjects that are remembered, those of single crashes included. */
+  maxSubjects: number;
+}
+
+/** Default options. */
+export const defaultCrashingSubjectsOptions: CrashingSubjectsOptions = {
+  sameTimeMilliseconds: {part: 200, request: 60},
+  suspectCrashes: 2,
+  blockCrashes: {part: 4, request: 3},
+  blockPrompts: 3,
+  otherCrashesPerExtra: 3,
+  maxExtraCrashes: {part: 0, request: 4},
+  otherCrashMilliseconds: 10_000,
+  certainCrashes: 5,
+  answerMilliseconds: 500,
+  // A request comes again when its caller tries it again, which may be rare.
+  memoryMilliseconds: {part: 60_000, request: 600_000},
+  answeredMilliseconds: 30_000,
+  maxSubjects: 5_000,
+};
+
+/** Crashes of servers at about the same time. */
+interface CrashGroup {
+  at: number;
+  /** Incarnations of servers, as `id@start`. */
+  servers: Set<string>;
+}
+
+/** What is known against one subject. */
+interface Suspicion {
+  groups: CrashGroup[];
+  workspaces: Set<string>;
+  /** Hashes of some of the prompts. */
+  prompts: Set<number>;
+  /** When routers were first asked for whole answers. */
+  suspectedAt?: number;
+}
+
+/** A subject that crashes servers, and whose requests have it. */
+export interface CrashingSubject {
+  subject: string;
+  /** The only workspace that sent it; undefined for several. */
+  workspace?: string;
+  /** Number of servers that crashed. */
+  crashes: number;
+  servers: string[];
+}
+
+/** Weight of another crash that a blocked subject explains. */
+const explainedWeight = 0.25;
+
+/** Most crashes that are remembered for all subjects together. */
+const maxCrashes = 1_000;
+
+/** Evidence of all routers. Times are monotonic, in milliseconds. */
+export class CrashingSubjects {
+  private readonly options: CrashingSubjectsOptions;
+  /** By subject, in the order of their newest crash. */
+  private readonly suspicions = new Map<string, Suspicion>();
+  private readonly answeredAt = new Map<string, number>();
+  /** Times of all crashes, by the incarnation of the server. */
+  private readonly crashes = new Map<string, number>();
+  /** Crashes that a blocked subject explains. */
+  private readonly explained = new Map<string, number>();
+  private readonly isDecided: Readonly<
+    Record<CrashSubjectKind, (subject: string, found: Suspicion) => boolean>
+  > = {
+    part: (_, {prompts}) => prompts.size >= this.options.blockPrompts,
+    request: (subject, found) => this.isRequestDecided(subject, found),
+  };
+
+  constructor(options: Partial<CrashingSubjectsOptions> = {}) {
+    this.options = {...defaultCrashingSubjectsOptions, ...options};
+  }
+
+  /** Subjects of which routers should report whole answers. */
+  suspects(): string[] {
+    return [...this.suspicions]
+      .filter(([, {suspectedAt}]) => suspectedAt !== undefined)
+      .map(([subject]) => subject);
+  }
+
+  /** Records a router's report; returns subjects suspected since then. */
+  record(
+    {server, startedAt, ageMilliseconds, parts}: CrashReport,
+    now: number,
+  ): string[] {
+    const at = now - ageMilliseconds;
+    const crash = {name: `${server}@${startedAt}`, at};
+    if (!this.crashes.has(crash.name)) this.crashes.set(crash.name, at);
+    evictOldest(this.crashes, maxCrashes);
+    if (this.explained.has(crash.name)) return [];
+    const suspected: string[] = [];
+    for (const {id, workspaces, prompts} of parts) {
+      if (this.wasAnswered(id, now)) continue;
+      const suspicion = this.suspicionOf(id, now);
+      for (const workspace of workspaces) suspicion.workspaces.add(workspace);
+      this.addPrompts(suspicion, prompts);
+      const sameTime = this.options.sameTimeMilliseconds[subjectKind(id)];
+      addCrash(suspicion, crash, sameTime);
+      const isSuspect = suspicion.groups.length >= this.options.suspectCrashes;
+      if (!isSuspect || suspicion.suspectedAt !== undefined) continue;
+      suspicion.suspectedAt = now;
+      suspected.push(id);
+    }
+    return suspected;
+  }
+
+  /** Records a whole answer with a subject; it crashes no server. */
+  recordAnswer(subject: string, now: number): void {
+    this.suspicions.delete(subject);
+    this.answeredAt.delete(subject);
+    this.answeredAt.set(subject, now);
+    evictOldest(this.answeredAt, this.options.maxSubjects);
+  }
+
+  /**
+   * Records that a crash is explained by a blocked subject that was open at it.
+   *
+   * @param now Time at which it was reported.
+   */
+  explain({server, startedAt}: CrashReport, now: number): void {
+    this.explainAll([`${server}@${startedAt}`], now);
+  }
+
+  /**
+   * Removes what is known against a subject that is blocked, and what its crashes
+   * are against others. A part that was open at all of them is still suspected:
+   * other requests may have it as well.
+   */
+  forget(subject: string, now: number): void {
+    const suspicion = this.suspicions.get(subject);
+    this.suspicions.delete(subject);
+    if (suspicion === undefined) return;
+    const parts = [...this.suspicions]
+      .filter(
+        ([name, other]) =>
+          subjectKind(name) === 'part' && hasCrashesOf(other, suspicion),
+      )
+      .map(([name]) => name);
+    this.explainAll(crashesOf(suspicion), now, parts);
+  }
+
+  /** Returns the subjects that crash servers. */
+  decided(now: number): CrashingSubject[] {
+    const {answerMilliseconds, blockCrashes} = this.options;
+    const decided: CrashingSubject[] = [];
+    for (const [subject, suspicion] of this.suspicions) {
+      const {groups, workspaces, suspectedAt} = suspicion;
+      if (suspectedAt === undefined) continue;
+      if (now - suspectedAt < answerMilliseconds) continue;
+      const kind = subjectKind(subject);
+      if (groups.length < blockCrashes[kind]) continue;
+      const extra = this.extraCrashes(suspicion, kind);
+      const own = this.unsharedCrashes(subject, suspicion);
+      if (own < blockCrashes[kind] + extra) continue;
+      if (!this.isDecided[kind](subject, suspicion)) continue;
+      const servers = crashesOf(suspicion);
+      const [first] = workspaces;
+      const workspace = workspaces.size === 1 ? first : undefined;
+      decided.push({subject, workspace, crashes: servers.length, servers});
+    }
+    return decided;
+  }
+
+  /** Crashes at which nothing else was open that has as many of them. */
+  private unsharedCrashes(subject: string, suspicion: Suspicion): number {
+    const crashes = crashesOf(suspicion).length;
+    const names = new Set(
+      this.otherCauses(subject)
+        .map(crashesOf)
+        .filter(({length}) => length >= crashes)
+        .flat(),
+    );
+    return suspicion.groups.filter(
+      ({servers}) => ![...servers].some(name => names.has(name)),
+    ).length;
+  }
+
+  /**
+   * Returns what else may be the cause of a subject's crashes: requests, and for
+   * a request also the parts that different requests have, unless it has so many
+   * crashes that its own parts can't be to blame.
+   */
+  private otherCauses(subject: string): Suspicion[] {
+    const own = this.suspicions.get(subject);
+    const isPart = subjectKind(subject) === 'part';
+    const crashes = own?.groups.length ?? 0;
+    const isCertain = isPart || crashes >= this.options.certainCrashes;
+    return [...this.suspicions]
+      .filter(
+        ([name, {prompts}]) =>
+          name !== subject &&
+          (subjectKind(name) === 'request' || (!isCertain && prompts.size > 1)),
+      )
+      .map(([, suspicion]) => suspicion);
+  }
+
+  private isRequestDecided(subject: string, suspicion: Suspicion): boolean {
+    return !this.otherCauses(subject).some(other =>
+      hasCrashesOf(other, suspicion),
+    );
+  }
+
+  /** Crashes by which those without the subject raise the number for it. */
+  private extraCrashes(suspicion: Suspicion, kind: CrashSubjectKind): number {
+    const {otherCrashesPerExtra, maxExtraCrashes} = this.options;
+    const extra = this.otherCrashes(suspicion) / otherCrashesPerExtra;
+    return Math.min(maxExtraCrashes[kind], Math.ceil(extra));
+  }
+
+  /** Number of times about its crashes at which servers crashed without it. */
+  private otherCrashes(suspicion: Suspicion): number {
+    const {otherCrashMilliseconds, sameTimeMilliseconds} = this.options;
+    const own = new Set(crashesOf(suspicion));
+    const times = suspicion.groups.map(({at}) => at);
+    const from = Math.min(...times) - otherCrashMilliseconds;
+    const to = Math.max(...times) + otherCrashMilliseconds;
+    const others = [...this.crashes]
+      .filter(([name, at]) => at > from && at < to && !own.has(name))
+      .sort(([, a], [, b]) => a - b);
+    let count = 0;
+    let countedAt = -Infinity;
+    for (const [name, at] of others) {
+      if (at - countedAt < sameTimeMilliseconds.part) continue;
+      countedAt = at;
+      count += this.explained.has(name) ? explainedWeight : 1;
+    }
+    return count;
+  }
+
+  /** @param kept Subjects against which the crashes still count. */
+  private explainAll(
+    names: readonly string[],
+    now: number,
+    kept: readonly string[] = [],
+  ): void {
+    for (const name of names) this.explained.set(name, now);
+    while (this.explained.size > maxCrashes) evictOldest(this.explained, 0);
+    for (const [subject, suspicion] of this.suspicions) {
+      if (kept.includes(subject)) continue;
+      for (const {servers} of suspicion.groups) {
+        for (const name of names) servers.delete(name);
+      }
+      suspicion.groups = suspicion.groups.filter(
+        ({servers}) => servers.size > 0,
+      );
+      if (suspicion.groups.length === 0) this.suspicions.delete(subject);
+    }
+  }
+
+  private addPrompts(
+    {prompts: known}: Suspicion,
+    prompts: readonly number[],
+  ): void {
+    for (const prompt of prompts) {
+      if (known.size < this.options.blockPrompts) known.add(prompt);
+    }
+  }
+
+  private wasAnswered(subject: string, now: number): boolean {
+    const at = this.answeredAt.get(subject) ?? -Infinity;
+    return now - at < this.options.answeredMilliseconds;
+  }
+
+  private suspicionOf(subject: string, now: number): Suspicion {
+    const known = this.suspicions.get(subject);
+    const suspicion: Suspicion = known ?? {
+      groups: [],
+      workspaces: new Set(),
+      prompts: new Set(),
+    };
+    const {memoryMilliseconds, maxSubjects} = this.options;
+    const oldest = now - memoryMilliseconds[subjectKind(subject)];
+    suspicion.groups = suspicion.groups.filter(({at}) => at >= oldest);
+    this.suspicions.delete(subject);
+    this.suspicions.set(subject, suspicion);
+    evictOldest(this.suspicions, maxSubjects);
+    return suspicion;
+  }
+}
+
+function addCrash(
+  {groups}: Suspicion,
+  {name, at}: {name: string; at: number},
+  sameTimeMilliseconds: number,
+): void {
+  if (groups.some(({servers}) => servers.has(name))) return;
+  const group = groups.find(
+    other => Math.abs(other.at - at) < sameTimeMilliseconds,
+  );
+  if (group === undefined) groups.push({at, servers: new Set([name])});
+  else group.servers.add(name);
+}
+
+/** Names of the crashes at which a subject was open. */
+function crashesOf({groups}: Suspicion): string[] {
+  return [...new Set(groups.flatMap(({servers}) => [...servers]))];
+}
+
+/** Whether a subject was open at the times of all crashes of another one. */
+function hasCrashesOf(subject: Suspicion, {groups}: Suspicion): boolean {
+  const names = new Set(crashesOf(subject));
+  return groups.every(({servers}) =>
+    [...servers].some(name => names.has(name)),
+  );
+}
+
+function evictOldest<T>(map: Map<string, T>, limit: number): void {
+  if (map.size <= limit) return;
+  const [oldest] = map.keys();
+  if (oldest !== undefined) map.delete(oldest);
+}
