--- a/packages/runtime/src/openSocket.ts
+++ b/packages/runtime/src/openSocket.ts
@@ -4,7 +4,7 @@
  * The timeout has its own timer, as undici's timers have a resolution of one
  * second: a call to an instance that is switched off would wait that long.
  */
-import {connect, type Socket} from 'node:net';
+import {Socket} from 'node:net';
 
 /** Idle time after which TCP keep-alive probes detect dead connections. */
 const keepAliveProbeMilliseconds = 2_000;
@@ -21,21 +21,16 @@
   localAddress?: string;
 }
 
-/** Connects to `host:port` and calls the callback exactly once. */
+/**
+ * Connects to `host:port` and calls the callback exactly once, never before it
+ * returns. An address that can't be connected to is an error like others.
+ */
 export function openSocket(
   address: string,
   {timeoutMilliseconds, localAddress}: SocketOptions,
   callback: ConnectCallback,
 ): Socket {
-  const [host = '', port = '0'] = address.split(':');
-  const socket = connect({
-    host,
-    port: Number(port),
-    localAddress,
-    noDelay: true,
-    keepAlive: true,
-    keepAliveInitialDelay: keepAliveProbeMilliseconds,
-  });
+  const socket = new Socket();
   const timer = setTimeout(() => {
     socket.destroy(new Error('connection attempt timed out'));
   }, timeoutMilliseconds);
@@ -49,5 +44,18 @@
     socket.off('error', fail);
     callback(null, socket);
   });
+  const [host = '', port = '0'] = address.split(':');
+  try {
+    socket.connect({
+      host,
+      port: Number(port),
+      localAddress,
+      noDelay: true,
+      keepAlive: true,
+      keepAliveInitialDelay: keepAliveProbeMilliseconds,
+    });
+  } catch (error) {
+    socket.destroy(error as Error); // Thrown for a port out of range.
+  }
   return socket;
 }
--- a/packages/runtime/tests/openSocket.test.ts
+++ b/packages/runtime/tests/openSocket.test.ts
@@ -1,7 +1,7 @@
 import {UnresponsiveListener} from '@dogwoodtrestle/testkit';
 import {afterEach, beforeEach, describe, expect, it} from 'vitest';
 
-import {PeerCallClient, PeerCallError} from '../src/index.js';
+import {openSocket, PeerCallClient, PeerCallError} from '../src/index.js';
 
 // After a power failure some instances are up before others: packets to the
 // others get no answer, and connecting must fail within its timeout.
@@ -28,3 +28,23 @@
     await client.close();
   });
 });
+
+// Guards against an address of another writer whose port throws at once, which
+// ends the check of a server, or its caller, with an unhandled error (issue 37).
+describe('an address that can not be connected to', () => {
+  it.each(['127.0.0.1:99999', '127.0.0.1:-1', '127.0.0.1:x', '127.0.0.1:'])(
+    'is an error of the callback: %s',
+    async address => {
+      const options = {timeoutMilliseconds: 1_000};
+      let hasReturned = false;
+      const error = await new Promise<Error | null>(resolve => {
+        openSocket(address, options, (...[error]) => {
+          expect(hasReturned).toBe(true);
+          resolve(error);
+        });
+        hasReturned = true;
+      });
+      expect(error).toBeInstanceOf(Error);
+    },
+  );
+});
