--- a/packages/edge/src/controlPlaneClient.ts
+++ b/packages/edge/src/controlPlaneClient.ts
@@ -164,6 +164,11 @@
     this.isStopped = true;
   }
 
+  /** Sends another watch call at once, as a topic has to report. */
+  callAtOnce(): void {
+    if (this.leader !== undefined) void this.watchOnce(this.leader);
+  }
+
   /**
    * Reports usage now. Resolves once a leader has replied or the report has
    * failed; a call during a report waits for the next one.
@@ -233,11 +238,6 @@
     return false;
   }
 
-  /** Sends another watch call at once, as a topic has to report. */
-  callAtOnce(): void {
-    if (this.leader !== undefined) void this.watchOnce(this.leader);
-  }
-
   private async watchOnce(address: string): Promise<boolean> {
     const number = ++this.watchCalls;
     const pending = addPending(this.pendingWatchCalls);
