fix(edge): a request that is read too late in a stop is refused, not passed on and cut

Callers saw, in platform/tests/gracefulStop.test.ts on: a request that must not be repeated, whose last bytes come 2.6, 3.0 or 3.4 s after a stop of 4 s began, is passed on to a server and ends with 502 when the stop does. Three of three moments failed.

Cause: a connection whose request is being read isn't idle, so it is kept; the request was dispatched whenever it was whole, up to the end of the drain. Now, once no new connections are accepted, requests are taken in the first half of what is left, and streams only if all the time that they have fits. Later ones get 503 routerStopping, which states that they have not run, and their connection is closed.

--- a/packages/edge/src/edgeNode.ts
+++ b/packages/edge/src/edgeNode.ts
@@ -22,7 +22,11 @@
   sleep,
   monotonicClockId,
 } from '@dogwoodtrestle/runtime';
-import {type BackendServerRecord, checkedHandler} from '@dogwoodtrestle/schema';
+import {
+  type BackendServerRecord,
+  checkedHandler,
+  type FleetRoute,
+} from '@dogwoodtrestle/schema';
 
 import {AdmissionController} from './admissionController.js';
 import {CallerExchange} from './callerExchange.js';
@@ -62,6 +66,17 @@
 /** Attempts to connect to another process before the call fails. */
 const connectAttempts = 4;
 
+/** Monotonic times of a stop in which no new connections are accepted. */
+interface StopEnd {
+  /** From then on no request is taken. */
+  lastRequestAt: number;
+  /** Open requests are aborted then. */
+  abortAt: number;
+}
+
+/** Part of the drain time after the linger time in which requests are taken. */
+const takingShare = 0.5;
+
 /** A running router. */
 export class EdgeNode {
   private readonly context: EdgeContext;
@@ -71,6 +86,8 @@
   private readonly activeRequests = new Set<RequestHandler>();
   private readonly pipeline = new RequestPipeline();
   private isStopping = false;
+  /** When the stop ends; set once new connections are no longer accepted. */
+  private stopEnd?: StopEnd;
 
   private constructor(private readonly options: EdgeOptions) {
     const {clock, logger, metrics, proxy} = options;
@@ -239,6 +256,9 @@
     this.context.grants.close();
     void control.report();
     await sleep(clock, lingerMilliseconds);
+    const abortAt = startedAt + drainMilliseconds;
+    const rest = abortAt - clock.now();
+    this.stopEnd = {lastRequestAt: clock.now() + rest * takingShare, abortAt};
     let isClosed = false;
     this.server.close(() => {
       isClosed = true;
@@ -329,6 +349,7 @@
     if (routes.requiresKeys && !route.isPublic && workspace === undefined) {
       return refuse('unknownKey');
     }
+    if (!this.mayEnd(route, request)) return refuse('routerStopping');
     const service = RouteTable.serviceOf(route, this.options.random());
     const handler = new RequestHandler(
       this.context,
@@ -352,6 +373,23 @@
     });
   }
 
+  /**
+   * Whether a request that was read late in a stop may end before it. A stream may
+   * take all the time that it has.
+   */
+  private mayEnd(route: FleetRoute, request: CallerRequest): boolean {
+    if (this.stopEnd === undefined) return true;
+    const {lastRequestAt, abortAt} = this.stopEnd;
+    const now = this.context.clock.now();
+    const {timeRemainingMilliseconds = Infinity} = request;
+    const longest = Math.min(
+      route.timeoutMilliseconds,
+      timeRemainingMilliseconds,
+    );
+    const isLong = route.kind === 'streaming' && now + longest > abortAt;
+    return now < lastRequestAt && !isLong;
+  }
+
   private refuse(
     exchange: CallerExchange,
     request: CallerRequest | undefined,
--- a/packages/edge/src/refusal.ts
+++ b/packages/edge/src/refusal.ts
@@ -15,6 +15,7 @@
   | 'prepaidExhausted'
   | 'grantUnavailable'
   | 'routerBusy'
+  | 'routerStopping'
   | 'noServer'
   | 'serversRefused'
   | 'serversBusy'
@@ -64,6 +65,13 @@
     retryAfterSeconds: 0.1,
     endsConnection: true,
   },
+  routerStopping: {
+    status: 503,
+    message: 'This router stops before the request can end; it has not run.',
+    // One round trip: it accepts no new connections.
+    retryAfterSeconds: 0.1,
+    endsConnection: true,
+  },
   noServer: {
     status: 503,
     message: 'No server can take the request now; it has not run.',
