--- a/review/lib/modelServer.mjs
+++ b/review/lib/modelServer.mjs
@@ -15,7 +15,7 @@
   /**
    * @param options `formatEvent` returns the text of an event by its number,
    *     `eventMilliseconds` is the time between events, `firstMilliseconds` that
-   *     before the first one.
+   *     before the first one; `onBegin` is called when a run begins.
    */
   constructor(fleet, id, service, options = {}) {
     Object.assign(this, {fleet, id, service});
@@ -96,24 +96,17 @@
       response.end();
       return;
     }
-    const [input = 0] = String(request.headers[`${prefix}token-counts`] ?? '')
-      .split(',')
-      .map(Number);
     const after = Number(request.headers['last-event-id'] ?? 0);
     const run = {
       attempt,
-      tenant: request.headers[`${prefix}tenant`],
       lastEventId: request.headers['last-event-id'],
-      input,
       parts: String(request.headers[`${prefix}prompt-prefix`] ?? ''),
       events: 0,
       hasBegun: false,
-      path: request.url,
     };
     this.runs.push(run);
-    options.onRequest?.(this, run, request);
     response.on('close', () => {
-      if (options.dropsOnClose !== false) run.isDropped = true;
+      run.isDropped = true;
     });
     await sleep(options.firstMilliseconds);
     for (let number = after + 1; number <= options.events; number++) {
@@ -130,7 +123,6 @@
       }
       response.write(options.formatEvent(number));
       run.events = number;
-      options.onEvent?.(this, run, number);
       await sleep(options.eventMilliseconds);
     }
     response.end();
@@ -139,22 +131,10 @@
 
 /**
  * Sends one request for a stream, and collects the answer.
- *
- * @param leaveAfter Time after which the caller closes its connection.
  */
 export function sendStream(
   {host, port},
-  {
-    path,
-    hostName,
-    key,
-    attempt,
-    counts,
-    parts,
-    remaining = 12_000,
-    leaveAfter,
-    body = 'x',
-  },
+  {path, hostName, key, attempt, counts, parts, remaining = 12_000, body = 'x'},
 ) {
   return new Promise(resolve => {
     const answer = {status: 0, text: '', isComplete: false};
@@ -190,9 +170,6 @@
       },
     );
     request.on('error', () => resolve(answer));
-    if (leaveAfter !== undefined) {
-      setTimeout(() => request.destroy(), leaveAfter);
-    }
     setTimeout(() => request.destroy(), remaining + 1_000).unref();
     request.end(body);
   });
