test(review): show that a sound part of prompts is blocked with a harmful one

Cause: parts that were open at the same crashes are blocked together, unless one of them was answered in the last 30 s.

--- /dev/null
+++ b/review/4/run.sh
@@ -0,0 +1,2 @@
+#!/bin/bash
+exec node "$(dirname "$0")/run.mjs"
