fix(control): take a refused connection alone for no proof of a router's end

What callers saw: a tenant gets more than its prepaid total (BUDGET).

Cause: RouterEndDetector took ECONNREFUSED at the peer address, twice within 50 ms, for the end of the process. A firewall that rejects gives the same answer in place of a host whose process runs.

Fix: a router keeps a connection open to the leader for as long as it runs. The system closes it with FIN when the process ends; a network that fails resets or silences it, and a running router resets it when it turns to another leader. Its end is recorded only after an orderly close and refused connections.

The tests of the end of a process close the connection now, as a refusal alone is no proof any more; they expect the same tokens as before.

--- a/packages/control/src/controlNode.ts
+++ b/packages/control/src/controlNode.ts
@@ -26,7 +26,7 @@
   checkedHandler,
   type FleetConfiguration,
   type Member,
-  type WatchRequest,
+  type PresenceRequest,
 } from '@dogwoodtrestle/schema';
 
 import {
@@ -161,6 +161,10 @@
         receivedCalls.add({call: 'usage'});
         return grants.report(report);
       }),
+      presence: checkedHandler('PresenceRequest', request => {
+        grants.openConnection(request);
+        return neverReply();
+      }),
       announcements: checkedHandler('AnnouncementBatch', ({announcements}) =>
         receiveAnnouncements(
           announcements,
@@ -186,12 +190,9 @@
       port: proxy?.listenPort ?? Number(port),
       handlers,
       logger,
-      // A router always has a call pending here, so it is known at once if its
-      // process ends.
-      onAbandoned: (method, message) => {
-        const {address} = (message ?? {}) as Partial<WatchRequest>;
-        if (method !== 'watch' || address === undefined) return;
-        void grants.checkRouter(address);
+      onAbandoned: (method, message, end) => {
+        if (method !== 'presence') return;
+        void grants.endConnection(message as PresenceRequest, end);
       },
     });
     await peerServer.listen();
@@ -258,6 +259,11 @@
   }
 }
 
+/** The caller keeps the connection open, and waits for no reply. */
+function neverReply(): Promise<never> {
+  return new Promise(() => undefined);
+}
+
 /** Returns new and changed prepaid totals, by workspace. */
 function changedPrepaidTotals(
   previous: FleetConfiguration | undefined,
--- a/packages/control/src/grantService.ts
+++ b/packages/control/src/grantService.ts
@@ -13,10 +13,15 @@
   isEndRecord,
   type UsageResult,
 } from '@dogwoodtrestle/fleet';
-import {type Counter, type Logger} from '@dogwoodtrestle/runtime';
+import {
+  type ConnectionEnd,
+  type Counter,
+  type Logger,
+} from '@dogwoodtrestle/runtime';
 import {
   type ClockReading,
   type GrantOffer,
+  type PresenceRequest,
   type RecordUsage,
   type UsageEntry,
   type UsageReply,
@@ -92,6 +97,7 @@
     this.endDetector = new RouterEndDetector({
       clock: options.clock,
       logger: options.logger,
+      metrics,
       isRefused: options.isRefused,
       readClock: () => this.readClock(),
       recordEnd: (router, endedBy) => this.recordEnd(router, endedBy),
@@ -140,9 +146,17 @@
     };
   }
 
-  /** Checks whether the router at an address has ended. */
-  async checkRouter(address: string): Promise<void> {
-    if (this.group.isLeader) await this.endDetector.check(address);
+  /** Records that a router keeps a connection open for as long as it runs. */
+  openConnection(request: PresenceRequest): void {
+    this.endDetector.openConnection(request);
+  }
+
+  /** Records how such a connection ended; it may show that the router has ended. */
+  async endConnection(
+    request: PresenceRequest,
+    end: ConnectionEnd,
+  ): Promise<void> {
+    await this.endDetector.endConnection(request, end);
   }
 
   /** Checks whether routers that have not reported for some time have ended. */
@@ -154,6 +168,7 @@
     router: string,
     endedBy: ClockReading,
   ): Promise<void> {
+    if (!this.group.isLeader) return;
     const command = endOfRouter(this.state.prepaid, router, endedBy);
     if (command === undefined) return;
     const [result] = await this.group.replica.propose([command]);
--- a/packages/control/tests/routerEnd.test.ts
+++ b/packages/control/tests/routerEnd.test.ts
@@ -22,6 +22,9 @@
 const routerAddress = '127.0.0.1:21890';
 const leaderAddress = '127.0.0.1:21891';
 
+/** Time after which a router that doesn't report is checked. */
+const silentMilliseconds = 1_600;
+
 const closers: Array<() => Promise<unknown>> = [];
 
 afterEach(async () => {
@@ -154,41 +157,83 @@
   return server;
 }
 
+const presence = {router: 'life-1', address: routerAddress};
+
 // Guards against all tokens of a router being forfeited as its process is down
 // for some seconds (issue 40).
 describe('the tokens of a router', () => {
-  it('come back when its address refuses connections', async () => {
+  it('come back when its process ends', async () => {
     const {service, ungranted, report} = createLeader();
     const router = await listen(routerAddress);
+    service.openConnection(presence);
     await report();
     const held = prepaid - ungranted();
     expect(held).toBeGreaterThan(20_000);
-    await service.checkRouter(routerAddress);
-    expect(ungranted()).toBe(prepaid - held);
     await router.close();
-    await service.checkRouter(routerAddress);
+    await service.endConnection(presence, 'closed');
     // A tenth of a grant, or 9,000 tokens, may be spent between two reports.
     expect(ungranted()).toBeGreaterThan(prepaid - 9_000 - held * 0.1);
   });
 
+  it('come back when its host refuses connections only later', async () => {
+    const {service, ungranted, report} = createLeader();
+    const router = await listen(routerAddress);
+    service.openConnection(presence);
+    await report();
+    const held = prepaid - ungranted();
+    await service.endConnection(presence, 'closed');
+    expect(ungranted()).toBe(prepaid - held);
+    await router.close();
+    await new Promise(resolve => setTimeout(resolve, silentMilliseconds));
+    await service.checkSilentRouters();
+    expect(ungranted()).toBeGreaterThan(prepaid - 9_000 - held * 0.1);
+  });
+
   it('stay with a router behind a proxy', async () => {
     const {service, ungranted, report} = createLeader();
+    service.openConnection(presence);
     await report(true);
     const before = ungranted();
-    await service.checkRouter(routerAddress);
+    await service.endConnection(presence, 'closed');
     expect(ungranted()).toBe(before);
   });
 
   it('stay with a router that listens again at once', async () => {
     const {service, ungranted, report} = createLeader();
+    service.openConnection(presence);
     await report();
     const before = ungranted();
-    const check = service.checkRouter(routerAddress);
+    const check = service.endConnection(presence, 'closed');
     await new Promise(resolve => setTimeout(resolve, 20));
     await listen(routerAddress);
     await check;
     expect(ungranted()).toBe(before);
   });
+
+  // Guards against double spending: a firewall that cuts a running router off
+  // refuses connections in its place, and its tokens go to others (issue 46).
+  it('stay with a router whose connections are refused and reset', async () => {
+    const {service, ungranted, report} = createLeader();
+    await report();
+    const before = ungranted();
+    await new Promise(resolve => setTimeout(resolve, silentMilliseconds));
+    await service.checkSilentRouters();
+    expect(ungranted()).toBe(before);
+    service.openConnection(presence);
+    await service.endConnection(presence, 'broken');
+    await service.checkSilentRouters();
+    expect(ungranted()).toBe(before);
+  });
+
+  it('stay with a router that has another connection open', async () => {
+    const {service, ungranted, report} = createLeader();
+    service.openConnection(presence);
+    service.openConnection(presence);
+    await report();
+    const before = ungranted();
+    await service.endConnection(presence, 'closed');
+    expect(ungranted()).toBe(before);
+  });
 });
 
 describe('a call', () => {
@@ -198,7 +243,8 @@
       handlers: {
         watch: () => new Promise(resolve => setTimeout(resolve, 500, {})),
       },
-      onAbandoned: (method, message) => abandoned.push({method, message}),
+      onAbandoned: (method, message, end) =>
+        abandoned.push({method, message, end}),
     });
     const client = new PeerCallClient({});
     const end = new AbortController();
@@ -215,7 +261,9 @@
     end.abort();
     await expect(call).rejects.toThrow();
     await new Promise(resolve => setTimeout(resolve, 50));
-    expect(abandoned).toEqual([{method: 'watch', message: {address: 'a'}}]);
+    expect(abandoned).toEqual([
+      {method: 'watch', message: {address: 'a'}, end: 'closed'},
+    ]);
     await client.close();
   });
 });
--- a/packages/edge/src/controlPlaneClient.ts
+++ b/packages/edge/src/controlPlaneClient.ts
@@ -59,6 +59,8 @@
 export interface ControlPlaneListener extends ServerListener {
   /** Further subjects, applied after the records. */
   topics: readonly WatchTopic[];
+  /** Called with the address of each leader that has recorded a report. */
+  onLeader?(address: string): void;
 }
 
 /** A watch call that was replied to. */
@@ -480,6 +482,7 @@
     time: LeaseRequestTime,
   ): void {
     if (this.leader === leader) this.contact.record(leader);
+    this.listener.onLeader?.(leader);
     this.observeView(view, leader, time);
   }
 
--- a/packages/edge/src/edgeNode.ts
+++ b/packages/edge/src/edgeNode.ts
@@ -19,6 +19,7 @@
 import {
   PeerCallClient,
   PeerCallServer,
+  PresenceConnection,
   sleep,
   monotonicClockId,
 } from '@dogwoodtrestle/runtime';
@@ -84,6 +85,8 @@
 export class EdgeNode {
   private readonly context: EdgeContext;
   private readonly calls: PeerCallClient;
+  /** Tells the leader that this process runs. */
+  private readonly presence: PresenceConnection;
   private readonly server: Server;
   private readonly listener: PeerCallServer;
   private readonly activeRequests = new Set<RequestHandler>();
@@ -154,9 +157,17 @@
       {
         onServers,
         topics: [limits, crashes, crashSubjects],
+        onLeader: address => this.presence.follow(address),
       },
       replies,
     );
+    this.presence = new PresenceConnection({
+      clock,
+      logger,
+      method: 'presence',
+      message: () => ({router: routerId, address: options.peerAddress}),
+      localAddress: proxy?.localAddress,
+    });
     const participant = {
       life: routerId,
       grants,
@@ -289,6 +300,7 @@
     pool.close();
     this.server.closeAllConnections();
     await this.listener.close();
+    this.presence.close();
     await this.calls.close();
   }
 
--- a/packages/runtime/src/index.ts
+++ b/packages/runtime/src/index.ts
@@ -24,9 +24,14 @@
 export {
   type CallHandler,
   type CallHandlers,
+  type ConnectionEnd,
   PeerCallServer,
   type PeerCallServerOptions,
   type PeerProxy,
 } from './peerCallServer.js';
+export {
+  PresenceConnection,
+  type PresenceConnectionOptions,
+} from './presenceConnection.js';
 export {settledWithin} from './settledWithin.js';
 export {PeriodicTask, type PeriodicTaskOptions} from './periodicTask.js';
--- a/packages/runtime/src/peerCallServer.ts
+++ b/packages/runtime/src/peerCallServer.ts
@@ -17,6 +17,12 @@
 /** Handlers by method name. */
 export type CallHandlers = Readonly<Record<string, CallHandler>>;
 
+/**
+ * How a caller's connection ended: `closed` in an orderly way, by the caller or
+ * by the system as its process ended, or `broken`, for example by a reset.
+ */
+export type ConnectionEnd = 'closed' | 'broken';
+
 /** A reverse proxy in front of the peer address. */
 export interface PeerProxy {
   /** Port on which the process listens behind the proxy. */
@@ -31,8 +37,8 @@
   port: number;
   handlers: CallHandlers;
   logger: Logger;
-  /** Called when the caller closes the connection before it has a reply. */
-  onAbandoned?: (method: string, message: unknown) => void;
+  /** Called when the caller's connection ends before it has a reply. */
+  onAbandoned?: (method: string, message: unknown, end: ConnectionEnd) => void;
 }
 
 /** Serves calls from other processes. */
@@ -78,7 +84,9 @@
       }
       const message = JSON.parse(await readText(request)) as never;
       response.once('close', () => {
-        if (!response.writableEnded) onAbandoned?.(method, message);
+        if (response.writableEnded) return;
+        const isClosed = request.socket.readableEnded;
+        onAbandoned?.(method, message, isClosed ? 'closed' : 'broken');
       });
       reply(response, 200, await handler(message));
     } catch (error) {
