fix(edge): let a router that was wrongly recorded as ended serve again

Cause: UsageReporter.stopSpending was final. The verdict "ended" came back to the router as "another process runs as this instance", whoever had recorded it.

Fix: a router that is told so goes on as another incarnation, without tokens and with its demand (RouterIdentity, HeldGrants.supersede and admit). It names the one that it follows; the leader admits it unless another process runs as the instance by the replicated state, and until then it spends nothing and is not ready. What requests of the ended incarnation use is still reported as its own, and what it overspent is recorded as granted and used, by a command that control processes of earlier versions apply as well. They reject the new field, and the router stays as it was with them.

--- a/packages/bench/src/freshness/routerProcess.ts
+++ b/packages/bench/src/freshness/routerProcess.ts
@@ -9,6 +9,7 @@
   matchRequest,
   type RefusalReason,
   ReplyCounter,
+  RouterIdentity,
   ServerPool,
 } from '@dogwoodtrestle/edge';
 import {HeldGrants, RouteTable} from '@dogwoodtrestle/fleet';
@@ -82,12 +83,16 @@
     };
     this.options = options;
     this.pool = new ServerPool({...options, onConnect: () => undefined});
-    const now = Math.floor(this.clock.now());
+    const identity = new RouterIdentity({
+      clock: this.clock,
+      instance: address,
+      steadyClock: address,
+      generateId: () => `${address}#${machine.epoch}`,
+    });
     this.control = new ControlPlaneClient(
       options,
       network.clientOf(machine, connectAttempts),
-      `${address}#${machine.epoch}`,
-      {instance: address, clock: address, startedAt: now, wallStartedAt: now},
+      identity,
       new HeldGrants(),
       {
         onServers: (records, list) => this.pool.update(records, list),
--- a/packages/control/src/grantService.ts
+++ b/packages/control/src/grantService.ts
@@ -10,7 +10,9 @@
   type FleetState,
   endOfRouter,
   GrantPlanner,
+  hasOtherProcess,
   isEndRecord,
+  recordExcess,
   type UsageResult,
 } from '@dogwoodtrestle/fleet';
 import {
@@ -114,6 +116,7 @@
     const {router, address, isProxied = false, isStopping, usages} = report;
     const receivedAt = this.options.clock.now();
     if (!this.group.isLeader) return this.watch.leaderHint();
+    if (this.isOver(report)) return this.reportOver(report, receivedAt);
     this.watch.noteRouter({router, address});
     if (!isProxied) this.endDetector.recordReport(router, address);
     const now = this.options.clock.now();
@@ -139,13 +142,50 @@
     return {
       kind: 'grants',
       reportedAt: report.reportedAt,
-      isOver: this.state.prepaid.routers[router]?.isOver ?? false,
+      isOver: this.isOver(report),
       leaderTime: this.readClock(),
       view: this.watch.view(receivedAt),
       offers,
     };
   }
 
+  /** Whether an incarnation has ended, or must not follow one that has. */
+  private isOver({router, life, follows}: UsageReport): boolean {
+    const {prepaid} = this.state;
+    const known = prepaid.routers[router];
+    if (known !== undefined || follows === undefined) {
+      return known?.isOver ?? false;
+    }
+    return hasOtherProcess(prepaid, life.instance, follows);
+  }
+
+  /** Replies to an incarnation that has ended; records what it overspent. */
+  private async reportOver(
+    report: UsageReport,
+    receivedAt: number,
+  ): Promise<UsageReply> {
+    const {router, address, life, reportedAt, usages} = report;
+    if (this.state.prepaid.routers[router] !== undefined) {
+      // Of these entries only what was spent counts.
+      const entries = usages.map(
+        usage => this.planner.plan({router, address}, usage, true).entry,
+      );
+      const breaches = await this.record(report, entries);
+      if (breaches.length > 0) {
+        const command = recordExcess(router, life, breaches);
+        await this.group.replica.propose([command]);
+      }
+    }
+    return {
+      kind: 'grants',
+      reportedAt,
+      isOver: true,
+      leaderTime: this.readClock(),
+      view: this.watch.view(receivedAt),
+      offers: [],
+    };
+  }
+
   /** Records that a router keeps a connection open for as long as it runs. */
   openConnection(request: PresenceRequest): void {
     this.endDetector.openConnection(request);
@@ -176,13 +216,14 @@
     for (const incarnation of ended) this.reportEnd(incarnation);
   }
 
+  /** Records a report; returns what the incarnation spent beyond what it had. */
   private async record(
     {router, life, reportedAt, reportedWallAt, leaderTime}: UsageReport,
     entries: UsageEntry[],
-  ): Promise<void> {
+  ): Promise<Overspend[]> {
     // A recorded router without tokens has no commitment to record.
     const isKnown = this.state.prepaid.routers[router] !== undefined;
-    if (entries.length === 0 && isKnown) return;
+    if (entries.length === 0 && isKnown) return [];
     const command: RecordUsage = {
       kind: 'recordUsage',
       router,
@@ -202,6 +243,7 @@
       if (requested === undefined || granted >= requested.grantUpTo) continue;
       this.reportShortage(workspace, router, requested.grantUpTo - granted);
     }
+    return breaches;
   }
 
   /** Logs at an interval, as hundreds of routers may lack the same tokens. */
--- a/packages/control/tests/routerEnd.test.ts
+++ b/packages/control/tests/routerEnd.test.ts
@@ -11,7 +11,7 @@
   silentLogger,
   systemClock,
 } from '@dogwoodtrestle/runtime';
-import {type RouterLife} from '@dogwoodtrestle/schema';
+import {type RouterLife, type UsageGrants} from '@dogwoodtrestle/schema';
 import {afterEach, describe, expect, it} from 'vitest';
 
 import {GrantService} from '../src/grantService.js';
@@ -236,6 +236,71 @@
   });
 });
 
+/** Sends a report of a process that has used a number of tokens. */
+async function sendReport(
+  service: GrantService,
+  router: string,
+  {used = 0, follows}: {used?: number; follows?: string} = {},
+): Promise<UsageGrants> {
+  const now = Math.floor(systemClock.now());
+  const amounts = {lent: 0, borrowed: 0, returned: 0, reserved: 0};
+  const demand = {wanted: 100, cover: 0, rate: 0, recentRate: 0};
+  const reply = await service.report({
+    router,
+    address: routerAddress,
+    life: {instance: 'edge-1', clock: 'boot-1', startedAt: now},
+    ...(follows !== undefined && {follows}),
+    isStopping: false,
+    usages: [{workspace, used, ...amounts, ...demand}],
+  });
+  if (reply.kind !== 'grants') throw new Error('the process must lead');
+  return reply;
+}
+
+/** Has a router recorded as ended, as if its process had ended. */
+async function endRouter({service, report}: LeaderFixture): Promise<void> {
+  service.openConnection(presence);
+  await report();
+  await service.endConnection(presence, 'closed');
+}
+
+// Guards against a router that stays out of service for good after it was taken
+// for ended, and against its tokens being spent twice (issue 46).
+describe('a router that was recorded as ended while it ran', () => {
+  it('is admitted as another incarnation', async () => {
+    const leader = createLeader();
+    await endRouter(leader);
+    const {service} = leader;
+    expect((await sendReport(service, 'life-1')).isOver).toBe(true);
+    const reply = await sendReport(service, 'life-2', {follows: 'life-1'});
+    expect(reply.isOver).toBe(false);
+    expect(reply.offers[0]?.granted).toBeGreaterThan(0);
+  });
+
+  it('is not admitted while another process runs as its instance', async () => {
+    const {service, report, ungranted} = createLeader();
+    await report();
+    await sendReport(service, 'successor');
+    const before = ungranted();
+    const reply = await sendReport(service, 'life-2', {follows: 'life-1'});
+    expect(reply).toMatchObject({isOver: true, offers: []});
+    expect(ungranted()).toBe(before);
+    expect((await sendReport(service, 'successor')).isOver).toBe(false);
+  });
+
+  it('has what it spent meanwhile counted as spent', async () => {
+    const leader = createLeader();
+    await endRouter(leader);
+    const {service, ungranted} = leader;
+    const before = ungranted();
+    const kept = prepaid - before;
+    for (let round = 0; round < 2; round++) {
+      await sendReport(service, 'life-1', {used: kept + 2_000});
+      expect(ungranted()).toBe(before - 2_000);
+    }
+  });
+});
+
 describe('a call', () => {
   it('is abandoned when its caller goes away', async () => {
     const abandoned: unknown[] = [];
--- a/packages/edge/src/controlPlaneClient.ts
+++ b/packages/edge/src/controlPlaneClient.ts
@@ -11,7 +11,6 @@
 import {
   type LeaderHint,
   type LeaderView,
-  type RouterLife,
   type UsageGrants,
   type WatchReply,
   type WatchRequest,
@@ -29,6 +28,7 @@
   PendingCalls,
 } from './pendingCalls.js';
 import {type ReplyCounter} from './replyCounter.js';
+import {type RouterIdentity} from './routerIdentity.js';
 import {chooseTargets, searchPause} from './searchRound.js';
 import {Signal} from './signal.js';
 import {UsageReporter, type UsageReportHost} from './usageReporter.js';
@@ -118,9 +118,7 @@
   constructor(
     private readonly options: EdgeOptions,
     private readonly calls: PeerCallClient,
-    /** Generated at each start, to keep totals of incarnations apart. */
-    private readonly routerId: string,
-    life: RouterLife,
+    private readonly identity: RouterIdentity,
     grants: HeldGrants,
     private readonly listener: ControlPlaneListener,
     private readonly replies: ReplyCounter,
@@ -140,7 +138,7 @@
     this.reporter = new UsageReporter(
       options,
       calls,
-      {routerId, life},
+      identity,
       grants,
       replies,
       host,
@@ -398,7 +396,7 @@
     const {epoch} = versions;
     const reports = this.listener.topics.map(topic => topic.report(epoch));
     const request: WatchRequest = {
-      router: this.routerId,
+      router: this.identity.routerId,
       address: peerAddress,
       ...versions,
       peersRevision: this.peersSource === address ? this.peersRevision : -1,
--- a/packages/edge/src/edgeNode.ts
+++ b/packages/edge/src/edgeNode.ts
@@ -2,7 +2,6 @@
  * @fileoverview A diskless router: listens for callers, forwards their requests
  * to backend servers, and follows the control processes.
  */
-import {randomUUID} from 'node:crypto';
 import {
   createServer,
   type IncomingMessage,
@@ -42,6 +41,7 @@
 import {RequestHandler} from './requestHandler.js';
 import {controlAges} from './requestSummary.js';
 import {RequestPipeline} from './requestPipeline.js';
+import {RouterIdentity} from './routerIdentity.js';
 import {type RoutedRequest} from './routedRequest.js';
 import {ServerCrashes} from './serverCrashes.js';
 import {ServerLimits} from './serverLimits.js';
@@ -126,12 +126,11 @@
       isConnected: () => control.isConnected,
       servers: pool,
     });
-    const life = {
+    const identity = new RouterIdentity({
+      clock,
       instance: options.instance,
-      clock: options.steadyClock ?? monotonicClockId(),
-      startedAt: Math.floor(clock.now()),
-      wallStartedAt: Math.floor(clock.wallNow()),
-    };
+      steadyClock: options.steadyClock ?? monotonicClockId(),
+    });
     const onServers: ServerListener['onServers'] = (records, options) => {
       for (const server of records) {
         logger.info({server}, 'backend server changed');
@@ -146,13 +145,11 @@
       onCrash: () => control.callAtOnce(),
     });
     const crashSubjects = new CrashSubjects(clock, logger);
-    const routerId = randomUUID();
     const replies = new ReplyCounter(options);
     const control: ControlPlaneClient = new ControlPlaneClient(
       options,
       this.calls,
-      routerId,
-      life,
+      identity,
       grants,
       {
         onServers,
@@ -165,11 +162,14 @@
       clock,
       logger,
       method: 'presence',
-      message: () => ({router: routerId, address: options.peerAddress}),
+      message: () => ({
+        router: identity.routerId,
+        address: options.peerAddress,
+      }),
       localAddress: proxy?.localAddress,
     });
     const participant = {
-      life: routerId,
+      life: () => identity.routerId,
       grants,
       routers: () => control.routers,
       isConnected: () => control.isConnected,
--- a/packages/edge/src/index.ts
+++ b/packages/edge/src/index.ts
@@ -9,6 +9,11 @@
 } from './edgeOptions.js';
 export {type RefusalReason} from './refusal.js';
 export {ReplyCounter} from './replyCounter.js';
+export {
+  type RouterIncarnation,
+  RouterIdentity,
+  type RouterIdentityOptions,
+} from './routerIdentity.js';
 export {ServerPool} from './serverPool.js';
 export {matchRequest} from './viewDecision.js';
 export {
--- a/packages/edge/src/loans.ts
+++ b/packages/edge/src/loans.ts
@@ -58,8 +58,8 @@
 
 /** The local router, which borrows and lends. */
 export interface LoanParticipant {
-  /** Id of the router's incarnation. */
-  life: string;
+  /** Returns the name of the router's current incarnation. */
+  life: () => string;
   grants: HeldGrants;
   /** Peer addresses of all routers. */
   routers: () => readonly string[];
@@ -91,8 +91,10 @@
   /** Number of loan requests without a reply, by workspace. */
   private readonly pending = new Map<string, number>();
   private readonly holders = new TokenHolders();
-  private readonly lent = new LoanTotals();
-  private readonly borrowed = new LoanTotals();
+  /** Incarnation of this router to which the totals belong. */
+  private life?: string;
+  private lent = new LoanTotals();
+  private borrowed = new LoanTotals();
 
   constructor(
     private readonly options: EdgeOptions,
@@ -164,10 +166,11 @@
     ...request
   }: LoanRequest): Promise<LoanReply> {
     const {clock, logger} = this.options;
-    const {grants, life} = this.participant;
+    const {grants} = this.participant;
     const {workspace, tokens} = request;
     const terms = {...request, isPartial};
     if (tokens > 0) await this.record(terms);
+    const life = this.enterLife();
     const before = this.lent.total(address, borrower, workspace);
     const lent = tokens > 0 ? grants.lend(terms, clock.now()) : 0;
     const total = before + lent;
@@ -179,6 +182,16 @@
     return {lender: life, total};
   }
 
+  /** Returns the current incarnation, to which no earlier loans belong. */
+  private enterLife(): string {
+    const life = this.participant.life();
+    if (life === this.life) return life;
+    this.life = life;
+    this.lent = new LoanTotals();
+    this.borrowed = new LoanTotals();
+    return life;
+  }
+
   /** Has the leader record a loan that the spending limit forbids. */
   private async record(terms: LoanTerms): Promise<void> {
     const {clock} = this.options;
@@ -264,9 +277,10 @@
     const {loanTimeoutMilliseconds, peerAddress} = this.options;
     const requestNumber = ++this.requests;
     const {workspace, tokens, wished, isPartial} = terms;
+    const borrower = this.enterLife();
     const request: LoanRequest = {
       address: peerAddress,
-      borrower: this.participant.life,
+      borrower,
       workspace,
       tokens,
       wished,
@@ -286,6 +300,8 @@
       const workspaces = this.uncollected.get(lender);
       const failed = workspaces?.get(workspace)?.requestNumber ?? 0;
       if (failed < requestNumber) workspaces?.delete(workspace);
+      // A loan to an earlier incarnation ended with it.
+      if (borrower !== this.enterLife()) return 0;
       return this.acceptTotal(lender, workspace, loan);
     } catch (error) {
       this.avoid(lender);
--- a/packages/edge/src/usageReporter.ts
+++ b/packages/edge/src/usageReporter.ts
@@ -2,7 +2,11 @@
  * @fileoverview Reports the usage of tokens to the leader, and accepts the grants
  * in its replies.
  */
-import {type HeldGrants, type LeaseRequestTime} from '@dogwoodtrestle/fleet';
+import {
+  type EndedGrants,
+  type HeldGrants,
+  type LeaseRequestTime,
+} from '@dogwoodtrestle/fleet';
 import {
   type PeerCallClient,
   settledWithin,
@@ -12,14 +16,15 @@
   checkedMessage,
   type ClockReading,
   type LeaderHint,
-  type RouterLife,
   type UsageGrants,
   type UsageReply,
+  type UsageReport,
 } from '@dogwoodtrestle/schema';
 
 import {type EdgeOptions} from './edgeOptions.js';
 import {callLimitMilliseconds} from './pendingCalls.js';
 import {type ReplyCounter} from './replyCounter.js';
+import {type RouterIdentity, type RouterIncarnation} from './routerIdentity.js';
 
 /** Every n-th report names all workspaces, not only the changed ones. */
 const fullReportInterval = 5;
@@ -42,11 +47,10 @@
 /** Longest time for which demand is committed in advance. */
 const maxAheadMilliseconds = 2_500;
 
-/** This incarnation of the router. */
-export interface RouterIdentity {
-  /** Generated at each start, to keep totals of incarnations apart. */
-  routerId: string;
-  life: RouterLife;
+/** An incarnation that was recorded as ended while its requests were open. */
+interface EndedIncarnation {
+  incarnation: RouterIncarnation;
+  grants: EndedGrants;
 }
 
 /** Whoever follows the leader. */
@@ -75,6 +79,7 @@
   private lastLeaderTime?: {reading: ClockReading; at: number};
   /** When the report with that reading was sent. */
   private leaderTimeSentAt = -Infinity;
+  private ended: EndedIncarnation[] = [];
 
   constructor(
     private readonly options: EdgeOptions,
@@ -132,17 +137,71 @@
     return {clock, steady: steady + age, wall: wall + age};
   }
 
-  /** Ends the spending of this incarnation; a newer one has its tokens. */
-  private stopSpending(): void {
+  /**
+   * Ends the spending of an incarnation that was recorded as ended, and asks to go
+   * on as another one. The leader admits none while another process runs as this
+   * instance.
+   */
+  private replaceIncarnation(incarnation: RouterIncarnation): void {
     if (this.grants.isOver) return;
-    this.grants.supersede();
-    const {life, routerId: router} = this.identity;
+    const grants = this.grants.supersede();
+    if (!this.grants.isClosed) this.identity.renew();
+    this.ended.push({incarnation, grants});
+    const {routerId: router, life} = incarnation;
     this.options.logger.error(
-      {router, life},
-      'another process runs as this instance; spending ends',
+      {router, life, successor: this.identity.routerId},
+      'this incarnation was recorded as ended; spending stops until another is admitted',
+    );
+  }
+
+  private admitIncarnation(): void {
+    if (!this.grants.isOver) return;
+    this.grants.admit();
+    this.options.logger.info(
+      {router: this.identity.routerId},
+      'another incarnation is admitted; spending goes on',
+    );
+  }
+
+  /** Reports what requests of ended incarnations used. */
+  private async reportEnded(leader: string): Promise<void> {
+    const {clock, logger, reportTimeoutMilliseconds} = this.options;
+    for (const {incarnation, grants} of this.ended) {
+      if (!grants.hasUnreported()) continue;
+      const usages = grants.report();
+      const report = this.identify(incarnation, {usages, isStopping: true});
+      const call = this.calls.call(leader, 'usage', report, {
+        timeoutMilliseconds: callLimitMilliseconds,
+      });
+      await settledWithin(
+        clock,
+        call.catch((error: unknown) => {
+          const {routerId: router} = incarnation;
+          logger.warn({err: error, router}, 'last usage was not reported');
+        }),
+        reportTimeoutMilliseconds,
+      );
+    }
+    this.ended = this.ended.filter(
+      ({grants}) => grants.hasUnreported() || !grants.isSettled(),
     );
   }
 
+  /** Adds the fields of a report that name an incarnation. */
+  private identify(
+    {routerId, life, follows}: RouterIncarnation,
+    fields: Pick<UsageReport, 'usages' | 'isStopping'> & Partial<UsageReport>,
+  ): UsageReport {
+    return {
+      router: routerId,
+      address: this.options.peerAddress,
+      ...(this.options.proxy !== undefined && {isProxied: true}),
+      ...(follows !== undefined && {follows}),
+      life,
+      ...fields,
+    };
+  }
+
   private async reportAtIntervals(): Promise<void> {
     const {clock, reportIntervalMilliseconds} = this.options;
     while (!this.isStopped) {
@@ -163,6 +222,7 @@
     if (leader === undefined) return;
     const report = this.callWithReport(leader);
     await settledWithin(clock, report, reportTimeoutMilliseconds);
+    if (this.ended.length > 0) await this.reportEnded(leader);
   }
 
   private async callWithReport(leader: string): Promise<void> {
@@ -180,24 +240,20 @@
       sentAt,
       this.aheadMilliseconds,
     );
+    const incarnation = this.identity.current;
+    const message = this.identify(incarnation, {
+      isStopping: this.grants.isClosed,
+      reportedAt,
+      reportedWallAt,
+      leaderTime,
+      usages,
+    });
     const pending = addPending(this.pendingReports);
     try {
-      const call = this.calls.call<unknown>(
-        leader,
-        'usage',
-        {
-          router: this.identity.routerId,
-          address: this.options.peerAddress,
-          ...(this.options.proxy !== undefined && {isProxied: true}),
-          life: this.identity.life,
-          isStopping: this.grants.isClosed,
-          reportedAt,
-          reportedWallAt,
-          leaderTime,
-          usages,
-        },
-        {timeoutMilliseconds: callLimitMilliseconds, signal: pending.signal},
-      );
+      const call = this.calls.call<unknown>(leader, 'usage', message, {
+        timeoutMilliseconds: callLimitMilliseconds,
+        signal: pending.signal,
+      });
       const response = await this.replies.count(
         'usage',
         call,
@@ -207,6 +263,7 @@
         checkedMessage('UsageReply', response),
         leader,
         time,
+        incarnation,
       );
     } catch (error) {
       logger.debug({err: error, leader}, 'usage report failed');
@@ -220,6 +277,7 @@
     reply: UsageReply,
     leader: string,
     time: LeaseRequestTime,
+    incarnation: RouterIncarnation,
   ): void {
     const {clock} = this.options;
     const {sentAt} = time;
@@ -231,7 +289,13 @@
     const delay = clock.now() - sentAt;
     this.reportDelay += reportDelayWeight * (delay - this.reportDelay);
     this.host.onGrants(reply, leader, time);
-    if (reply.isOver === true) this.stopSpending();
+    // Late replies to an earlier incarnation grant nothing to this one.
+    if (incarnation !== this.identity.current) return;
+    if (reply.isOver === true) {
+      this.replaceIncarnation(incarnation);
+      return;
+    }
+    this.admitIncarnation();
     this.grants.confirm(reply.reportedAt);
     const {leaderTime} = reply;
     if (leaderTime !== undefined && sentAt >= this.leaderTimeSentAt) {
--- a/packages/edge/tests/support/controlGroup.ts
+++ b/packages/edge/tests/support/controlGroup.ts
@@ -24,6 +24,7 @@
 
 import {ControlPlaneClient} from '../../src/controlPlaneClient.js';
 import {defaultEdgeOptions, type EdgeOptions} from '../../src/edgeOptions.js';
+import {RouterIdentity} from '../../src/routerIdentity.js';
 import {ReplyCounter} from '../../src/replyCounter.js';
 import {createVirtualClock} from './virtualClock.js';
 
@@ -259,12 +260,10 @@
       clock,
       random: () => 0.5,
     };
-    const now = Math.floor(clock.now());
     return new ControlPlaneClient(
       options,
       this.createCalls(),
-      'r-1/1',
-      {instance: 'r-1', clock: 'boot-1', startedAt: now, wallStartedAt: now},
+      new RouterIdentity({clock, instance: 'r-1', steadyClock: 'boot-1'}),
       new HeldGrants(),
       {onServers: () => this.serverUpdates++, topics: []},
       new ReplyCounter(options),
--- a/packages/edge/tests/support/delayedFleet.ts
+++ b/packages/edge/tests/support/delayedFleet.ts
@@ -30,6 +30,7 @@
 import {ControlPlaneClient} from '../../src/controlPlaneClient.js';
 import {defaultEdgeOptions, type EdgeOptions} from '../../src/edgeOptions.js';
 import {Loans} from '../../src/loans.js';
+import {RouterIdentity} from '../../src/routerIdentity.js';
 import {ReplyCounter} from '../../src/replyCounter.js';
 import {reserveTokens} from '../../src/tokenReservation.js';
 import {createVirtualClock} from './virtualClock.js';
@@ -282,25 +283,23 @@
     };
     const calls = this.callsOf(address);
     const id = `${address}/1`;
-    const now = Math.floor(clock.now());
-    const life = {
+    const identity = new RouterIdentity({
+      clock,
       instance: address,
-      clock: 'boot-1',
-      startedAt: now,
-      wallStartedAt: now,
-    };
+      steadyClock: 'boot-1',
+      generateId: () => id,
+    });
     const replies = new ReplyCounter(options);
     const control = new ControlPlaneClient(
       options,
       calls,
-      id,
-      life,
+      identity,
       grants,
       {onServers: () => undefined, topics: []},
       replies,
     );
     const participant = {
-      life: id,
+      life: () => id,
       grants,
       routers: () => control.routers,
       isConnected: () => control.isConnected,
--- a/packages/edge/tests/support/memoryFleet.ts
+++ b/packages/edge/tests/support/memoryFleet.ts
@@ -232,7 +232,7 @@
     };
     const id = `${address}/${this.lives++}`;
     const participant = {
-      life: id,
+      life: () => id,
       grants,
       routers: () => this.addresses,
       isConnected: () => this.isLeaderReachable,
--- a/packages/fleet/src/heldGrants.ts
+++ b/packages/fleet/src/heldGrants.ts
@@ -92,12 +92,24 @@
   isPartial: boolean;
 }
 
+/** What an incarnation that has ended spent, while its requests still end. */
+export interface EndedGrants {
+  /** Whether there are changes since the last report. */
+  hasUnreported(): boolean;
+  /** Whether all its requests have ended. */
+  isSettled(): boolean;
+  /** Creates a report without a commitment, of all workspaces. */
+  report(): WorkspaceUsage[];
+}
+
 /**
- * All grants of one router incarnation. Times are by its monotonic clock, in
- * milliseconds.
+ * The grants of a router's incarnation, and of the one that follows it in the same
+ * process. Times are by the monotonic clock, in milliseconds.
  */
 export class HeldGrants {
-  private readonly grants = new Map<string, Grant>();
+  private grants = new Map<string, Grant>();
+  /** Grants of open requests, which may be those of an earlier incarnation. */
+  private readonly reserved = new WeakMap<Reservation, Grant>();
   private readonly runningTime = new RunningTime();
   private isClosing = false;
   private isSuperseded = false;
@@ -115,13 +127,30 @@
     return this.isClosing;
   }
 
-  /** Stops all spending, as another incarnation of the instance has started. */
-  supersede(): void {
+  /**
+   * Stops all spending, as this incarnation was recorded as ended. Another one
+   * follows, with the same demand and without tokens; it spends none until
+   * `admit`.
+   *
+   * @returns What the ended incarnation holds for its open requests.
+   */
+  supersede(): EndedGrants {
     this.isSuperseded = true;
-    this.grants.clear();
+    this.unconfirmedAt = undefined;
+    const ended = this.grants;
+    this.grants = new Map();
+    for (const [workspace, {wanted, slowRate, fastRate}] of ended) {
+      Object.assign(this.grantOf(workspace), {wanted, slowRate, fastRate});
+    }
+    return endedGrants(ended);
   }
 
-  /** Whether another incarnation of the instance has started. */
+  /** Lets the incarnation that follows a superseded one spend its tokens. */
+  admit(): void {
+    this.isSuperseded = false;
+  }
+
+  /** Whether the incarnation was superseded, and none that follows is admitted. */
   get isOver(): boolean {
     return this.isSuperseded;
   }
@@ -158,7 +187,9 @@
     grant.isChanged = true;
     if (this.spendableOf(grant, now) < tokens) return undefined;
     grant.reserved += tokens;
-    return {workspace, tokens, isSettled: false};
+    const reservation = {workspace, tokens, isSettled: false};
+    this.reserved.set(reservation, grant);
+    return reservation;
   }
 
   /** Unspent tokens of a workspace that are not reserved. */
@@ -234,7 +265,8 @@
   settle(reservation: Reservation, used: number): void {
     if (reservation.isSettled) return;
     reservation.isSettled = true;
-    const grant = this.grantOf(reservation.workspace);
+    const {workspace} = reservation;
+    const grant = this.reserved.get(reservation) ?? this.grantOf(workspace);
     grant.reserved -= reservation.tokens;
     grant.used += Math.min(Math.ceil(used), reservation.tokens);
     grant.isChanged = true;
@@ -391,6 +423,23 @@
   }
 }
 
+function endedGrants(grants: ReadonlyMap<string, Grant>): EndedGrants {
+  const all = [...grants.values()];
+  for (const grant of all) grant.isChanged = true;
+  return {
+    hasUnreported: () => all.some(({isChanged}) => isChanged),
+    isSettled: () => all.every(({reserved}) => reserved === 0),
+    report: () =>
+      [...grants].map(([workspace, grant]) => {
+        grant.isChanged = false;
+        const {used, lent, borrowed, returned, reserved} = grant;
+        const totals = {used, lent, borrowed, returned};
+        const open = {reserved, wanted: 0, cover: 0};
+        return {workspace, ...totals, ...open, rate: 0, recentRate: 0};
+      }),
+  };
+}
+
 /** Unspent tokens that are not reserved. */
 function available(grant: Grant): number {
   const {granted, borrowed, used, lent, returned, reserved} = grant;
--- a/packages/fleet/src/routerEnd.ts
+++ b/packages/fleet/src/routerEnd.ts
@@ -6,14 +6,24 @@
  * spending, although the process was down for most of it. A proof that it had
  * ended by an earlier time returns more of its tokens, and returns them even if
  * no successor ever starts.
+ *
+ * An incarnation whose process runs after all goes on as another one, and what it
+ * spent beyond the tokens that it kept is recorded as spent by then.
  */
-import {type ClockReading, type RecordUsage} from '@dogwoodtrestle/schema';
+import {
+  type ClockReading,
+  type RecordUsage,
+  type RouterLife,
+} from '@dogwoodtrestle/schema';
 
-import {type PrepaidState} from './prepaidAccounts.js';
+import {type Overspend, type PrepaidState} from './prepaidAccounts.js';
 
 /** Suffix of the incarnation that is recorded in place of a successor. */
 const endSuffix = '/ended';
 
+/** Suffix of the incarnation that has what an ended one overspent. */
+const excessSuffix = '/excess';
+
 /**
  * Returns the command that ends a router incarnation; undefined if it is not
  * known or has ended, or if the two times can't be compared.
@@ -49,6 +59,55 @@
   };
 }
 
+/**
+ * Whether another process runs as an instance, as far as is recorded: a process
+ * whose incarnation was recorded as ended must not go on as another one then.
+ *
+ * @param ended The incarnation that was recorded as ended.
+ */
+export function hasOtherProcess(
+  {routers}: Readonly<PrepaidState>,
+  instance: string,
+  ended: string,
+): boolean {
+  return Object.entries(routers).some(
+    ([router, {life, isOver}]) =>
+      life.instance === instance &&
+      router !== ended &&
+      !isOver &&
+      !isEndRecord(router),
+  );
+}
+
+/**
+ * Returns the command that counts what an ended incarnation overspent as granted
+ * and used, as far as the total has it, so that it isn't granted to others as well.
+ *
+ * The command is a report of an incarnation of an instance that no process runs
+ * as, so that control processes of earlier versions apply it as well.
+ */
+export function recordExcess(
+  router: string,
+  life: RouterLife,
+  breaches: readonly Overspend[],
+): RecordUsage {
+  return {
+    kind: 'recordUsage',
+    router: `${router}${excessSuffix}`,
+    life: {...life, instance: `${life.instance}${excessSuffix}`},
+    entries: breaches.map(({workspace, excess}) => ({
+      workspace,
+      used: excess,
+      lent: 0,
+      borrowed: 0,
+      returned: 0,
+      committed: excess,
+      cover: 0,
+      grantUpTo: excess,
+    })),
+  };
+}
+
 /** Whether an incarnation was recorded by `endOfRouter`. */
 export function isEndRecord(router: string): boolean {
   return router.endsWith(endSuffix);
--- a/packages/runtime/src/presenceConnection.ts
+++ b/packages/runtime/src/presenceConnection.ts
@@ -36,17 +36,24 @@
 /** Keeps a connection to one address at a time. */
 export class PresenceConnection {
   private address?: string;
+  /** Message of the connection, as JSON. */
+  private body?: string;
   private call?: ClientRequest;
   private cancelReopening?: () => void;
 
   constructor(private readonly options: PresenceConnectionOptions) {}
 
-  /** Keeps a connection to `host:port`, in place of the one to another address. */
+  /**
+   * Keeps a connection to `host:port`, in place of the one to another address, or
+   * with another message.
+   */
   follow(address: string): void {
-    if (address === this.address) return;
+    const body = JSON.stringify(this.options.message());
+    if (address === this.address && body === this.body) return;
     this.takeCall()?.socket?.resetAndDestroy();
     this.address = address;
-    this.open(address);
+    this.body = body;
+    this.open(address, body);
   }
 
   /** Closes the connection in an orderly way, as the end of the process does. */
@@ -55,9 +62,8 @@
     this.takeCall()?.destroy();
   }
 
-  private open(address: string): void {
-    const {logger, method, message, localAddress} = this.options;
-    const body = JSON.stringify(message());
+  private open(address: string, body: string): void {
+    const {logger, method, localAddress} = this.options;
     const call = request({
       method: 'POST',
       path: `/${method}`,
@@ -87,7 +93,7 @@
       this.call = undefined;
       this.cancelReopening = this.options.clock.setTimer(
         hasReply ? reopenAfterReplyMilliseconds : reopenAfterMilliseconds,
-        () => this.open(address),
+        () => this.open(address, body),
       );
     });
     call.end(body);
