fix(fleet): let no name from outside, and no failing command, end the replicas

What callers saw: nobody is served by new routers, no configuration is read or put.

Cause: accounts by workspace are in a plain object, whose lookup of `constructor` finds the inherited function. RecordUsage throws in FleetState.apply, after the entry was committed, which stops the replica.

A route of the kind `constructor` was acknowledged.

An unknown kind still stops the replica: a later version wrote it.

--- a/packages/consensus/src/proposalQueue.ts
+++ b/packages/consensus/src/proposalQueue.ts
@@ -54,14 +54,20 @@
     };
   }
 
-  /** Resolves the proposals of an applied entry with their results. */
+  /**
+   * Resolves the proposals of an applied entry with their results, or rejects
+   * those of which a command failed.
+   */
   resolve(entry: Entry, results: unknown[]): void {
     const proposals = this.appendedProposals.get(entry.index) ?? [];
     this.appendedProposals.delete(entry.index);
     let offset = 0;
     for (const {commands, outcome} of proposals) {
-      outcome.resolve(results.slice(offset, offset + commands.length));
+      const own = results.slice(offset, offset + commands.length);
       offset += commands.length;
+      const failure = own.find(result => result instanceof Error);
+      if (failure === undefined) outcome.resolve(own);
+      else outcome.reject(failure);
     }
   }
 
--- a/packages/consensus/src/stateMachine.ts
+++ b/packages/consensus/src/stateMachine.ts
@@ -8,8 +8,9 @@
  */
 export interface StateMachine {
   /**
-   * Applies an entry of kind `commands` and returns one result per command.
-   * An error stops the replica.
+   * Applies an entry of kind `commands` and returns one result per command. A
+   * result that is an error rejects the command's proposal. An error that is
+   * thrown stops the replica, and every replica that applies the entry.
    */
   apply(entry: Entry): unknown[];
   /** Returns the complete state as a JSON value. */
--- a/packages/control/src/controlNode.ts
+++ b/packages/control/src/controlNode.ts
@@ -94,6 +94,10 @@
       parts.watch?.notifyWatchers(isDeparture(record) ? 'urgent' : 'normal');
       parts.recorder?.recordSoon();
     });
+    const failedCommands = metrics.counter(
+      'dogwoodtrestle_failed_commands_total',
+      'Committed commands that could not be applied, or whose changes not all parts of the process could take.',
+    );
     let activeConfiguration: FleetConfiguration | undefined;
     const state = new FleetState({
       onConfiguration: configuration => {
@@ -120,6 +124,10 @@
         );
         parts.watch?.notifyWatchers();
       },
+      onFailure: ({error, ...command}) => {
+        failedCommands.add({isApplied: String(command.isApplied)});
+        logger.error({err: error, ...command}, 'committed command failed');
+      },
     });
     const group = await ReplicaGroup.open(options, client, storage, state);
     const crashes = new CrashTopic(
--- a/packages/fleet/src/fleetState.ts
+++ b/packages/fleet/src/fleetState.ts
@@ -61,6 +61,17 @@
   onServers(records: readonly BackendServerRecord[]): void;
   /** Called when a part of prompts is blocked, or unblocked. */
   onBlockedPart?(part: string, blocked: BlockedPart | undefined): void;
+  /** Called when a command could not be applied, or a callback has failed. */
+  onFailure?(failure: FleetStateFailure): void;
+}
+
+/** What failed, and the command and the index of its entry in the log. */
+export interface FleetStateFailure {
+  kind?: FleetCommand['kind'];
+  index?: number;
+  /** Whether the state has the command's changes, and only a callback failed. */
+  isApplied: boolean;
+  error: Error;
 }
 
 /** Most servers kept; the least recently recorded ones are removed. */
@@ -88,18 +99,20 @@
     noteServers: ({records}) => this.recordServers(records),
     blockPart: (command, now) => {
       const blocked = this.blockedPartList.block(command, now);
-      this.listener?.onBlockedPart?.(command.part, blocked);
+      this.notify(to => to.onBlockedPart?.(command.part, blocked));
       return blocked;
     },
     unblockPart: ({part}) => {
       const wasBlocked = this.blockedPartList.unblock(part);
-      if (wasBlocked) this.listener?.onBlockedPart?.(part, undefined);
+      if (wasBlocked) this.notify(to => to.onBlockedPart?.(part, undefined));
       return wasBlocked;
     },
   };
 
   private readonly blockedPartList = new BlockedPartList();
   private servers = new Map<string, BackendServerRecord>();
+  /** The command that is being applied. */
+  private applying?: Pick<FleetStateFailure, 'kind' | 'index'>;
 
   constructor(private readonly listener?: FleetListener) {}
 
@@ -135,15 +148,31 @@
     return known.prepaidTokens ?? Infinity;
   }
 
-  /** Applies a log entry, and returns the result of each command. */
-  apply(entry: Entry): unknown[] {
-    return (entry.commands ?? []).map(command => {
+  /**
+   * Applies a log entry, and returns the result of each command, or the error of a
+   * command that failed. A committed command can't be taken out of the log, so one
+   * that fails must not keep the replicas from applying what follows.
+   *
+   * @throws If a command is of an unknown kind, as a later version wrote it.
+   */
+  apply({index, timestamp, commands = []}: Entry): unknown[] {
+    return commands.map(command => {
       const {kind} = command as FleetCommand;
+      if (!Object.hasOwn(this.handlers, kind)) {
+        throw new TypeError(`unknown command ${String(kind)} at ${index}`);
+      }
       const handler = this.handlers[kind] as (
         command: unknown,
         now: number,
       ) => unknown;
-      return handler(command, entry.timestamp);
+      this.applying = {kind, index};
+      try {
+        return handler(command, timestamp);
+      } catch (cause) {
+        return this.reportFailure(cause, false);
+      } finally {
+        this.applying = undefined;
+      }
     });
   }
 
@@ -172,9 +201,25 @@
     this.blockedPartList.restore(blockedParts ?? {revision: 0, parts: []});
     this.servers = new Map(servers.map(record => [record.id, record]));
     if (held !== undefined) {
-      this.listener?.onConfiguration(held.configuration);
+      this.notify(to => to.onConfiguration(held.configuration));
     }
-    this.listener?.onServers(servers);
+    this.notify(to => to.onServers(servers));
+  }
+
+  /** Calls the listener; its errors don't affect the state. */
+  private notify(call: (listener: FleetListener) => void): void {
+    if (this.listener === undefined) return;
+    try {
+      call(this.listener);
+    } catch (cause) {
+      this.reportFailure(cause, true);
+    }
+  }
+
+  private reportFailure(cause: unknown, isApplied: boolean): Error {
+    const error = cause instanceof Error ? cause : new Error(String(cause));
+    this.listener?.onFailure?.({...this.applying, isApplied, error});
+    return error;
   }
 
   private putConfiguration({
@@ -186,7 +231,7 @@
       return {kind: 'notNewer', version: activeVersion};
     }
     this.active = {configuration, source};
-    this.listener?.onConfiguration(configuration);
+    this.notify(to => to.onConfiguration(configuration));
     return {kind: 'accepted', version: configuration.version};
   }
 
@@ -202,7 +247,7 @@
     const present = ids.filter(id => !this.hasLeft(id));
     this.removeOldest(departed, maxDepartedServers);
     this.removeOldest(present, maxServers);
-    this.listener?.onServers(records);
+    this.notify(to => to.onServers(records));
     return null;
   }
 
--- a/packages/fleet/src/prepaidAccounts.ts
+++ b/packages/fleet/src/prepaidAccounts.ts
@@ -16,6 +16,7 @@
   type UsageEntry,
 } from '@dogwoodtrestle/schema';
 
+import {createNameTable} from './nameTable.js';
 import {spendingLimit} from './spendingLimit.js';
 import {
   type CommitmentTime,
@@ -129,7 +130,20 @@
 
 /** Returns the state before any router has reported. */
 export function emptyPrepaidState(): PrepaidState {
-  return {accounts: {}, routers: {}};
+  return {accounts: createNameTable(), routers: createNameTable()};
+}
+
+/** Returns a state that was read as JSON. */
+export function restoredPrepaidState({
+  accounts,
+  routers,
+}: PrepaidState): PrepaidState {
+  const restored = createNameTable<PrepaidAccount>();
+  for (const [workspace, account] of Object.entries(accounts)) {
+    const routersOfAccount = createNameTable(account.routers);
+    restored[workspace] = {...account, routers: routersOfAccount};
+  }
+  return {accounts: restored, routers: createNameTable(routers)};
 }
 
 function emptyAccount(): PrepaidAccount {
@@ -139,7 +153,7 @@
     lent: 0,
     borrowed: 0,
     forfeited: 0,
-    routers: {},
+    routers: createNameTable(),
   };
 }
 
@@ -319,8 +333,8 @@
     router,
     instance: life.instance,
     ...unreported,
-    returned: {},
-    forfeited: {},
+    returned: createNameTable(),
+    forfeited: createNameTable(),
   };
   for (const [workspace, account] of Object.entries(state.accounts)) {
     const totals = account.routers[router];
--- a/packages/fleet/src/stateVersions.ts
+++ b/packages/fleet/src/stateVersions.ts
@@ -10,8 +10,10 @@
 import {type RecordUsage, type UsageEntry} from '@dogwoodtrestle/schema';
 import ModernError from 'modern-errors';
 
+import {createNameTable} from './nameTable.js';
 import {
   heldOf,
+  restoredPrepaidState,
   type PrepaidAccount,
   type PrepaidState,
   type RouterIncarnation,
@@ -66,16 +68,21 @@
   version: number | undefined,
 ): PrepaidState {
   if (version !== undefined) {
-    if (samePrepaidVersions.includes(version)) return state as PrepaidState;
+    if (samePrepaidVersions.includes(version)) {
+      return restoredPrepaidState(state as PrepaidState);
+    }
     const unknown: Error = new UnknownStateVersion(
       `the replicated state has version ${version}; this program reads up to ${stateVersion}`,
     );
     throw unknown;
   }
   const {accounts, routers} = state as Version1State;
-  const upgraded: PrepaidState = {accounts: {}, routers};
+  const upgraded: PrepaidState = {
+    accounts: createNameTable(),
+    routers: createNameTable(routers),
+  };
   for (const [workspace, account] of Object.entries(accounts)) {
-    upgraded.accounts[workspace] = upgradeAccount(account, routers);
+    upgraded.accounts[workspace] = upgradeAccount(account, upgraded.routers);
   }
   return upgraded;
 }
@@ -105,7 +112,7 @@
   incarnations: Record<string, RouterIncarnation>,
 ): PrepaidAccount {
   const sums = {committed, used: 0, lent: 0, borrowed: 0, forfeited: 0};
-  const account: PrepaidAccount = {...sums, routers: {}};
+  const account: PrepaidAccount = {...sums, routers: createNameTable()};
   let unspent = 0;
   for (const [router, version1] of Object.entries(version1Routers)) {
     const totals = upgradeTotals(version1);
--- a/packages/routing/src/util/gossipTable.ts
+++ b/packages/routing/src/util/gossipTable.ts
@@ -110,11 +110,11 @@
 
   /** Returns the versions held, to ask a peer for newer records. */
   digest(slice?: DigestSlice): Digest {
-    const versions: VersionVector = {};
-    for (const {record} of this.byName.values()) {
-      if (!isInSlice(record.name, slice)) continue;
-      versions[record.name] = versionOf(record);
-    }
+    const held = [...this.byName.values()]
+      .filter(({record}) => isInSlice(record.name, slice))
+      .map(({record}) => [record.name, versionOf(record)] as const);
+    // Defines own properties, whatever the names are.
+    const versions: VersionVector = Object.fromEntries(held);
     return slice ? {versions, slice} : {versions};
   }
 
