--- a/packages/edge/src/attempt.ts
+++ b/packages/edge/src/attempt.ts
@@ -24,9 +24,9 @@
   | {kind: 'notExecuted'; status: number}
   /**
    * The server may have executed the request. Its connection `isClosed` if the
-   * server closed it, or if it was reset; the network may have done the latter.
+   * server closed it, or reset it.
    */
-  | {kind: 'unknown'; reason: string; isClosed?: boolean; isReset?: boolean};
+  | {kind: 'unknown'; reason: string; isClosed?: boolean};
 
 /** Receives the response; `onFailed` or `onEnd` is called last, and once. */
 export interface AttemptListener {
@@ -259,7 +259,7 @@
     }
     if (this.head === undefined || this.connection.wasReset) {
       const reason = 'connection was reset';
-      this.failAndClose(this.closedConnection(reason));
+      this.failAndClose({kind: 'unknown', reason, isClosed: true});
       return;
     }
     this.isOver = true;
@@ -287,20 +287,12 @@
     const reason = error.message;
     if (!this.isSent) this.input.onSignal({kind: 'unreachable'});
     this.failAndClose(
-      this.isSent ? this.closedConnection(reason) : {kind: 'notSent', reason},
+      this.isSent
+        ? {kind: 'unknown', reason, isClosed: true}
+        : {kind: 'notSent', reason},
     );
   }
 
-  private closedConnection(reason: string): AttemptFailure {
-    const {wasReset} = this.connection;
-    return {
-      kind: 'unknown',
-      reason,
-      isClosed: true,
-      ...(wasReset && {isReset: true}),
-    };
-  }
-
   private failAndClose(failure: AttemptFailure): void {
     this.isOver = true;
     this.cancelRefusalTimer?.();
--- a/packages/edge/src/attemptProgress.ts
+++ b/packages/edge/src/attemptProgress.ts
@@ -1,7 +1,7 @@
 /**
  * @fileoverview Progress of a request at one backend server.
  */
-import {type Attempt, type AttemptFailure} from './attempt.js';
+import {type Attempt} from './attempt.js';
 import {type EventScanner} from './eventScanner.js';
 import {type OpenRequest} from './serverCrashes.js';
 import {type ServerObservers} from './serverObservers.js';
@@ -49,11 +49,10 @@
 }
 
 /**
- * How an attempt ended: the server `broke` off, or the connection was `reset`, or
- * the server gave a `whole` answer, or a whole response of another status,
- * `failed`.
+ * How an attempt ended: the server `broke` off, or gave a `whole` answer, or a
+ * whole response of another status, `failed`.
  */
-export type AttemptEnd = 'broke' | 'reset' | 'whole' | 'failed' | 'other';
+export type AttemptEnd = 'broke' | 'whole' | 'failed' | 'other';
 
 /**
  * Classifies an attempt whose response has ended. Without a length, the end of
@@ -71,12 +70,3 @@
   if (isUnframed || isInsideEvent) return 'other';
   return status < 300 ? 'whole' : 'failed';
 }
-
-/** Classifies an attempt that may have run and failed. */
-export function failedAttemptEnd(
-  failure: Extract<AttemptFailure, {kind: 'unknown'}>,
-): AttemptEnd {
-  const {isClosed = false, isReset = false} = failure;
-  if (!isClosed) return 'other';
-  return isReset ? 'reset' : 'broke';
-}
--- a/packages/edge/src/requestGuard.ts
+++ b/packages/edge/src/requestGuard.ts
@@ -9,20 +9,11 @@
 import {type EdgeContext} from './edgeContext.js';
 import {subjectOf} from './requestIdentity.js';
 import {type RoutedRequest} from './routedRequest.js';
-import {type RequestEnd} from './serverCrashes.js';
 import {sharedParts} from './serverSelection.js';
 
 /** Servers that may crash at a request before it is no longer sent on. */
 const maxCrashes = 1;
 
-const requestEnds: Readonly<Record<AttemptEnd, RequestEnd>> = {
-  broke: 'closed',
-  reset: 'reset',
-  whole: 'other',
-  failed: 'other',
-  other: 'other',
-};
-
 /** Guards the attempts of one request. */
 export class RequestGuard {
   private readonly guarded: GuardedRequest;
@@ -80,12 +71,12 @@
     const {open, server} = progress;
     if (open === undefined) return;
     progress.open = undefined;
-    const requestEnd = requestEnds[end];
-    if (requestEnd !== 'other' && open.events === 0) this.crashes++;
+    const isBroken = end === 'broke';
+    if (isBroken && open.events === 0) this.crashes++;
     const {crashes, crashSubjects} = this.context;
     if (end === 'whole') crashSubjects.recordAnswer(open.subjects);
     // A failure may come before a server begins to work on the prompt's parts.
     if (end === 'failed') crashSubjects.recordAnswer([this.own]);
-    crashes.end(server.record, open, requestEnd);
+    crashes.end(server.record, open, isBroken ? 'broken' : 'other');
   }
 }
--- a/packages/edge/src/requestHandler.ts
+++ b/packages/edge/src/requestHandler.ts
@@ -10,7 +10,6 @@
 import {
   type AttemptProgress,
   classifyAttemptEnd,
-  failedAttemptEnd,
   createProgress,
 } from './attemptProgress.js';
 import {type CallerExchange} from './callerExchange.js';
@@ -335,7 +334,7 @@
           progress.server.lastByteAt,
           progress.startedAt,
         );
-        this.guard.end(progress, failedAttemptEnd(failure));
+        this.guard.end(progress, failure.isClosed === true ? 'broke' : 'other');
         this.detach(progress, 'failure');
         this.handleUnknown(failure.reason);
     }
--- a/packages/edge/src/serverCrashes.ts
+++ b/packages/edge/src/serverCrashes.ts
@@ -3,10 +3,8 @@
  * whose connections a server closed before their answers had gone far.
  *
  * Broken connections alone don't tell a crash from a reset. So a connection is
- * opened shortly after: a server that closed connections and refuses it has
- * crashed, as has one whose successor is announced at its address. A firewall
- * between them resets open connections and refuses others in place of a server
- * that runs, so resets count only with a successor.
+ * opened shortly after: a server that refuses it has crashed, as has one whose
+ * successor is announced at its address.
  */
 import {
   type Clock,
@@ -59,11 +57,8 @@
   events: number;
 }
 
-/**
- * How a request ended at a server: `closed` if the server closed the connection,
- * `reset` if the connection was reset, by the server or on the way.
- */
-export type RequestEnd = 'closed' | 'reset' | 'other';
+/** How a request ended at a server: `broken` if it closed the connection. */
+export type RequestEnd = 'broken' | 'other';
 
 /** Requests at one incarnation of a server. */
 interface ServerRequests {
@@ -71,8 +66,6 @@
   open: Set<OpenRequest>;
   broken: OpenRequest[];
   brokenAt?: number;
-  /** Whether the server closed one of their connections. */
-  hasClosed: boolean;
 }
 
 interface Crash {
@@ -115,7 +108,7 @@
     const key = keyOf(record);
     let server = this.servers.get(key);
     if (server === undefined) {
-      server = {record, open: new Set(), broken: [], hasClosed: false};
+      server = {record, open: new Set(), broken: []};
       this.servers.set(key, server);
     }
     server.open.add(request);
@@ -131,7 +124,7 @@
     const server = this.servers.get(key);
     if (server === undefined) return;
     server.open.delete(request);
-    if (end !== 'other') this.recordBroken(server, request, end);
+    if (end === 'broken') this.recordBroken(server, request);
     if (server.open.size === 0 && server.brokenAt === undefined) {
       this.servers.delete(key);
     }
@@ -172,16 +165,11 @@
     // The leader's conclusions concern subjects; see `crashSubjects`.
   }
 
-  private recordBroken(
-    server: ServerRequests,
-    request: OpenRequest,
-    end: RequestEnd,
-  ): void {
+  private recordBroken(server: ServerRequests, request: OpenRequest): void {
     const {clock} = this.options;
     // A server that leaves closes its connections without a crash.
     if (server.record.state === 'left') return;
     server.broken.push(request);
-    server.hasClosed ||= end === 'closed';
     if (server.brokenAt !== undefined) return;
     server.brokenAt = clock.now();
     clock.setTimer(checkAfterMilliseconds, () => {
@@ -191,16 +179,8 @@
   }
 
   private async check(server: ServerRequests): Promise<void> {
-    const {id, service, address} = server.record;
-    if (!(await this.isRefused(address))) return;
-    if (server.hasClosed) {
-      this.recordCrash(server);
-      return;
-    }
-    this.options.logger.info(
-      {server: id, service, requests: server.broken.length},
-      'connections to a backend server are reset and refused',
-    );
+    const {address} = server.record;
+    if (await this.isRefused(address)) this.recordCrash(server);
   }
 
   private recordCrash(server: ServerRequests): void {
@@ -226,7 +206,6 @@
   private forgetBroken(server: ServerRequests): void {
     server.broken = [];
     server.brokenAt = undefined;
-    server.hasClosed = false;
     if (server.open.size === 0) this.servers.delete(keyOf(server.record));
   }
 }
@@ -258,5 +237,5 @@
 /** Whether an address refuses a connection, as it does if no process listens. */
 async function isConnectionRefused(address: string): Promise<boolean> {
   const code = await connectionErrorCode(address, checkTimeoutMilliseconds);
-  return code === 'ECONNREFUSED';
+  return code === 'ECONNREFUSED' || code === 'ECONNRESET';
 }
