fix(fleet): block parts of prompts together while nothing tells them apart

Cause: a part was excused only by a whole answer of the last 30 s. After a quiet time all prompts had both parts at all crashes, and each was blocked alone; a blocked part gets no answer that could clear it.

Fix: parts that were in all of each other's prompts are blocked together, so that only prompts with all of them are refused. The prompts that are sent tell them apart: a whole answer clears a part, a crash without the others blocks it alone.

"is blamed with another one at the same crashes" demanded that both be blocked alone, which is the fault; in its place stand one for parts of different prompts, which are, and six for parts that only come together.

--- a/packages/bench/src/crashes/crashModel.ts
+++ b/packages/bench/src/crashes/crashModel.ts
@@ -7,7 +7,11 @@
  * routers. Routers retry once,
  * unless a subject is suspected, and callers once more.
  */
-import {CrashingSubjects, requestSubject} from '@dogwoodtrestle/fleet';
+import {
+  CrashingSubjects,
+  isRefusedBy,
+  requestSubject,
+} from '@dogwoodtrestle/fleet';
 
 import {exponential, seededRandom} from '../util/random.js';
 
@@ -118,7 +122,8 @@
   private readonly requestCrashTimes: number[][];
   private readonly lateRequests: number[];
   private readonly nextRepeats: number[];
-  private readonly blocked = new Map<string, number>();
+  /** Companions of blocked subjects. */
+  private readonly blocked = new Map<string, string[]>();
   private readonly plannedCrashes: Array<{at: number; servers: number[]}> = [];
   /** Requests whose prompt has a crashing part. */
   private readonly carriers = new Set<string>();
@@ -261,7 +266,7 @@
   }
 
   private send(prompt: Prompt): void {
-    if (subjectsOf(prompt).some(one => this.blocked.has(one))) return;
+    if (this.isRefused(subjectsOf(prompt))) return;
     const up = this.downUntil
       .map((until, server) => ({until, server}))
       .filter(({until}) => until <= this.now);
@@ -367,7 +372,9 @@
     );
     const ageMilliseconds = this.now - crashedAt;
     const report = {server: `s-${server}`, startedAt, ageMilliseconds, parts};
-    const isExplained = parts.some(({id}) => this.blocked.has(id));
+    const isExplained = prompts.some(prompt =>
+      this.isRefused(subjectsOf(prompt)),
+    );
     if (isExplained) this.search.explain(report, this.now);
     else if (this.search.record(report, this.now).length > 0) this.notify();
   }
@@ -386,20 +393,52 @@
       if (at > this.now) return;
       this.nextCalls[router] = this.now + callMilliseconds;
       const answered = this.answered[router];
-      for (const subject of this.search.suspects()) {
+      const blocked = [...this.blocked].flat(2);
+      for (const subject of [...this.search.suspects(), ...blocked]) {
         const answeredAt = answered?.get(subject) ?? -Infinity;
         if (this.now - answeredAt > 30_000) continue;
         this.search.recordAnswer(subject, this.now);
+        this.clear(subject);
       }
     });
     for (const {at, send} of this.reports) if (at <= this.now) send();
     const rest = this.reports.filter(({at}) => at > this.now);
     this.reports.splice(0, this.reports.length, ...rest);
-    for (const {subject} of this.search.decided(this.now)) {
-      this.search.forget(subject, this.now);
-      if (!this.blocked.has(subject)) this.blocked.set(subject, this.now);
+    for (const {subject, companions} of this.search.decided(this.now)) {
+      this.block(subject, companions);
     }
   }
+
+  private block(subject: string, companions: string[]): void {
+    const known = this.blocked.get(subject);
+    const common = (known ?? companions).filter(one =>
+      companions.includes(one),
+    );
+    if (known !== undefined && common.length === known.length) return;
+    this.blocked.set(subject, common);
+    if (common.length === 0) this.search.forget(subject, this.now);
+    else this.search.recordJointBlock([subject, ...common], this.now);
+  }
+
+  /** Clears a subject that was answered whole; its companions stay blocked. */
+  private clear(subject: string): void {
+    for (const [part, companions] of [...this.blocked]) {
+      const rest = companions.filter(one => one !== subject);
+      if (part !== subject) {
+        this.blocked.set(part, rest);
+        continue;
+      }
+      this.blocked.delete(part);
+      const next = rest.pop();
+      if (next !== undefined) this.blocked.set(next, rest);
+    }
+  }
+
+  private isRefused(subjects: readonly string[]): boolean {
+    return [...this.blocked].some(([part, companions]) =>
+      isRefusedBy({part, companions}, subjects),
+    );
+  }
 }
 
 function crashingPart(index: number): string {
--- a/packages/control/src/crashTopic.ts
+++ b/packages/control/src/crashTopic.ts
@@ -13,6 +13,7 @@
   type CrashSubjectKind,
   defaultCrashingSubjectsOptions,
   type FleetState,
+  isRefusedBy,
   subjectKind,
 } from '@dogwoodtrestle/fleet';
 import {
@@ -22,6 +23,7 @@
   type MetricsRegistry,
 } from '@dogwoodtrestle/runtime';
 import {
+  type BlockedPart,
   type BlockPart,
   type CrashReport,
   type UnblockPart,
@@ -113,11 +115,17 @@
     let isExplained = false;
     for (const {id, workspaces} of crash.parts) {
       const blocked = this.state.blockedParts.find(id);
-      if (blocked === undefined) continue;
+      if (blocked === undefined || !isExplainedBy(crash, blocked)) continue;
       isExplained = true;
       const isOther = workspaces.some(name => name !== blocked.workspace);
       if (blocked.workspace !== undefined && isOther) {
-        void this.propose({kind: 'blockPart', part: id, crashes: 1});
+        const {companions} = blocked;
+        void this.propose({
+          kind: 'blockPart',
+          part: id,
+          crashes: 1,
+          companions,
+        });
       }
     }
     if (isExplained) {
@@ -130,9 +138,34 @@
   private recordAnswer(subject: string, now: number): void {
     this.subjects.recordAnswer(subject, now);
     this.count('answered', subject);
-    if (this.state.blockedParts.find(subject) === undefined) return;
-    this.options.logger.info({subject}, 'blocked subject was answered whole');
-    void this.propose({kind: 'unblockPart', part: subject});
+    for (const blocked of this.state.blockedParts.state.parts) {
+      const {part, companions = []} = blocked;
+      if (part !== subject && !companions.includes(subject)) continue;
+      this.options.logger.info({subject}, 'blocked subject was answered whole');
+      void this.clear(subject, blocked);
+    }
+  }
+
+  /** Removes a subject from a block; its companions stay blocked. */
+  private async clear(subject: string, blocked: BlockedPart): Promise<void> {
+    const {part, workspace, crashes, companions = []} = blocked;
+    const rest = companions.filter(one => one !== subject);
+    const kind = 'blockPart';
+    if (part !== subject) {
+      const change = {part, workspace, crashes: 0, companions: rest};
+      await this.propose({kind, ...change});
+      return;
+    }
+    const isUnblocked = await this.propose({kind: 'unblockPart', part});
+    const next = rest.pop();
+    if (next === undefined || !isUnblocked) return;
+    await this.propose({
+      kind,
+      part: next,
+      workspace,
+      crashes,
+      companions: rest,
+    });
   }
 
   private count(event: string, subject: string): void {
@@ -147,8 +180,11 @@
   }
 
   private async block(found: CrashingSubject): Promise<void> {
-    const {subject, workspace, crashes} = found;
+    const {subject, workspace, crashes, companions} = found;
     if (this.pending.has(subject)) return;
+    const known = this.state.blockedParts.find(subject)?.companions;
+    // Its evidence is kept, so it is found again.
+    if (known?.every(one => companions.includes(one)) === true) return;
     const {clock, logger} = this.options;
     logger.warn(found, crashMessages[subjectKind(subject)]);
     const command: BlockPart = {
@@ -156,9 +192,13 @@
       part: subject,
       workspace,
       crashes,
+      ...(companions.length > 0 && {companions}),
     };
-    const isRecorded = await this.propose(command);
-    if (isRecorded) this.subjects.forget(subject, clock.now());
+    if (!(await this.propose(command))) return;
+    if (companions.length === 0) this.subjects.forget(subject, clock.now());
+    else {
+      this.subjects.recordJointBlock([subject, ...companions], clock.now());
+    }
   }
 
   /** Returns whether the change is recorded; the evidence stays if it isn't. */
@@ -213,3 +253,18 @@
     });
   }
 }
+
+/** Whether a request that a block refuses was open at a crash. */
+function isExplainedBy(
+  {parts}: CrashReport,
+  blocked: Pick<BlockedPart, 'part' | 'companions'>,
+): boolean {
+  const prompts = parts.find(({id}) => id === blocked.part)?.prompts ?? [];
+  return prompts.some(prompt => {
+    const open = parts.filter(part => part.prompts.includes(prompt));
+    return isRefusedBy(
+      blocked,
+      open.map(({id}) => id),
+    );
+  });
+}
--- a/packages/edge/src/crashSubjects.ts
+++ b/packages/edge/src/crashSubjects.ts
@@ -3,6 +3,7 @@
  * those that were answered whole recently, those that the leader suspects to
  * crash servers, and those that are blocked.
  */
+import {isRefusedBy} from '@dogwoodtrestle/fleet';
 import {type Clock, type Logger} from '@dogwoodtrestle/runtime';
 import {type BlockedPart, type WatchUpdate} from '@dogwoodtrestle/schema';
 
@@ -59,7 +60,7 @@
     if (this.blocked.size === 0) return undefined;
     return subjects.find(subject => {
       const block = this.blocked.get(subject);
-      if (block === undefined) return false;
+      if (block === undefined || !isRefusedBy(block, subjects)) return false;
       const isOther =
         block.workspace !== undefined && block.workspace !== workspace;
       if (isOther || trials.has(subject)) return false;
@@ -89,7 +90,10 @@
 
   report(): WatchReport {
     const oldest = this.clock.now() - answeredMilliseconds;
-    const answeredParts = [...this.suspects, ...this.blocked.keys()]
+    const known = [...this.blocked.values()].flatMap(
+      ({part, companions = []}) => [part, ...companions],
+    );
+    const answeredParts = [...new Set([...this.suspects, ...known])]
       .filter(subject => (this.answeredAt.get(subject) ?? -Infinity) >= oldest)
       .slice(0, maxReportedSubjects);
     return {
@@ -107,7 +111,11 @@
       this.revision = revision;
       this.blocked = new Map(parts.map(block => [block.part, block]));
       this.logger.info(
-        {revision, subjects: parts.map(({part}) => part)},
+        {
+          revision,
+          subjects: parts.map(({part}) => part),
+          joint: parts.filter(({companions}) => companions !== undefined),
+        },
         'blocked subjects changed',
       );
     }
--- a/packages/edge/src/serverCrashes.ts
+++ b/packages/edge/src/serverCrashes.ts
@@ -43,7 +43,7 @@
 const maxReportedSubjects = 512;
 
 /** Most requests that are named for one subject. */
-const maxReportedPrompts = 4;
+const maxReportedPrompts = 16;
 
 /** A request that is open at a server. */
 export interface OpenRequest {
--- a/packages/fleet/src/blockedParts.ts
+++ b/packages/fleet/src/blockedParts.ts
@@ -37,18 +37,24 @@
 
   /**
    * Blocks a part, for one workspace or for all; one that is blocked for another
-   * workspace is then blocked for all.
+   * workspace is then blocked for all. It is blocked with the companions that all
+   * its blocks have in common.
    *
    * @param now Time by the replicated log, in milliseconds.
    */
-  block({part, workspace, crashes}: BlockPart, now: number): BlockedPart {
+  block(
+    {part, workspace, crashes, companions}: BlockPart,
+    now: number,
+  ): BlockedPart {
     const known = this.parts.get(part);
+    const common = commonCompanions(known, companions ?? []);
     const isSame = known === undefined || known.workspace === workspace;
     const blocked: BlockedPart = {
       part,
       ...(isSame && workspace !== undefined && {workspace}),
       blockedAt: known?.blockedAt ?? now,
       crashes: crashes + (known?.crashes ?? 0),
+      ...(common.length > 0 && {companions: common}),
     };
     this.parts.set(part, blocked);
     this.revision++;
@@ -66,3 +72,19 @@
     return true;
   }
 }
+
+function commonCompanions(
+  known: BlockedPart | undefined,
+  companions: readonly string[],
+): string[] {
+  if (known === undefined) return [...companions];
+  return (known.companions ?? []).filter(one => companions.includes(one));
+}
+
+/** Whether a block refuses requests with these subjects. */
+export function isRefusedBy(
+  {part, companions = []}: Pick<BlockedPart, 'part' | 'companions'>,
+  subjects: readonly string[],
+): boolean {
+  return [part, ...companions].every(one => subjects.includes(one));
+}
--- a/packages/fleet/src/crashingSubjects.ts
+++ b/packages/fleet/src/crashingSubjects.ts
@@ -10,7 +10,11 @@
  * time count once, as they do when a failure domain is lost.
  *
  * A part crashes servers if different requests with it do; retries of a request
- * count once. A request does if no other subject was open at all its crashes, as
+ * count once. One that was only seen in prompts that had certain others as well is
+ * blocked together with them: which of them crashes servers isn't known, and
+ * prompts that have some of them are sound as far as is known. Such prompts tell
+ * them apart: a whole answer clears what they have, and a crash without the others
+ * blocks it alone. A request does if no other subject was open at all its crashes, as
  * what was only sent together with it may be. Crashes without a subject raise the
  * number that it takes, as servers crash for other reasons then. Crashes that a
  * blocked subject explains count against no other.
@@ -70,8 +74,8 @@
 /** Crashes of servers at about the same time. */
 interface CrashGroup {
   at: number;
-  /** Incarnations of servers, as `id@start`. */
-  servers: Set<string>;
+  /** Hashes of some prompts, by the incarnation of the server, as `id@start`. */
+  servers: Map<string, Set<number>>;
 }
 
 /** What is known against one subject. */
@@ -92,6 +96,8 @@
   /** Number of servers that crashed. */
   crashes: number;
   servers: string[];
+  /** Other parts that all its prompts had, one of which may be the cause. */
+  companions: string[];
 }
 
 /** Weight of another crash that a blocked subject explains. */
@@ -110,6 +116,8 @@
   private readonly crashes = new Map<string, number>();
   /** Crashes that a blocked subject explains. */
   private readonly explained = new Map<string, number>();
+  /** Parts that are blocked only together, and since when. */
+  private jointBlocks: Array<{parts: readonly string[]; at: number}> = [];
   private readonly isDecided: Readonly<
     Record<CrashSubjectKind, (subject: string, found: Suspicion) => boolean>
   > = {
@@ -145,7 +153,7 @@
       for (const workspace of workspaces) suspicion.workspaces.add(workspace);
       this.addPrompts(suspicion, prompts);
       const sameTime = this.options.sameTimeMilliseconds[subjectKind(id)];
-      addCrash(suspicion, crash, sameTime);
+      addCrash(suspicion, {...crash, prompts}, sameTime);
       const isSuspect = suspicion.groups.length >= this.options.suspectCrashes;
       if (!isSuspect || suspicion.suspectedAt !== undefined) continue;
       suspicion.suspectedAt = now;
@@ -157,6 +165,7 @@
   /** Records a whole answer with a subject; it crashes no server. */
   recordAnswer(subject: string, now: number): void {
     this.suspicions.delete(subject);
+    this.dropJointBlocks(subject);
     this.answeredAt.delete(subject);
     this.answeredAt.set(subject, now);
     evictOldest(this.answeredAt, this.options.maxSubjects);
@@ -171,12 +180,18 @@
     this.explainAll([`${server}@${startedAt}`], now);
   }
 
+  /** Records that parts are blocked together; the evidence tells them apart. */
+  recordJointBlock(parts: readonly string[], now: number): void {
+    this.jointBlocks.push({parts, at: now});
+  }
+
   /**
    * Removes what is known against a subject that is blocked, and what its crashes
    * are against others. A part that was open at all of them is still suspected:
    * other requests may have it as well.
    */
   forget(subject: string, now: number): void {
+    this.dropJointBlocks(subject);
     const suspicion = this.suspicions.get(subject);
     this.suspicions.delete(subject);
     if (suspicion === undefined) return;
@@ -192,9 +207,9 @@
   /** Returns the subjects that crash servers. */
   decided(now: number): CrashingSubject[] {
     const {answerMilliseconds, blockCrashes} = this.options;
-    const decided: CrashingSubject[] = [];
+    const found = new Map<string, Suspicion>();
     for (const [subject, suspicion] of this.suspicions) {
-      const {groups, workspaces, suspectedAt} = suspicion;
+      const {groups, suspectedAt} = suspicion;
       if (suspectedAt === undefined) continue;
       if (now - suspectedAt < answerMilliseconds) continue;
       const kind = subjectKind(subject);
@@ -203,12 +218,91 @@
       const own = this.unsharedCrashes(subject, suspicion);
       if (own < blockCrashes[kind] + extra) continue;
       if (!this.isDecided[kind](subject, suspicion)) continue;
-      const servers = crashesOf(suspicion);
-      const [first] = workspaces;
-      const workspace = workspaces.size === 1 ? first : undefined;
-      decided.push({subject, workspace, crashes: servers.length, servers});
+      found.set(subject, suspicion);
     }
-    return decided;
+    return [...found]
+      .filter(([subject]) => !this.isExplainedBy(subject, found))
+      .map(([subject, suspicion]) => this.describe(subject, suspicion));
+  }
+
+  private describe(subject: string, suspicion: Suspicion): CrashingSubject {
+    const {workspaces} = suspicion;
+    const servers = crashesOf(suspicion);
+    const [first] = workspaces;
+    const workspace = workspaces.size === 1 ? first : undefined;
+    const companions = this.isTellingApart(subject)
+      ? []
+      : this.companionsOf(subject, suspicion);
+    const crashes = servers.length;
+    return {subject, workspace, crashes, servers, companions};
+  }
+
+  /** Returns the parts that all prompts of a part had at all its crashes. */
+  private companionsOf(subject: string, suspicion: Suspicion): string[] {
+    if (subjectKind(subject) === 'request') return [];
+    return [...this.suspicions]
+      .filter(
+        ([name, other]) =>
+          name !== subject &&
+          subjectKind(name) === 'part' &&
+          hasPromptsOf(other, suspicion),
+      )
+      .map(([name]) => name);
+  }
+
+  /**
+   * Whether a part is a companion of another one that is found, and has too few
+   * crashes besides. Of parts that only come together, the last one is found.
+   */
+  private isExplainedBy(
+    subject: string,
+    found: ReadonlyMap<string, Suspicion>,
+  ): boolean {
+    const own = found.get(subject);
+    const isPart = subjectKind(subject) === 'part';
+    if (own === undefined || !isPart || this.isTellingApart(subject)) {
+      return false;
+    }
+    const names = [...found.keys()];
+    const position = names.indexOf(subject);
+    return [...found].some(([other, suspicion], index) => {
+      const isCompanion =
+        other !== subject &&
+        subjectKind(other) === 'part' &&
+        hasPromptsOf(own, suspicion);
+      if (!isCompanion) return false;
+      if (hasPromptsOf(suspicion, own)) return index > position;
+      const shared = new Set(crashesOf(suspicion));
+      const besides = own.groups.filter(
+        ({servers}) => ![...servers.keys()].some(name => shared.has(name)),
+      );
+      return besides.length < this.options.blockCrashes.part;
+    });
+  }
+
+  /** Whether a part that is blocked only with others crashed a server without. */
+  private isTellingApart(subject: string): boolean {
+    const own = this.suspicions.get(subject);
+    if (own === undefined) return false;
+    return this.jointBlocks.some(({parts, at: blockedAt}) => {
+      if (!parts.includes(subject)) return false;
+      const others = parts.filter(part => part !== subject);
+      return own.groups.some(
+        group =>
+          group.at > blockedAt &&
+          others.some(other => {
+            const suspicion = this.suspicions.get(other);
+            const groups = suspicion?.groups ?? [];
+            return !groups.some(one => hasServersOf(one, group));
+          }),
+      );
+    });
+  }
+
+  private dropJointBlocks(subject: string): void {
+    this.jointBlocks = this.jointBlocks.filter(
+      ({parts}) => !parts.includes(subject),
+    );
   }
 
   /** Crashes at which nothing else was open that has as many of them. */
@@ -221,7 +315,7 @@
         .flat(),
     );
     return suspicion.groups.filter(
-      ({servers}) => ![...servers].some(name => names.has(name)),
+      ({servers}) => ![...servers.keys()].some(name => names.has(name)),
     ).length;
   }
 
@@ -330,30 +424,52 @@
 
 function addCrash(
   {groups}: Suspicion,
-  {name, at}: {name: string; at: number},
+  {name, at, prompts}: {name: string; at: number; prompts: readonly number[]},
   sameTimeMilliseconds: number,
 ): void {
-  if (groups.some(({servers}) => servers.has(name))) return;
+  const known = groups.find(({servers}) => servers.has(name));
+  if (known !== undefined) {
+    const seen = known.servers.get(name);
+    for (const prompt of prompts) seen?.add(prompt);
+    return;
+  }
   const group = groups.find(
     other => Math.abs(other.at - at) < sameTimeMilliseconds,
   );
-  if (group === undefined) groups.push({at, servers: new Set([name])});
-  else group.servers.add(name);
+  const seen = new Set(prompts);
+  if (group === undefined) groups.push({at, servers: new Map([[name, seen]])});
+  else group.servers.set(name, seen);
 }
 
 /** Names of the crashes at which a subject was open. */
 function crashesOf({groups}: Suspicion): string[] {
-  return [...new Set(groups.flatMap(({servers}) => [...servers]))];
+  return [...new Set(groups.flatMap(({servers}) => [...servers.keys()]))];
 }
 
 /** Whether a subject was open at the times of all crashes of another one. */
 function hasCrashesOf(subject: Suspicion, {groups}: Suspicion): boolean {
   const names = new Set(crashesOf(subject));
   return groups.every(({servers}) =>
-    [...servers].some(name => names.has(name)),
+    [...servers.keys()].some(name => names.has(name)),
+  );
+}
+
+/** Whether a part was in all prompts that had another one, at all its crashes. */
+function hasPromptsOf(part: Suspicion, {groups}: Suspicion): boolean {
+  const own = new Map(part.groups.flatMap(({servers}) => [...servers]));
+  return groups.every(({servers}) =>
+    [...servers].every(([name, prompts]) => {
+      const ownPrompts = own.get(name);
+      return [...prompts].every(prompt => ownPrompts?.has(prompt) === true);
+    }),
   );
 }
 
+/** Whether one of the servers of a group is also one of another group. */
+function hasServersOf(group: CrashGroup, {servers}: CrashGroup): boolean {
+  return [...servers.keys()].some(name => group.servers.has(name));
+}
+
 function evictOldest<T>(map: Map<string, T>, limit: number): void {
   if (map.size <= limit) return;
   const [oldest] = map.keys();
--- a/packages/fleet/tests/blockedParts.test.ts
+++ b/packages/fleet/tests/blockedParts.test.ts
@@ -2,7 +2,7 @@
 import {type FleetCommand} from '@dogwoodtrestle/schema';
 import {describe, expect, it} from 'vitest';
 
-import {FleetState} from '../src/index.js';
+import {FleetState, isRefusedBy} from '../src/index.js';
 
 function apply(state: FleetState, ...commands: FleetCommand[]): unknown[] {
   return state.apply({
@@ -13,11 +13,16 @@
   } as unknown as Parameters<FleetState['apply']>[0]);
 }
 
-const block = (part: string, workspace?: string): FleetCommand => ({
+const block = (
+  part: string,
+  workspace?: string,
+  companions?: string[],
+): FleetCommand => ({
   kind: 'blockPart',
   part,
   workspace,
   crashes: 4,
+  ...(companions !== undefined && {companions}),
 });
 
 describe('a blocked part', () => {
@@ -51,6 +56,24 @@
     expect(state.blockedParts.find('p-1')).not.toHaveProperty('workspace');
   });
 
+  // Guards against a sound part that is refused with one that crashes servers
+  // (issue 46).
+  it('is blocked with the companions that its blocks have in common', () => {
+    const state = new FleetState();
+    const companions = () => state.blockedParts.find('p-1')?.companions;
+    apply(state, block('p-1', undefined, ['p-2', 'p-3']));
+    expect(companions()).toEqual(['p-2', 'p-3']);
+    apply(state, block('p-1', undefined, ['p-3', 'p-4']));
+    expect(companions()).toEqual(['p-3']);
+    const [blocked] = state.blockedParts.state.parts;
+    expect(isRefusedBy(blocked!, ['p-1', 'p-3', 'p-5'])).toBe(true);
+    expect(isRefusedBy(blocked!, ['p-3', 'p-5'])).toBe(false);
+    apply(state, block('p-1'));
+    expect(companions()).toBeUndefined();
+    apply(state, block('p-1', undefined, ['p-3']));
+    expect(companions()).toBeUndefined();
+  });
+
   it('ends when it is unblocked, and the listener hears of both', () => {
     const heard: Array<[string, boolean]> = [];
     const state = new FleetState({
--- a/packages/fleet/tests/crashingSubjects.test.ts
+++ b/packages/fleet/tests/crashingSubjects.test.ts
@@ -68,13 +68,97 @@
     expect(crash(search, 2_000, {part: 'p-3'})).toEqual(['p-3']);
   });
 
-  it('is blamed with another one at the same crashes', () => {
+  it('is blamed with another one that other prompts had', () => {
     const search = new CrashingSubjects();
     for (const now of times) {
-      crash(search, now, {part: 'p-1'});
-      crash(search, now, {part: 'p-2'});
+      crash(search, now, {part: 'p-1', prompt: now});
+      crash(search, now, {part: 'p-2', prompt: -now});
     }
-    expect(search.decided(4_000)).toHaveLength(2);
+    expect(search.decided(4_000)).toMatchObject([
+      {subject: 'p-1', companions: []},
+      {subject: 'p-2', companions: []},
+    ]);
+  });
+});
+
+// Guards against a sound part that is refused with one that crashes servers, as
+// all prompts with the latter have both (issue 46).
+describe('parts that only come together', () => {
+  const names = ['shared', 'harmful'];
+
+  /** Records a crash with one prompt that has all the parts. */
+  function crashTogether(
+    search: CrashingSubjects,
+    now: number,
+    parts: readonly string[] = names,
+  ): void {
+    for (const part of parts) crash(search, now, {part});
+  }
+
+  function createSearch(): CrashingSubjects {
+    const search = new CrashingSubjects();
+    for (const now of times) crashTogether(search, now);
+    return search;
+  }
+
+  /** A search whose parts were blocked together. */
+  function createBlocked(): CrashingSubjects {
+    const search = createSearch();
+    search.recordJointBlock(names, 4_000);
+    return search;
+  }
+
+  it('are blocked together after as many crashes as one', () => {
+    expect(createSearch().decided(4_000)).toMatchObject([
+      {subject: 'harmful', companions: ['shared'], crashes: 4},
+    ]);
+  });
+
+  it('are told apart by a whole answer', () => {
+    const search = createBlocked();
+    search.recordAnswer('shared', 5_000);
+    expect(search.decided(5_000)).toMatchObject([
+      {subject: 'harmful', companions: []},
+    ]);
+  });
+
+  it.each(names)('are told apart by a crash with one of them: %s', part => {
+    const search = createBlocked();
+    crash(search, 6_000, {part});
+    const alone = search
+      .decided(6_500)
+      .filter(({companions}) => companions.length === 0);
+    expect(alone).toMatchObject([{subject: part, crashes: 5}]);
+  });
+
+  it('are told from one that also was in other prompts', () => {
+    const search = new CrashingSubjects();
+    for (const now of times) {
+      crashTogether(search, now);
+      crash(search, now, {part: 'shared', prompt: now + 1});
+    }
+    expect(search.decided(4_000)).toMatchObject([
+      {subject: 'harmful', companions: ['shared']},
+    ]);
+  });
+
+  it('are told from one that was open at other crashes as well', () => {
+    const search = new CrashingSubjects();
+    crash(search, 500, {part: 'shared'});
+    for (const now of times) crashTogether(search, now);
+    crash(search, 4_500, {part: 'shared'});
+    expect(search.decided(5_000)).toMatchObject([
+      {subject: 'harmful', companions: ['shared']},
+    ]);
+  });
+
+  it('are three if each prompt has three of them', () => {
+    const search = new CrashingSubjects();
+    const three = ['first', 'second', 'third'];
+    for (const now of times) crashTogether(search, now, three);
+    expect(search.decided(4_000)).toMatchObject([
+      {subject: 'third', companions: ['first', 'second']},
+    ]);
   });
 });
 
