fix(control): take back a crash of a server that is announced afterwards

What callers would see: a network that fails between routers and servers resets connections and refuses others, which counts as crashes of servers that run; a sound part of prompts that was open at them is refused for minutes (LOST).

Cause: routers can't tell such a network from a crash, and nothing took a crash back.

Fix: the leader removes a crash when the same incarnation is announced later than 1 s after it, and lifts a block of which too few crashes are left. Announcements come every 1.2 s, so a mistake is noticed within about 2.2 s. Servers that name no start are left out, as they may have started again.

Besides, a part that only came with one that crashed a server alone is not blamed for the crashes that they have in common.

--- a/packages/control/src/controlNode.ts
+++ b/packages/control/src/controlNode.ts
@@ -134,6 +134,7 @@
       {clock, logger, metrics, onNews: () => parts.watch?.notifyWatchers()},
       group,
       state,
+      directory,
     );
     const {watch, refresher, recorder, departures, grants, service} =
       createControlParts({
--- a/packages/control/src/crashTopic.ts
+++ b/packages/control/src/crashTopic.ts
@@ -14,6 +14,7 @@
   defaultCrashingSubjectsOptions,
   type FleetState,
   isRefusedBy,
+  type ServerDirectory,
   subjectKind,
 } from '@dogwoodtrestle/fleet';
 import {
@@ -43,6 +44,15 @@
 /** Limit of that time. */
 const maxTrialIntervalMilliseconds = 3_600_000;
 
+/**
+ * Time after a crash up to which an announcement of the server may have been sent
+ * before it. A later one disproves the crash.
+ */
+const lateAnnouncementMilliseconds = 1_000;
+
+/** Time after a block in which the crashes that led to it may be disproved. */
+const disproofMilliseconds = 30_000;
+
 /** Log message for a subject that is about to be blocked. */
 const crashMessages: Readonly<Record<CrashSubjectKind, string>> = {
   part: 'prompt part crashes servers',
@@ -58,6 +68,13 @@
   onNews: () => void;
 }
 
+/** The crashes that led to a block. */
+interface BlockEvidence {
+  /** Incarnations of servers, as `id@start`. */
+  servers: Set<string>;
+  blockedAt: number;
+}
+
 /** When the next trial of a blocked subject is due. */
 interface Trial {
   /** Monotonic time in milliseconds. */
@@ -69,6 +86,8 @@
 export class CrashTopic implements WatchTopic {
   private readonly subjects = new CrashingSubjects();
   private readonly trials = new Map<string, Trial>();
+  /** By blocked subject, for blocks of this process as the leader. */
+  private readonly evidence = new Map<string, BlockEvidence>();
   /** Subjects of which a change is being recorded. */
   private readonly pending = new Set<string>();
   private readonly events: Counter;
@@ -77,6 +96,7 @@
     private readonly options: CrashTopicOptions,
     private readonly group: Pick<ReplicaGroup, 'isLeader' | 'replica'>,
     private readonly state: Pick<FleetState, 'blockedParts'>,
+    private readonly directory: Pick<ServerDirectory, 'announcedAt'>,
   ) {
     this.events = options.metrics.counter(
       'dogwoodtrestle_crash_subject_events_total',
@@ -174,11 +194,44 @@
 
   private decide(): void {
     if (!this.group.isLeader) return;
+    this.removeDisproved();
     for (const found of this.subjects.decided(this.options.clock.now())) {
       void this.block(found);
     }
   }
 
+  /** Removes crashes of servers that run, and lifts blocks that rest on them. */
+  private removeDisproved(): void {
+    const {clock, logger} = this.options;
+    const disproved = this.subjects.removeDisproved(
+      ({server, startedAt, at}) => {
+        // A server that names no start may have started again.
+        if (startedAt === 0) return false;
+        const announcedAt = this.directory.announcedAt(server, startedAt) ?? 0;
+        return announcedAt > at + lateAnnouncementMilliseconds;
+      },
+    );
+    if (disproved.length > 0) {
+      logger.warn(
+        {servers: disproved},
+        'servers that were taken for crashed are announced',
+      );
+    }
+    const now = clock.now();
+    for (const [subject, {servers, blockedAt}] of this.evidence) {
+      for (const name of disproved) servers.delete(name);
+      const needed = defaultCrashingSubjectsOptions.blockCrashes;
+      if (servers.size < needed[subjectKind(subject)]) {
+        this.evidence.delete(subject);
+        if (this.state.blockedParts.find(subject) === undefined) continue;
+        logger.warn({subject}, 'too few of the crashes of a block are left');
+        void this.propose({kind: 'unblockPart', part: subject});
+      } else if (now - blockedAt > disproofMilliseconds) {
+        this.evidence.delete(subject);
+      }
+    }
+  }
+
   private async block(found: CrashingSubject): Promise<void> {
     const {subject, workspace, crashes, companions} = found;
     if (this.pending.has(subject)) return;
@@ -194,7 +247,9 @@
       crashes,
       ...(companions.length > 0 && {companions}),
     };
+    const servers = new Set(found.servers);
     if (!(await this.propose(command))) return;
+    this.evidence.set(subject, {servers, blockedAt: clock.now()});
     if (companions.length === 0) this.subjects.forget(subject, clock.now());
     else {
       this.subjects.recordJointBlock([subject, ...companions], clock.now());
--- a/packages/fleet/src/crashingSubjects.ts
+++ b/packages/fleet/src/crashingSubjects.ts
@@ -7,7 +7,9 @@
  * suspected once it was open at crashes at several different times, and it
  * crashes servers if there are more and no router has had a whole answer with
  * it: what is harmless is answered all the time. Servers that crash at the same
- * time count once, as they do when a failure domain is lost.
+ * time count once, as they do when a failure domain is lost. A network that fails
+ * looks like a crash to routers, so a crash counts at once, and no more when the
+ * incarnation is announced afterwards.
  *
  * A part crashes servers if different requests with it do; retries of a request
  * count once. One that was only seen in prompts that had certain others as well is
@@ -106,14 +108,22 @@
 /** Most crashes that are remembered for all subjects together. */
 const maxCrashes = 1_000;
 
+/** A crash as routers reported it. */
+export interface ReportedCrash {
+  server: string;
+  startedAt: number;
+  /** Monotonic time in milliseconds. */
+  at: number;
+}
+
 /** Evidence of all routers. Times are monotonic, in milliseconds. */
 export class CrashingSubjects {
   private readonly options: CrashingSubjectsOptions;
   /** By subject, in the order of their newest crash. */
   private readonly suspicions = new Map<string, Suspicion>();
   private readonly answeredAt = new Map<string, number>();
-  /** Times of all crashes, by the incarnation of the server. */
-  private readonly crashes = new Map<string, number>();
+  /** All crashes, by the incarnation of the server. */
+  private readonly crashes = new Map<string, ReportedCrash>();
   /** Crashes that a blocked subject explains. */
   private readonly explained = new Map<string, number>();
   /** Parts that are blocked only together, and since when. */
@@ -143,7 +153,9 @@
   ): string[] {
     const at = now - ageMilliseconds;
     const crash = {name: `${server}@${startedAt}`, at};
-    if (!this.crashes.has(crash.name)) this.crashes.set(crash.name, at);
+    if (!this.crashes.has(crash.name)) {
+      this.crashes.set(crash.name, {server, startedAt, at});
+    }
     evictOldest(this.crashes, maxCrashes);
     if (this.explained.has(crash.name)) return [];
     const suspected: string[] = [];
@@ -180,6 +192,19 @@
     this.explainAll([`${server}@${startedAt}`], now);
   }
 
+  /**
+   * Removes the crashes that are disproved, as their servers run, and returns their
+   * names.
+   */
+  removeDisproved(isDisproved: (crash: ReportedCrash) => boolean): string[] {
+    const names = [...this.crashes]
+      .filter(([, crash]) => isDisproved(crash))
+      .map(([name]) => name);
+    for (const name of names) this.crashes.delete(name);
+    if (names.length > 0) this.removeCrashes(names);
+    return names;
+  }
+
   /** Records that parts are blocked together; the evidence tells them apart. */
   recordJointBlock(parts: readonly string[], now: number): void {
     this.jointBlocks.push({parts, at: now});
@@ -252,7 +277,8 @@
 
   /**
    * Whether a part is a companion of another one that is found, and has too few
-   * crashes besides. Of parts that only come together, the last one is found.
+   * crashes besides, or only came with one that crashed a server alone. Of parts
+   * that only come together, the last one is found.
    */
   private isExplainedBy(
     subject: string,
@@ -266,12 +292,11 @@
     const names = [...found.keys()];
     const position = names.indexOf(subject);
     return [...found].some(([other, suspicion], index) => {
-      const isCompanion =
-        other !== subject &&
-        subjectKind(other) === 'part' &&
-        hasPromptsOf(own, suspicion);
-      if (!isCompanion) return false;
-      if (hasPromptsOf(suspicion, own)) return index > position;
+      if (other === subject || subjectKind(other) !== 'part') return false;
+      const hasOther = hasPromptsOf(suspicion, own);
+      if (hasOther && this.isTellingApart(other)) return true;
+      if (!hasPromptsOf(own, suspicion)) return false;
+      if (hasOther) return index > position;
       const shared = new Set(crashesOf(suspicion));
       const besides = own.groups.filter(
         ({servers}) => ![...servers.keys()].some(name => shared.has(name)),
@@ -359,11 +384,11 @@
     const from = Math.min(...times) - otherCrashMilliseconds;
     const to = Math.max(...times) + otherCrashMilliseconds;
     const others = [...this.crashes]
-      .filter(([name, at]) => at > from && at < to && !own.has(name))
-      .sort(([, a], [, b]) => a - b);
+      .filter(([name, {at}]) => at > from && at < to && !own.has(name))
+      .sort(([, a], [, b]) => a.at - b.at);
     let count = 0;
     let countedAt = -Infinity;
-    for (const [name, at] of others) {
+    for (const [name, {at}] of others) {
       if (at - countedAt < sameTimeMilliseconds.part) continue;
       countedAt = at;
       count += this.explained.has(name) ? explainedWeight : 1;
@@ -379,6 +404,13 @@
   ): void {
     for (const name of names) this.explained.set(name, now);
     while (this.explained.size > maxCrashes) evictOldest(this.explained, 0);
+    this.removeCrashes(names, kept);
+  }
+
+  private removeCrashes(
+    names: readonly string[],
+    kept: readonly string[] = [],
+  ): void {
     for (const [subject, suspicion] of this.suspicions) {
       if (kept.includes(subject)) continue;
       for (const {servers} of suspicion.groups) {
--- a/packages/fleet/src/serverDirectory.ts
+++ b/packages/fleet/src/serverDirectory.ts
@@ -86,6 +86,13 @@
     return this.entries.get(id)?.record;
   }
 
+  /** Returns when an incarnation of a server was last announced, if it was. */
+  announcedAt(id: string, startedAt: number): number | undefined {
+    const entry = this.entries.get(id);
+    if (entry?.record.startedAt !== startedAt) return undefined;
+    return entry.record.state === 'left' ? undefined : entry.announcedAt;
+  }
+
   /** Records an announcement. Returns false if it is outdated. */
   announce(record: BackendServerRecord, now: number): boolean {
     const entry = this.entries.get(record.id);
