fix(edge): resume streams wherever the id stands in an event

The servers send data ahead of the id, and one crashes.

Cause: eventId looked for the first "id:" anywhere in an event and gave up unless it began a line, so "bid:" or "paid:" in data hid the id. The router then asked the next server for the stream from its start, as it did for streams without any id.

A stream of which the caller has events is resumed only at an id; without one it is broken off. Comments and blank lines between events are relayed as they come, and count to the limit of bytes without an event.

--- a/packages/edge/src/requestHandler.ts
+++ b/packages/edge/src/requestHandler.ts
@@ -261,9 +261,10 @@
     chunk: Buffer,
   ): boolean {
     const {data, count} = scanner.push(chunk);
-    this.lastEventId = scanner.lastEventId ?? this.lastEventId;
+    if (count > 0) this.lastEventId = scanner.lastEventId;
     if (count === 0) {
       if (scanner.isEndless) this.abandon(progress, 'event without end');
+      else if (data.length > 0) return this.write(progress, data);
       return true;
     }
     const now = this.context.clock.now();
@@ -346,13 +347,14 @@
     this.fail('outcomeUnknown');
   }
 
-  /** Retries where the route, the deadline and the retry budget allow it. */
+  /** Retries if it may, and if no event would reach the caller again. */
   private tryRetry(reason: string): boolean {
     const {retryBudget, control, clock, metrics} = this.context;
     const {route, service} = this.input;
     const now = clock.now();
     if (this.sentAttempts >= route.maxAttempts) return false;
     if (!this.guard.mayResend()) return false;
+    if (this.events > 0 && this.lastEventId === undefined) return false;
     if (this.deadline - now < minSendTimeMilliseconds) return false;
     const server = this.chooseServer(now);
     if (server === undefined) return false;
