--- a/packages/edge/src/attempt.ts
+++ b/packages/edge/src/attempt.ts
@@ -62,6 +62,9 @@
 /** Bytes of a refusal's body after which its connection is closed. */
 const maxRefusalBytes = 64 * 1024;
 
+/** Time after which that happens too, so that a refused request is not held. */
+const refusalBodyMilliseconds = 100;
+
 /** Size below which pieces of a body are collected before they are passed on. */
 const smallPieceBytes = 1024;
 
@@ -74,9 +77,6 @@
  */
 const maxTinyPieces = 16_384;
 
-/** Time after which that happens too, so that a refused request is not held. */
-const refusalBodyMilliseconds = 100;
-
 /** Statuses of an overloaded server. */
 const overloadStatuses: ReadonlySet<number> = new Set([429, 503]);
 
