fix(edge): say again that another process runs as an instance

It spent nothing; only the line was missing.

The line comes again, once, when the leader does not admit the incarnation that follows the ended one: then another process does run.

--- a/packages/edge/src/usageReporter.ts
+++ b/packages/edge/src/usageReporter.ts
@@ -80,6 +80,8 @@
   /** When the report with that reading was sent. */
   private leaderTimeSentAt = -Infinity;
   private ended: EndedIncarnation[] = [];
+  /** Whether it is logged that another process runs as this instance. */
+  private isNotAdmitted = false;
 
   constructor(
     private readonly options: EdgeOptions,
@@ -143,7 +145,10 @@
    * instance.
    */
   private replaceIncarnation(incarnation: RouterIncarnation): void {
-    if (this.grants.isOver) return;
+    if (this.grants.isOver) {
+      this.logOtherProcess(incarnation);
+      return;
+    }
     const grants = this.grants.supersede();
     if (!this.grants.isClosed) this.identity.renew();
     this.ended.push({incarnation, grants});
@@ -154,7 +159,18 @@
     );
   }
 
+  /** Logs once that the leader doesn't admit this process. */
+  private logOtherProcess({routerId: router, life}: RouterIncarnation): void {
+    if (this.isNotAdmitted) return;
+    this.isNotAdmitted = true;
+    this.options.logger.error(
+      {router, life},
+      'another process runs as this instance; spending ends',
+    );
+  }
+
   private admitIncarnation(): void {
+    this.isNotAdmitted = false;
     if (!this.grants.isOver) return;
     this.grants.admit();
     this.options.logger.info(
