feat(control): show what binds a leader: event loop, replies, waiting calls

While it leads, a control process logs each second in which routers lack a change or its event loop was late: the longest delay, waiting calls, and by method replies, kilobytes, the slowest one and calls whose caller was gone. Handlers of peer calls get a context that tells when their reply was handed over. No decision depends on any of it yet.

--- a/packages/control/src/controlNode.ts
+++ b/packages/control/src/controlNode.ts
@@ -43,6 +43,7 @@
 import {CrashTopic} from './crashTopic.js';
 import {waitForDiskSpace} from './diskSpace.js';
 import {LimitTopic} from './limitTopic.js';
+import {LeaderLoad, loadIntervalMilliseconds} from './leaderLoad.js';
 import {ReplicaGroup} from './replicaGroup.js';
 import {type ServerChangeRecorder} from './serverChangeRecorder.js';
 import {type WatchService} from './watchService.js';
@@ -71,6 +72,7 @@
     private readonly peerServer: PeerCallServer,
     private readonly client: PeerCallClient,
     private readonly tasks: readonly PeriodicTask[],
+    private readonly load: LeaderLoad,
   ) {}
 
   /**
@@ -193,6 +195,7 @@
       readConfiguration: () => service.readAsLeader(),
       unblockPart: ({part}: {part: string}) => service.proposeUnblock(part),
     };
+    const load = new LeaderLoad(options);
     const [host = '', port = '0'] = options.peerAddress.split(':');
     const peerServer = new PeerCallServer({
       host,
@@ -203,6 +206,10 @@
         if (method !== 'presence') return;
         void grants.endConnection(message as PresenceRequest, end);
       },
+      // A presence call never has a reply.
+      onReplied: record => {
+        if (record.method !== 'presence') load.record(record);
+      },
     });
     await peerServer.listen();
     const silenceCheck = new PeriodicTask({
@@ -233,10 +240,38 @@
       intervalMilliseconds: routerCheckIntervalMilliseconds,
       run: () => grants.checkSilentRouters(),
     });
-    const tasks = [silenceCheck, recording, refreshing, routerCheck];
+    const loadReport = new PeriodicTask({
+      name: 'report the load',
+      clock,
+      logger,
+      intervalMilliseconds: loadIntervalMilliseconds,
+      run: async () =>
+        load.report({
+          isLeader: group.isLeader,
+          term: group.term,
+          waitingCalls: watch.waitingCalls,
+          routersBehind: watch.routersBehind,
+        }),
+    });
+    const tasks = [
+      silenceCheck,
+      recording,
+      refreshing,
+      routerCheck,
+      loadReport,
+    ];
     group.start();
+    load.start();
     for (const task of tasks) task.start();
-    return new ControlNode(service, state, group, peerServer, client, tasks);
+    return new ControlNode(
+      service,
+      state,
+      group,
+      peerServer,
+      client,
+      tasks,
+      load,
+    );
   }
 
   /** Tokens of all workspaces in the state of this replica. */
@@ -262,6 +297,7 @@
   /** Transfers leadership if possible, and closes storage and connections. */
   async stop(): Promise<void> {
     await Promise.all(this.tasks.map(task => task.stop()));
+    this.load.stop();
     await this.group.stop();
     await this.peerServer.close();
     await this.client.close();
--- a/packages/control/src/watchService.ts
+++ b/packages/control/src/watchService.ts
@@ -72,6 +72,16 @@
     routers.update(this.requiredVersions);
   }
 
+  /** Number of calls that wait for changes, or until this leader is confirmed. */
+  get waitingCalls(): number {
+    return this.waiters.size;
+  }
+
+  /** Number of routers that lack a change. */
+  get routersBehind(): number {
+    return this.routers.behindCount;
+  }
+
   /** Versions of the state that a router gets in a reply now. */
   get currentVersions(): StateVersions {
     const {epoch, currentRevision} = this.directory;
--- a/packages/runtime/src/index.ts
+++ b/packages/runtime/src/index.ts
@@ -4,8 +4,10 @@
   type AdaptiveTimeoutOptions,
 } from './adaptiveTimeout.js';
 export {ByteAccumulator, ByteBudget} from './byteAccumulator.js';
+export {CallContext, type ReplyRecord} from './callContext.js';
 export {type Clock, sleep, systemClock} from './clock.js';
 export {connectionErrorCode} from './connectionErrorCode.js';
+export {EventLoopDelay} from './eventLoopDelay.js';
 export {type Logger, silentLogger} from './logger.js';
 export {
   type Counter,
--- a/packages/runtime/src/peerCallServer.ts
+++ b/packages/runtime/src/peerCallServer.ts
@@ -9,11 +9,16 @@
   type ServerResponse,
 } from 'node:http';
 
+import {CallContext, type ReplyRecord} from './callContext.js';
+import {systemClock} from './clock.js';
 import {type Logger} from './logger.js';
 import {maxMessageBytes, MessageTooLong, readMessage} from './readMessage.js';
 
 /** Handles one method; a rejection becomes a reply with status 500. */
-export type CallHandler = (message: never) => Promise<unknown>;
+export type CallHandler = (
+  message: never,
+  call: CallContext,
+) => Promise<unknown>;
 
 /** Handlers by method name. */
 export type CallHandlers = Readonly<Record<string, CallHandler>>;
@@ -42,6 +47,8 @@
   maxCallBytes?: number;
   /** Called when the caller's connection ends before it has a reply. */
   onAbandoned?: (method: string, message: unknown, end: ConnectionEnd) => void;
+  /** Called when a call of a known method has ended. */
+  onReplied?: (record: ReplyRecord) => void;
 }
 
 /** Serves calls from other processes. */
@@ -88,12 +95,23 @@
       const {maxCallBytes = maxMessageBytes} = this.options;
       const text = await readMessage(request, maxCallBytes);
       const message = JSON.parse(text) as never;
+      const context = new CallContext();
+      const receivedAt = systemClock.now();
+      let bytes = 0;
       response.once('close', () => {
+        context.end();
         if (response.writableEnded) return;
         const isClosed = request.socket.readableEnded;
         onAbandoned?.(method, message, isClosed ? 'closed' : 'broken');
       });
-      reply(response, 200, await handler(message));
+      context.onEnd(() => {
+        const milliseconds = systemClock.now() - receivedAt;
+        const isSent = response.writableFinished;
+        this.options.onReplied?.({method, bytes, milliseconds, isSent});
+      });
+      response.once('finish', () => context.end());
+      const result = await handler(message, context);
+      bytes = reply(response, 200, result);
     } catch (error) {
       const isTooLong = error instanceof MessageTooLong;
       const {logger} = this.options;
@@ -108,12 +126,19 @@
   }
 }
 
-function reply(response: ServerResponse, status: number, body: unknown): void {
-  if (response.destroyed) return;
+/** Sends a reply, and returns the length of its body. */
+function reply(
+  response: ServerResponse,
+  status: number,
+  body: unknown,
+): number {
+  if (response.destroyed) return 0;
   const text = JSON.stringify(body ?? {});
+  const bytes = Buffer.byteLength(text);
   response.writeHead(status, {
     'content-type': 'application/json',
-    'content-length': Buffer.byteLength(text),
+    'content-length': bytes,
   });
   response.end(text);
+  return bytes;
 }
