fix(runtime): let no call that is too long end the process

Whoever sends more than 64 MiB to a process's port for calls ended that process: the request's socket is missing once its stream is destroyed, and the TypeError after the 413 was caught by nobody. Seen as an uncaught error that vitest prints on, and that scripts/test.mjs doesn't count. The socket is now taken before the body is read. The test watches for uncaught errors; it failed before.

--- a/packages/runtime/src/peerCallServer.ts
+++ b/packages/runtime/src/peerCallServer.ts
@@ -83,6 +83,8 @@
     response: ServerResponse,
   ): Promise<void> {
     const method = (request.url ?? '').slice(1);
+    // Missing from the request once its stream is destroyed.
+    const {socket} = request;
     try {
       const {handlers, onAbandoned} = this.options;
       const handler = Object.hasOwn(handlers, method)
@@ -101,7 +103,7 @@
       response.once('close', () => {
         context.end();
         if (response.writableEnded) return;
-        const isClosed = request.socket.readableEnded;
+        const isClosed = socket.readableEnded;
         onAbandoned?.(method, message, isClosed ? 'closed' : 'broken');
       });
       context.onEnd(() => {
@@ -119,7 +121,6 @@
         {err: error, call: method},
         'call failed',
       );
-      const {socket} = request;
       if (isTooLong) response.once('finish', () => socket.destroy());
       reply(response, isTooLong ? 413 : 500, {error: String(error)});
     }
--- a/packages/runtime/tests/byteAccumulator.test.ts
+++ b/packages/runtime/tests/byteAccumulator.test.ts
@@ -88,7 +88,12 @@
     await expect.poll(() => isClosed).toBe(true);
   });
 
+  // Guards also against an error, caught by nobody, after the refusal.
   it('is refused if it has too many bytes', async () => {
+    const uncaught: unknown[] = [];
+    const note = (error: unknown) => uncaught.push(error);
+    process.on('uncaughtException', note);
+    closers.push(() => process.off('uncaughtException', note));
     const server = new PeerCallServer({
       host,
       port,
@@ -108,5 +113,6 @@
     socket.write(`${head}\r\n\r\n${'z'.repeat(200_000)}`);
     await expect.poll(() => socket.destroyed, {timeout: 5_000}).toBe(true);
     expect(reply).toContain('413');
+    expect(uncaught).toEqual([]);
   });
 });
