--- a/packages/bench/src/freshness/controlProcess.ts
+++ b/packages/bench/src/freshness/controlProcess.ts
@@ -118,11 +118,16 @@
     usage: (report: UsageReport) => grants.report(report),
     announcements: ({announcements}: AnnouncementBatch) =>
       receiveAnnouncements(announcements, directory, group, departures, clock),
-    putConfiguration: ({configuration}: {configuration: FleetConfiguration}) =>
-      service.proposeConfiguration(configuration, ''),
+    putConfiguration: ({
+      configuration,
+      source,
+    }: {
+      configuration: FleetConfiguration;
+      source: string;
+    }) => service.proposeConfiguration(configuration, source),
     // Calls of operators and servers.
     put: (configuration: FleetConfiguration) =>
-      service.putConfiguration(configuration, ''),
+      service.putConfiguration(configuration, JSON.stringify(configuration)),
     announce: (record: BackendServerRecord) => service.announce(record),
     leave: (departure: Departure) => service.leave(departure),
   };
--- a/packages/bench/src/freshness/routerProcess.ts
+++ b/packages/bench/src/freshness/routerProcess.ts
@@ -53,6 +53,7 @@
   private readonly options: EdgeOptions;
   private readonly control: ControlPlaneClient;
   private readonly pool: ServerPool;
+  private readonly grants = new HeldGrants();
 
   constructor(
     readonly machine: VirtualMachine,
@@ -93,7 +94,7 @@
       options,
       network.clientOf(machine, connectAttempts),
       identity,
-      new HeldGrants(),
+      this.grants,
       {
         onServers: (records, list) => this.pool.update(records, list),
         topics: [],
@@ -119,6 +120,11 @@
     return this.control.isBehind;
   }
 
+  /** Makes its next report name a workspace, as requests do. */
+  useWorkspace(workspace: string): void {
+    this.grants.want(workspace, 0);
+  }
+
   /** Decides about a request. */
   async decide({path, key}: ProbeRequest): Promise<Resolution> {
     const {viewBoundMilliseconds} = this.options;
--- a/packages/bench/src/freshness/virtualMachine.ts
+++ b/packages/bench/src/freshness/virtualMachine.ts
@@ -2,9 +2,10 @@
  * @fileoverview Machines in virtual time, each of which runs one process that can
  * be killed, frozen, slowed and started again.
  */
-import {type Clock} from '@dogwoodtrestle/runtime';
+import {type CallContext, type Clock} from '@dogwoodtrestle/runtime';
 
 import {VirtualTime} from '../routing/virtualTime.js';
+import {type MachineCapacity} from './machineCapacity.js';
 
 /** Timers with a resolution of 1 ms. Promises settle between two times. */
 export class VirtualScheduler {
@@ -41,7 +42,10 @@
 }
 
 /** Handlers of peer calls, by method. */
-export type CallTable = Record<string, (message: never) => Promise<unknown>>;
+export type CallTable = Record<
+  string,
+  (message: never, call: CallContext) => Promise<unknown>
+>;
 
 /** A machine and its process. */
 export class VirtualMachine {
@@ -58,6 +62,8 @@
   slowMilliseconds = 0;
   /** Processor time of each call that its process handles, one at a time. */
   handlingMilliseconds = 0;
+  /** Its processor and link, where these are charged. */
+  capacity?: MachineCapacity;
   private busyUntil = 0;
   handlers: CallTable = {};
   isFrozen = false;
@@ -79,10 +85,17 @@
       now: () => scheduler.now,
       wallNow: () => scheduler.now,
       setTimer: (milliseconds, callback) =>
-        scheduler.after(milliseconds, () => this.run(epoch, callback)),
+        scheduler.after(milliseconds, () => this.runWhenFree(epoch, callback)),
     };
   }
 
+  /** Runs a callback of one process once its processor is free. */
+  runWhenFree(epoch: number, callback: () => void): void {
+    const wait = this.capacity?.waitMilliseconds ?? 0;
+    if (wait < 1) return this.run(epoch, callback);
+    this.scheduler.after(wait, () => this.runWhenFree(epoch, callback));
+  }
+
   /** Takes processor time for a call; returns the time until it is handled. */
   handlingDelay(random: () => number): number {
     const {now} = this.scheduler;
--- a/packages/bench/src/freshness/virtualNetwork.ts
+++ b/packages/bench/src/freshness/virtualNetwork.ts
@@ -1,10 +1,17 @@
 /**
  * @fileoverview Peer calls between machines in virtual time. A connection carries
  * one call at a time, as in `PeerCallClient`; packets that a cut or silent
- * path loses are sent again after a time that doubles.
+ * path loses are sent again after a time that doubles. Messages take the
+ * processors and links of machines that have a capacity.
  */
-import {type CallOptions, type PeerCallClient} from '@dogwoodtrestle/runtime';
+import {
+  CallContext,
+  type CallOptions,
+  type PeerCallClient,
+} from '@dogwoodtrestle/runtime';
 
+import {type MessageCost, windowBytes} from './machineCapacity.js';
+import {costOfMessage} from './messageSize.js';
 import {type VirtualMachine, type VirtualScheduler} from './virtualMachine.js';
 
 /** Limit of connections per address, as in `PeerCallClient`. */
@@ -26,8 +33,15 @@
   isClosed: boolean;
   /** Packets are lost until then. */
   silentUntil: number;
+  /** Called when the call on it has ended. */
+  onClosed: () => void;
 }
 
+/** What a handler returns, or why it fails. */
+type Reply = {value: unknown} | {error: string};
+
+const noCost: MessageCost = {bytes: 0, serializedBytes: 0, compressedBytes: 0};
+
 interface Connections {
   open: Connection[];
   pending: number;
@@ -103,19 +117,33 @@
         const to = this.machines.get(address);
         if (to === undefined) return exchange.fail('unknown address');
         this.acquire(from, to, pool, connectAttempts, exchange, connection => {
-          const receive = (settle: () => void) =>
+          const reset = () => {
+            const settle = () => exchange.fail('connection reset');
             this.transmit(to, from, connection, () => from.run(epoch, settle));
-          this.transmit(from, to, connection, () => {
+          };
+          const request = this.costOf(from, to, message);
+          const context = new CallContext();
+          connection.onClosed = () => {
+            // A lost packet tells nobody that the caller has given up.
+            if (this.isLost(from, to)) return;
+            this.scheduler.after(this.delay(from, to), () => context.end());
+          };
+          const arrive = () => {
             if (!to.isRunning || to.epoch !== connection.remoteEpoch) {
-              return receive(() => exchange.fail('connection reset'));
+              return reset();
             }
-            this.handle(to, method, message, reply =>
-              receive(() => {
-                if ('error' in reply) exchange.fail(reply.error);
-                else exchange.succeed(reply.value);
-              }),
+            this.handle(to, method, message, {request, context}, reply =>
+              this.respond(to, from, connection, reply, context, () =>
+                from.run(epoch, () => {
+                  if ('error' in reply) exchange.fail(reply.error);
+                  else exchange.succeed(reply.value);
+                }),
+              ),
             );
-          });
+          };
+          this.write(from, request, () =>
+            this.send(from, to, connection, request.bytes, arrive),
+          );
         });
       });
     };
@@ -125,20 +153,100 @@
     return {call, renew, close: async () => {}} as unknown as PeerCallClient;
   }
 
+  /** Returns what a message takes; nothing where no capacity is charged. */
+  private costOf(
+    from: VirtualMachine,
+    to: VirtualMachine,
+    message: unknown,
+  ): MessageCost {
+    if (from.capacity === undefined && to.capacity === undefined) return noCost;
+    return costOfMessage(message);
+  }
+
+  /** Calls back once a machine has written a message. */
+  private write(
+    from: VirtualMachine,
+    cost: MessageCost,
+    onWritten: () => void,
+  ): void {
+    const delay = from.capacity?.write(cost) ?? 0;
+    if (delay < 1) onWritten();
+    else this.scheduler.after(delay, onWritten);
+  }
+
+  private respond(
+    from: VirtualMachine,
+    to: VirtualMachine,
+    connection: Connection,
+    reply: Reply,
+    context: CallContext,
+    settle: () => void,
+  ): void {
+    const value = 'value' in reply ? reply.value : reply;
+    const cost = this.costOf(from, to, value);
+    const read = () => {
+      const delay = to.capacity?.readReply(cost.serializedBytes) ?? 0;
+      if (delay < 1) settle();
+      else this.scheduler.after(delay, settle);
+    };
+    this.write(from, cost, () =>
+      this.send(from, to, connection, cost.bytes, read, () => context.end()),
+    );
+  }
+
+  /**
+   * Sends a message in pieces of a connection's window, each once the one before
+   * it has arrived.
+   *
+   * @param onSent Called when the last piece was handed over.
+   */
+  private send(
+    from: VirtualMachine,
+    to: VirtualMachine,
+    connection: Connection,
+    bytes: number,
+    arrive: () => void,
+    onSent: () => void = () => undefined,
+  ): void {
+    if (connection.isClosed) return;
+    const piece = Math.min(bytes, windowBytes);
+    if (piece === bytes) onSent();
+    const receive = () => {
+      if (piece < bytes) {
+        this.send(from, to, connection, bytes - piece, arrive, onSent);
+      } else {
+        arrive();
+      }
+    };
+    this.carry(from.capacity?.send(piece), () =>
+      this.transmit(from, to, connection, () =>
+        this.carry(to.capacity?.receive(piece), receive),
+      ),
+    );
+  }
+
+  private carry(delay = 0, callback: () => void): void {
+    if (delay < 1) callback();
+    else this.scheduler.after(delay, callback);
+  }
+
   private handle(
     to: VirtualMachine,
     method: string,
     message: unknown,
-    respond: (reply: {value: unknown} | {error: string}) => void,
+    {request, context}: {request: MessageCost; context: CallContext},
+    respond: (reply: Reply) => void,
   ): void {
     const {epoch} = to;
-    const delay = to.handlingDelay(this.random);
+    const delay =
+      to.capacity?.readCall(request.serializedBytes) ??
+      to.handlingDelay(this.random);
     this.handledCalls++;
     const start = () => {
       const handler = to.handlers[method] as
-        ((message: unknown) => Promise<unknown>) | undefined;
+        ((message: unknown, call: CallContext) => Promise<unknown>) | undefined;
       if (handler === undefined) return respond({error: 'unknown method'});
-      handler(message).then(
+      handler(message, context).then(
         value => to.run(epoch, () => respond({value})),
         (error: unknown) =>
           to.run(epoch, () => respond({error: String(error)})),
@@ -165,6 +273,7 @@
       exchange.onSettled = isComplete => {
         connection.isBusy = false;
         connection.isClosed ||= !isComplete;
+        connection.onClosed();
         pool.waiting.shift()?.();
       };
       use(connection);
@@ -190,6 +299,7 @@
         isBusy: false,
         isClosed: false,
         silentUntil: 0,
+        onClosed: () => undefined,
       };
       pool.open.push(connection);
       if (exchange.isSettled) pool.waiting.shift()?.();
