perf(runtime): write a change for many receivers once, and compress it

Callers of 195 routers were refused for seconds after a large change, and a confirmed configuration could not be read back: replies with 544 kB for each router filled the 170 Mbit/s link of the leader, whose heartbeats waited behind them.

Messages between processes may now be gzip where the other side says that it reads it, by the usual HTTP headers, so processes of the version before get plain JSON. The model charges what this encoder writes.

The new tests have no counterpart before; nothing uses shareEncoding yet.

--- a/packages/bench/src/freshness/machineCapacity.ts
+++ b/packages/bench/src/freshness/machineCapacity.ts
@@ -15,6 +15,8 @@
 export interface MessageCost {
   /** Length as it is sent. */
   bytes: number;
+  /** Bytes of JSON that the receiver reads. */
+  jsonBytes: number;
   /** Bytes of JSON that are written for this message alone. */
   serializedBytes: number;
   /** Bytes that are compressed for this message alone. */
@@ -65,13 +67,13 @@
   }
 
   /** Takes processor time to read a call; returns the time until its end. */
-  readCall(serializedBytes: number): number {
-    return this.occupy(callMilliseconds + parseMilliseconds(serializedBytes));
+  readCall({jsonBytes}: MessageCost): number {
+    return this.occupy(callMilliseconds + parseMilliseconds(jsonBytes));
   }
 
   /** Takes processor time to read a reply; returns the time until its end. */
-  readReply(serializedBytes: number): number {
-    return this.occupy(parseMilliseconds(serializedBytes));
+  readReply({jsonBytes}: MessageCost): number {
+    return this.occupy(parseMilliseconds(jsonBytes));
   }
 
   /** Sends bytes after those before; returns the time until the last has left. */
--- a/packages/bench/src/freshness/virtualNetwork.ts
+++ b/packages/bench/src/freshness/virtualNetwork.ts
@@ -40,7 +40,12 @@
 /** What a handler returns, or why it fails. */
 type Reply = {value: unknown} | {error: string};
 
-const noCost: MessageCost = {bytes: 0, serializedBytes: 0, compressedBytes: 0};
+const noCost: MessageCost = {
+  bytes: 0,
+  jsonBytes: 0,
+  serializedBytes: 0,
+  compressedBytes: 0,
+};
 
 interface Connections {
   open: Connection[];
@@ -185,7 +190,7 @@
     const value = 'value' in reply ? reply.value : reply;
     const cost = this.costOf(from, to, value);
     const read = () => {
-      const delay = to.capacity?.readReply(cost.serializedBytes) ?? 0;
+      const delay = to.capacity?.readReply(cost) ?? 0;
       if (delay < 1) settle();
       else this.scheduler.after(delay, settle);
     };
@@ -239,8 +244,7 @@
   ): void {
     const {epoch} = to;
     const delay =
-      to.capacity?.readCall(request.serializedBytes) ??
-      to.handlingDelay(this.random);
+      to.capacity?.readCall(request) ?? to.handlingDelay(this.random);
     this.handledCalls++;
     const start = () => {
       const handler = to.handlers[method] as
--- a/packages/runtime/src/index.ts
+++ b/packages/runtime/src/index.ts
@@ -15,6 +15,12 @@
   type LabelValues,
   MetricsRegistry,
 } from './metricsRegistry.js';
+export {
+  encodeMessage,
+  type EncodedMessage,
+  type EncodingOptions,
+  shareEncoding,
+} from './messageEncoding.js';
 export {monotonicClockId} from './monotonicClockId.js';
 export {type ConnectCallback, openSocket} from './openSocket.js';
 export {PausableSocket} from './pausableSocket.js';
--- a/packages/runtime/src/peerCallClient.ts
+++ b/packages/runtime/src/peerCallClient.ts
@@ -7,6 +7,11 @@
  */
 import {Pool} from 'undici';
 
+import {
+  compressedEncoding,
+  decodeMessage,
+  encodeMessage,
+} from './messageEncoding.js';
 import {openSocketInAttempts} from './openSocketInAttempts.js';
 import {maxMessageBytes, readMessage} from './readMessage.js';
 
@@ -52,11 +57,16 @@
   maxReplyBytes: maxMessageBytes,
 };
 
+/** Bytes of a reply with another status that the error has. */
+const maxErrorBytes = 200;
+
 /** Connection pool of one address. */
 interface PeerConnections {
   pool: Pool;
   /** Number of calls that have no reply yet. */
   pendingCalls: number;
+  /** Whether a reply has shown that compressed calls are read there. */
+  readsCompressed: boolean;
 }
 
 /** Calls methods of other processes over pooled connections. */
@@ -91,23 +101,37 @@
     const peer = this.getOrOpenPeer(address);
     peer.pendingCalls++;
     const timeout = AbortSignal.timeout(timeoutMilliseconds);
+    const {body, isCompressed} = encodeMessage(message, {
+      isCompressible: peer.readsCompressed,
+    });
+    const encoding = isCompressed && {'content-encoding': compressedEncoding};
     try {
       const response = await peer.pool.request({
         method: 'POST',
         path: `/${method}`,
-        headers: {'content-type': 'application/json'},
-        body: JSON.stringify(message),
+        headers: {
+          'content-type': 'application/json',
+          'accept-encoding': compressedEncoding,
+          ...encoding,
+        },
+        body,
         signal:
           signal === undefined ? timeout : AbortSignal.any([timeout, signal]),
       });
-      const text = await readMessage(
+      const {maxReplyBytes} = this.options;
+      const reply = await readMessage(
         response.body as AsyncIterable<Buffer>,
-        this.options.maxReplyBytes,
+        maxReplyBytes,
       );
-      if (response.statusCode !== 200) {
-        throw new Error(`status ${response.statusCode}: ${text.slice(0, 200)}`);
+      const {statusCode, headers} = response;
+      if (statusCode !== 200) {
+        const text = reply.toString('utf8', 0, maxErrorBytes);
+        throw new Error(`status ${statusCode}: ${text}`);
       }
-      return JSON.parse(text) as T;
+      peer.readsCompressed ||=
+        headers['accept-encoding'] === compressedEncoding;
+      const replyEncoding = headers['content-encoding']?.toString();
+      return decodeMessage(reply, replyEncoding, maxReplyBytes) as T;
     } catch (cause) {
       throw new PeerCallError(`${method} at ${address}: ${String(cause)}`, {
         cause,
@@ -163,7 +187,7 @@
       bodyTimeout: 0,
       keepAliveTimeout: 30_000,
     });
-    const peer = {pool, pendingCalls: 0};
+    const peer = {pool, pendingCalls: 0, readsCompressed: false};
     this.peers.set(address, peer);
     return peer;
   }
--- a/packages/runtime/src/peerCallServer.ts
+++ b/packages/runtime/src/peerCallServer.ts
@@ -12,6 +12,12 @@
 import {CallContext, type ReplyRecord} from './callContext.js';
 import {systemClock} from './clock.js';
 import {type Logger} from './logger.js';
+import {
+  compressedEncoding,
+  decodeMessage,
+  encodeMessage,
+  type EncodingOptions,
+} from './messageEncoding.js';
 import {maxMessageBytes, MessageTooLong, readMessage} from './readMessage.js';
 
 /** Handles one method; a rejection becomes a reply with status 500. */
@@ -95,8 +101,12 @@
         return;
       }
       const {maxCallBytes = maxMessageBytes} = this.options;
-      const text = await readMessage(request, maxCallBytes);
-      const message = JSON.parse(text) as never;
+      const {headers} = request;
+      const message = decodeMessage(
+        await readMessage(request, maxCallBytes),
+        headers['content-encoding'],
+        maxCallBytes,
+      ) as never;
       const context = new CallContext();
       const receivedAt = systemClock.now();
       let bytes = 0;
@@ -113,7 +123,9 @@
       });
       response.once('finish', () => context.end());
       const result = await handler(message, context);
-      bytes = reply(response, 200, result);
+      bytes = reply(response, 200, result, {
+        isCompressible: headers['accept-encoding'] === compressedEncoding,
+      });
     } catch (error) {
       const isTooLong = error instanceof MessageTooLong;
       const {logger} = this.options;
@@ -131,15 +143,17 @@
 function reply(
   response: ServerResponse,
   status: number,
-  body: unknown,
+  message: unknown,
+  options: EncodingOptions = {isCompressible: false},
 ): number {
   if (response.destroyed) return 0;
-  const text = JSON.stringify(body ?? {});
-  const bytes = Buffer.byteLength(text);
+  const {body, isCompressed} = encodeMessage(message, options);
   response.writeHead(status, {
     'content-type': 'application/json',
-    'content-length': bytes,
+    'content-length': body.length,
+    'accept-encoding': compressedEncoding,
+    ...(isCompressed && {'content-encoding': compressedEncoding}),
   });
-  response.end(text);
-  return bytes;
+  response.end(body);
+  return body.length;
 }
--- a/packages/runtime/src/readMessage.ts
+++ b/packages/runtime/src/readMessage.ts
@@ -13,14 +13,14 @@
 }
 
 /**
- * Reads a message.
+ * Reads the bytes of a message.
  *
  * @throws MessageTooLong after `maxBytes`; the rest is not read.
  */
 export async function readMessage(
   source: AsyncIterable<Buffer>,
   maxBytes: number,
-): Promise<string> {
+): Promise<Buffer> {
   const message = new ByteAccumulator();
   for await (const piece of source) {
     if (message.length + piece.length > maxBytes) {
@@ -28,5 +28,5 @@
     }
     message.append(piece);
   }
-  return message.bytes.toString('utf8');
+  return message.bytes;
 }
--- /dev/null
+++ b/packages/runtime/tests/messageEncoding.test.ts
@@ -0,0 +1,138 @@
+/** @fileoverview Tests the encoding of messages between processes. */
+import {gzipSync} from 'node:zlib';
+
+import fc from 'fast-check';
+import {afterEach, describe, expect, it} from 'vitest';
+
+import {
+  type CallHandlers,
+  encodeMessage,
+  PeerCallClient,
+  PeerCallServer,
+  shareEncoding,
+  silentLogger,
+} from '../src/index.js';
+import {decodeMessage} from '../src/messageEncoding.js';
+
+const host = '127.0.0.1';
+const port = 21_906;
+const maxBytes = 1_000_000;
+const timeoutMilliseconds = 5_000;
+
+const closers: Array<() => unknown> = [];
+
+afterEach(async () => {
+  for (const close of closers.splice(0).reverse()) await close();
+});
+
+function createRoutes(count: number): object[] {
+  return Array.from({length: count}, (_, index) => ({
+    name: `route-${index}`,
+    pathPrefix: `/prefix-${index}/`,
+    kind: 'streaming',
+  }));
+}
+
+async function startServer(handlers: CallHandlers) {
+  const records: Array<{bytes: number; isSent: boolean}> = [];
+  const server = new PeerCallServer({
+    host,
+    port,
+    handlers,
+    logger: silentLogger,
+    onReplied: record => records.push(record),
+  });
+  await server.listen();
+  closers.push(() => server.close());
+  const client = new PeerCallClient();
+  closers.push(() => client.close());
+  const call = (method: string, message: unknown = {}) =>
+    client.call(`${host}:${port}`, method, message, {timeoutMilliseconds});
+  return {call, records};
+}
+
+describe('a message', () => {
+  const parts = fc.array(
+    fc.jsonValue().map(value => ({value, pad: 'ä'.repeat(3_000)})),
+  );
+
+  it('is read as it was written, with shared parts and without', () => {
+    fc.assert(
+      fc.property(parts, fc.jsonValue(), fc.boolean(), (list, own, isShort) => {
+        if (list[0] !== undefined) shareEncoding(list[0]);
+        const shared = shareEncoding({list: isShort ? [] : list});
+        const message = {
+          own,
+          list,
+          missing: undefined,
+          shared,
+          'q"ä': [shared],
+        };
+        const expected: unknown = JSON.parse(JSON.stringify(message));
+        for (const isCompressible of [true, false, true]) {
+          const encoded = encodeMessage(message, {isCompressible});
+          const {body, isCompressed} = encoded;
+          const encoding = isCompressed ? 'gzip' : undefined;
+          expect(decodeMessage(body, encoding, maxBytes)).toEqual(expected);
+        }
+      }),
+    );
+  });
+
+  it('is not read if it is too long once it is decompressed', () => {
+    const body = gzipSync(`"${'z'.repeat(2 * maxBytes)}"`);
+    expect(() => decodeMessage(body, 'gzip', maxBytes)).toThrow();
+  });
+});
+
+// Guards against a leader that writes the same change for each router, and sends
+// more than its link carries (issue 49).
+describe('a change for many receivers', () => {
+  it('is written and compressed once', () => {
+    const change = shareEncoding({put: createRoutes(1_700), removed: []});
+    const encode = (router: number) =>
+      encodeMessage({router, change}, {isCompressible: true});
+    const first = encode(1);
+    const second = encode(2);
+    expect(first.compressedLength).toBeGreaterThan(first.length - 100);
+    expect(second.writtenLength).toBeLessThan(50);
+    expect(second.compressedLength).toBeLessThan(50);
+    expect(second.body.length).toBeLessThan(second.length / 5);
+  });
+});
+
+describe('a call between processes', () => {
+  it('is replied to in fewer bytes than its JSON', async () => {
+    const reply = {routes: createRoutes(500)};
+    const {call, records} = await startServer({routes: async () => reply});
+    expect(await call('routes')).toEqual(reply);
+    const {length} = JSON.stringify(reply);
+    await expect.poll(() => records.length).toBe(1);
+    expect(records[0]).toMatchObject({isSent: true});
+    expect(records[0]!.bytes).toBeLessThan(length / 4);
+  });
+
+  it('may be compressed once the receiver is known to read it', async () => {
+    const {call} = await startServer({
+      echo: async message => message,
+    });
+    const message = {entries: createRoutes(500)};
+    for (let count = 0; count < 3; count++) {
+      expect(await call('echo', message)).toEqual(message);
+    }
+  });
+
+  // Guards against processes of the version before, which read no compressed
+  // messages and say so by their silence.
+  it('is replied to in plain JSON where the caller asks for nothing else', async () => {
+    const reply = {routes: createRoutes(500)};
+    await startServer({routes: async () => reply});
+    const response = await fetch(`http://${host}:${port}/routes`, {
+      method: 'POST',
+      body: '{}',
+      headers: {'accept-encoding': 'identity'},
+    });
+    expect(response.headers.get('content-encoding')).toBeNull();
+    expect(await response.json()).toEqual(reply);
+  });
+});
--- a/packages/schema/src/checkedHandler.ts
+++ b/packages/schema/src/checkedHandler.ts
@@ -46,9 +46,10 @@
  *
  * @returns A handler that rejects other messages with `MalformedMessage`.
  */
-export function checkedHandler<N extends keyof ApartMessageTypes, R>(
+export function checkedHandler<N extends keyof ApartMessageTypes, R, C>(
   name: N,
-  handler: (message: ApartMessageTypes[N]) => Promise<R>,
-): (message: unknown) => Promise<R> {
-  return async message => handler(checkedMessage(name, message));
+  handler: (message: ApartMessageTypes[N], context: C) => Promise<R>,
+): (message: unknown, context: C) => Promise<R> {
+  return async (message, context) =>
+    handler(checkedMessage(name, message), context);
 }
