fix(control): bound what changes take of one leader

Four causes of one class, work and bytes of one leader that grow with routers, size and changes:

- each router's reply was written by itself: updates of the configuration and the directory, addresses of the routers and log entries with configurations are now shared;
- who lagged by more than 8 versions got the whole configuration, and lagged more: the history keeps the names of changed items of 1,000 versions instead of 8 configurations, and compares each version once, not once for each version that some router has;
- each call of a router got the same changes, up to six times when a cut healed: one reply with changes is on its way to a router at a time, and later calls of it show what it has;
- nothing ordered replies behind the leader's own messages: 24 replies with changes are on their way at once, the others are built when their turn comes, and rounds of replies are spaced by the number of routers.

The test of the refresher sets the field that replaced answeredAt; its times are the same.

--- a/packages/bench/src/freshness/controlProcess.ts
+++ b/packages/bench/src/freshness/controlProcess.ts
@@ -16,6 +16,7 @@
 } from '@dogwoodtrestle/control';
 import {FleetState, isDeparture, ServerDirectory} from '@dogwoodtrestle/fleet';
 import {
+  type CallContext,
   MetricsRegistry,
   PeriodicTask,
   silentLogger,
@@ -114,7 +115,8 @@
     identity: async () => group.identity(),
     found: ({members}: {members: Member[]}) => group.acceptBootstrap(members),
     join: async (request: JoinRequest) => group.receiveJoinRequest(request),
-    watch: (request: WatchRequest) => watch.watch(request),
+    watch: (request: WatchRequest, call: CallContext) =>
+      watch.watch(request, call),
     usage: (report: UsageReport) => grants.report(report),
     announcements: ({announcements}: AnnouncementBatch) =>
       receiveAnnouncements(announcements, directory, group, departures, clock),
--- a/packages/control/src/controlNode.ts
+++ b/packages/control/src/controlNode.ts
@@ -164,9 +164,9 @@
       join: checkedHandler('JoinRequest', async request =>
         group.receiveJoinRequest(request),
       ),
-      watch: checkedHandler('WatchRequest', request => {
+      watch: checkedHandler('WatchRequest', (request, call) => {
         receivedCalls.add({call: 'watch'});
-        return watch.watch(request);
+        return watch.watch(request, call);
       }),
       usage: checkedHandler('UsageReport', report => {
         receivedCalls.add({call: 'usage'});
@@ -250,6 +250,7 @@
           isLeader: group.isLeader,
           term: group.term,
           waitingCalls: watch.waitingCalls,
+          waitingDeliveries: watch.waitingDeliveries,
           routersBehind: watch.routersBehind,
         }),
     });
--- a/packages/control/src/knownRouters.ts
+++ b/packages/control/src/knownRouters.ts
@@ -3,6 +3,7 @@
  * state each of them has applied, by its watch requests.
  */
 import {
+  type CallContext,
   type Clock,
   type Histogram,
   type Counter,
@@ -19,6 +20,18 @@
   'configurationVersion' | 'epoch' | 'revision'
 >;
 
+/** A reply with changes to a router. Times are monotonic, in milliseconds. */
+export interface Delivery {
+  readonly call: CallContext;
+  readonly startedAt: number;
+  /** Versions that the router had. */
+  base: StateVersions;
+  /** Versions that it has with these changes. */
+  sent: StateVersions;
+  /** When the reply was handed over, or its connection has ended. */
+  endedAt?: number;
+}
+
 /** A router that sent a watch request recently. Times are in milliseconds. */
 export interface KnownRouter {
   /** Name of its incarnation. */
@@ -27,10 +40,8 @@
   /** Versions that it had when it sent its last request. */
   applied: StateVersions;
   heardAt: number;
-  /** When it was last sent a change. */
-  answeredAt: number;
-  /** Versions that it had, and was sent, when it was last sent a change. */
-  answer?: {base: StateVersions; sent: StateVersions};
+  /** The last reply with changes. */
+  delivery?: Delivery;
   /** Since when it has made no progress and lacks a change. */
   behindSince?: number;
   /** Value of `behindSince` that was logged, until it has caught up. */
@@ -114,7 +125,7 @@
     return this.routers.size;
   }
 
-  /** Peer addresses, sorted. */
+  /** Peer addresses, sorted; the same list until they change. */
   get addresses(): readonly string[] {
     return this.sortedAddresses;
   }
@@ -250,7 +261,6 @@
       address,
       applied,
       heardAt: now,
-      answeredAt: -Infinity,
       hasEnded: false,
     };
     this.routers.set(router, added);
--- a/packages/control/src/leaderLoad.ts
+++ b/packages/control/src/leaderLoad.ts
@@ -33,6 +33,8 @@
   isLeader: boolean;
   term: number;
   waitingCalls: number;
+  /** Replies with changes that wait until others are on their way. */
+  waitingDeliveries: number;
   routersBehind: number;
 }
 
--- a/packages/control/src/replicaGroup.ts
+++ b/packages/control/src/replicaGroup.ts
@@ -11,10 +11,15 @@
   Replica,
   type StateMachine,
 } from '@dogwoodtrestle/consensus';
-import {type PeerCallClient, PeriodicTask} from '@dogwoodtrestle/runtime';
+import {
+  type PeerCallClient,
+  PeriodicTask,
+  shareEncoding,
+} from '@dogwoodtrestle/runtime';
 import {
   type ConsensusMessage,
   type ConsensusReply,
+  type FleetCommand,
   type JoinRequest,
   type LeaderHint,
   type Member,
@@ -104,10 +109,12 @@
       random: Math.random,
       onFailure,
       transport: {
-        send: (to, message) =>
-          client.call<ConsensusReply>(to.address, 'consensus', message, {
+        send: (to, message) => {
+          shareLargeEntries(message);
+          return client.call<ConsensusReply>(to.address, 'consensus', message, {
             timeoutMilliseconds: options.peerTimeoutMilliseconds,
-          }),
+          });
+        },
       },
     });
     return new ReplicaGroup(replica, options, client, storage.identity);
@@ -361,3 +368,13 @@
     this.lastLoggedLeader = current;
   }
 }
+
+/** Lets entries with configurations be encoded once for all followers. */
+function shareLargeEntries(message: ConsensusMessage): void {
+  if (message.kind !== 'append') return;
+  for (const entry of message.entries) {
+    const commands = (entry.commands ?? []) as FleetCommand[];
+    const isLarge = commands.some(({kind}) => kind === 'putConfiguration');
+    if (isLarge) shareEncoding(entry);
+  }
+}
--- a/packages/control/src/routerRefresher.ts
+++ b/packages/control/src/routerRefresher.ts
@@ -55,9 +55,9 @@
 
   private isDue(router: KnownRouter, delay: number): boolean {
     const now = this.options.clock.now();
-    const {behindSince = now, answeredAt} = router;
+    const {behindSince = now, delivery} = router;
     const lastTriedAt = Math.max(
-      answeredAt,
+      delivery?.endedAt ?? delivery?.startedAt ?? -Infinity,
       this.refreshedAt.get(router) ?? -Infinity,
     );
     return (
--- a/packages/control/src/watchService.ts
+++ b/packages/control/src/watchService.ts
@@ -2,9 +2,14 @@
  * @fileoverview Notifies routers of changes of the configuration and the
  * backend servers by long polling.
  */
-import {changesBetween, type ServerDirectory} from '@dogwoodtrestle/fleet';
+import {
+  ConfigurationHistory,
+  type ServerDirectory,
+} from '@dogwoodtrestle/fleet';
+import {CallContext, shareEncoding} from '@dogwoodtrestle/runtime';
 import {
   type ConfigurationUpdate,
+  type DirectoryUpdate,
   type FleetConfiguration,
   type LeaderHint,
   type LeaderView,
@@ -14,7 +19,9 @@
 } from '@dogwoodtrestle/schema';
 
 import {type ControlOptions} from './controlOptions.js';
+import {DeliveryQueue} from './deliveryQueue.js';
 import {
+  type Delivery,
   type KnownRouter,
   type KnownRouters,
   type StateVersions,
@@ -23,9 +30,6 @@
 import {type ReplicaGroup} from './replicaGroup.js';
 import {type WatchTopic} from './watchTopic.js';
 
-/** Number of retained configurations; older ones get a full update. */
-const maxVersions = 8;
-
 /** How soon routers are notified of a change. */
 export type Urgency = 'urgent' | 'normal';
 
@@ -38,6 +42,12 @@
   normal: 50,
 };
 
+/**
+ * Time between two rounds of replies for each router, so that many changes don't
+ * take all of the processor: a round costs a reply and a call of each router.
+ */
+const roundMillisecondsPerRouter = 0.7;
+
 /**
  * Interval at which a process checks whether it leads, and is confirmed, while
  * calls wait.
@@ -50,12 +60,23 @@
  */
 const resendAfterMilliseconds = 400;
 
+/** Time after which a reply with changes that was not handed over is lost. */
+const maxDeliveryMilliseconds = 1_000;
+
+/** Key of the update that has the whole directory. */
+const wholeDirectory = -1;
+
 /** Handles the routers' watch requests while this process leads. */
 export class WatchService {
-  private readonly versions: FleetConfiguration[] = [];
-  private readonly updates = new Map<number, ConfigurationUpdate>();
+  private readonly configurations = new ConfigurationHistory();
+  /** By the revision that they start from, up to one revision. */
+  private readonly directoryUpdates = new Map<number, DirectoryUpdate>();
+  private directoryRevision = 0;
+  private readonly deliveries: DeliveryQueue;
   private readonly waiters = new Set<() => void>();
   private scheduledNotice?: {at: number; cancel: () => void};
+  /** When all waiting calls were last replied to. */
+  private lastRoundAt = -Infinity;
   private isRoleCheckScheduled = false;
   private role = '';
 
@@ -69,6 +90,7 @@
     private readonly topics: readonly WatchTopic[],
     private readonly routers: KnownRouters,
   ) {
+    this.deliveries = new DeliveryQueue(options.clock);
     routers.update(this.requiredVersions);
   }
 
@@ -77,6 +99,11 @@
     return this.waiters.size;
   }
 
+  /** Number of replies with changes that wait until others are on their way. */
+  get waitingDeliveries(): number {
+    return this.deliveries.waitingCount;
+  }
+
   /** Number of routers that lack a change. */
   get routersBehind(): number {
     return this.routers.behindCount;
@@ -86,7 +113,7 @@
   get currentVersions(): StateVersions {
     const {epoch, currentRevision} = this.directory;
     return {
-      configurationVersion: this.versions.at(-1)?.version ?? 0,
+      configurationVersion: this.configurations.newest?.version ?? 0,
       epoch,
       revision: currentRevision,
     };
@@ -129,9 +156,7 @@
 
   /** Adds the newly active configuration and notifies routers. */
   putConfiguration(configuration: FleetConfiguration): void {
-    this.versions.push(configuration);
-    if (this.versions.length > maxVersions) this.versions.shift();
-    this.updates.clear();
+    this.configurations.add(configuration);
     this.notifyWatchers();
   }
 
@@ -139,14 +164,18 @@
   notifyWatchers(urgency: Urgency = 'urgent'): void {
     this.routers.update(this.requiredVersions);
     const {clock} = this.options;
-    const delay = notifyDelayMilliseconds[urgency];
-    const at = clock.now() + delay;
+    const now = clock.now();
+    const nextRoundAt =
+      this.lastRoundAt + this.routers.count * roundMillisecondsPerRouter;
+    const delay = Math.max(notifyDelayMilliseconds[urgency], nextRoundAt - now);
+    const at = now + delay;
     if (this.scheduledNotice !== undefined) {
       if (this.scheduledNotice.at <= at) return;
       this.scheduledNotice.cancel();
     }
     const cancel = clock.setTimer(delay, () => {
       this.scheduledNotice = undefined;
+      this.lastRoundAt = clock.now();
       this.resumeWaiters();
     });
     this.scheduledNotice = {at, cancel};
@@ -157,7 +186,7 @@
    * there are any, or after the long poll timeout. A process that doesn't lead,
    * or can't vouch for its state, replies with a leader hint.
    */
-  async watch(request: WatchRequest): Promise<WatchReply> {
+  async watch(request: WatchRequest, call?: CallContext): Promise<WatchReply> {
     const {clock} = this.options;
     const receivedAt = clock.now();
     if (!(await this.waitForConfirmation())) return this.leaderHint();
@@ -166,23 +195,59 @@
     const topicsWithNews = this.topics.filter(topic => topic.record(request));
     if (topicsWithNews.length > 0) this.notifyWatchers();
     await this.waitForNews(request, router);
-    if (!this.group.leadsWithQuorum) return this.leaderHint();
-    if (!(await this.waitForConfirmation())) return this.leaderHint();
-    const notices = this.topics.map(topic => topic.notice(request));
-    const directory = this.directory.changesSince(
-      request.epoch,
-      request.revision,
-    );
-    const configuration = this.buildUpdate(request.configurationVersion);
-    if (directory !== undefined || configuration !== undefined) {
-      router.answeredAt = clock.now();
-      router.answer = {base: versionsOf(request), sent: this.currentVersions};
+    const end = await this.startDelivery(request, router, call);
+    if (!this.group.leadsWithQuorum || !(await this.waitForConfirmation())) {
+      end();
+      return this.leaderHint();
     }
+    if (call === undefined) end();
+    return this.buildUpdate(request, router, receivedAt);
+  }
+
+  /**
+   * Waits until a reply with changes may be sent, if the router lacks any.
+   *
+   * @param call Ends the delivery, as soon as the reply is handed over.
+   * @returns Ends the delivery before that.
+   */
+  private async startDelivery(
+    request: WatchRequest,
+    router: KnownRouter,
+    call = new CallContext(),
+  ): Promise<() => void> {
+    if (!this.hasChanges(request, router)) return () => undefined;
+    const {clock} = this.options;
+    const base = this.baseOf(request, router);
+    const delivery: Delivery = {
+      call,
+      startedAt: clock.now(),
+      base,
+      sent: this.currentVersions,
+    };
+    router.delivery = delivery;
+    const release = await this.deliveries.take();
+    delivery.base = this.baseOf(request, router);
+    delivery.sent = this.currentVersions;
+    const end = () => {
+      delivery.endedAt ??= clock.now();
+      release();
+    };
+    call.onEnd(end);
+    return end;
+  }
+
+  private buildUpdate(
+    request: WatchRequest,
+    router: KnownRouter,
+    receivedAt: number,
+  ): WatchUpdate {
+    const notices = this.topics.map(topic => topic.notice(request));
+    const base = this.baseOf(request, router);
     const update: WatchUpdate = {
       kind: 'update',
       view: this.view(receivedAt),
-      configuration,
-      directory,
+      configuration: this.configurationSince(base),
+      directory: this.directorySince(base),
       replicas: this.group.addresses,
       routers: this.routers.count,
       peersRevision: this.routers.addressesRevision,
@@ -192,6 +257,23 @@
     return update;
   }
 
+  /**
+   * Returns the versions from which a router needs changes: those of the request,
+   * or those that a later request of it has shown.
+   */
+  private baseOf(request: WatchRequest, {applied}: KnownRouter): StateVersions {
+    const own = versionsOf(request);
+    const configurationVersion = Math.max(
+      own.configurationVersion,
+      applied.configurationVersion,
+    );
+    const {epoch} = this.directory;
+    if (applied.epoch !== epoch) return {...own, configurationVersion};
+    const known = own.epoch === epoch ? own.revision : applied.revision;
+    const revision = Math.max(known, applied.revision);
+    return {configurationVersion, epoch, revision};
+  }
+
   /**
    * Returns the addresses of all routers if the router lacks some. It keeps those
    * of a former leader until this one has heard of all routers.
@@ -200,7 +282,8 @@
     const {addresses, addressesRevision, isComplete} = this.routers;
     const hasOthers = peersRevision < 0 && epoch !== '';
     if (!isComplete && hasOthers) return undefined;
-    return peersRevision === addressesRevision ? undefined : [...addresses];
+    if (peersRevision === addressesRevision) return undefined;
+    return shareEncoding(addresses as string[]);
   }
 
   /**
@@ -223,40 +306,55 @@
     request: WatchRequest,
     router: KnownRouter,
   ): Promise<void> {
-    const {clock, watchMilliseconds} = this.options;
-    if (!this.hasChanges(request)) {
+    const {watchMilliseconds} = this.options;
+    if (!this.hasChanges(request, router)) {
       const {waitMilliseconds = watchMilliseconds} = request;
       await this.waitForChange(Math.min(waitMilliseconds, watchMilliseconds));
-    } else if (this.isBeingSent(request, router)) {
-      const left = router.answeredAt + resendAfterMilliseconds - clock.now();
-      if (left > 0) await this.waitForChange(left);
+    }
+    while (this.hasChanges(request, router)) {
+      const left = this.timeUntilDelivery(request, router);
+      if (left <= 0) return;
+      const {delivery} = router;
+      const isOnItsWay = delivery?.endedAt === undefined;
+      await this.waitForChange(left, isOnItsWay ? delivery?.call : undefined);
     }
   }
 
-  private hasChanges({
-    configurationVersion,
-    epoch,
-    revision,
-  }: StateVersions): boolean {
-    const current = this.currentVersions;
-    return (
-      current.configurationVersion > configurationVersion ||
-      epoch !== current.epoch ||
-      revision !== current.revision
-    );
+  /** Time for which a router gets no other reply with changes. */
+  private timeUntilDelivery(
+    request: WatchRequest,
+    router: KnownRouter,
+  ): number {
+    const {delivery} = router;
+    if (delivery === undefined) return 0;
+    const {call, base, sent, startedAt, endedAt} = delivery;
+    const now = this.options.clock.now();
+    if (endedAt === undefined) {
+      // A caller that has gone while its reply waited leaves its place to others.
+      const isGone = call.hasEnded;
+      return isGone ? 0 : startedAt + maxDeliveryMilliseconds - now;
+    }
+    const isSameReply =
+      isSameVersions(this.baseOf(request, router), base) &&
+      isSameVersions(sent, this.currentVersions);
+    return isSameReply ? endedAt + resendAfterMilliseconds - now : 0;
   }
 
-  /** Whether the router was sent all changes, and may not have got them yet. */
-  private isBeingSent(request: WatchRequest, {answer}: KnownRouter): boolean {
+  private hasChanges(request: WatchRequest, router: KnownRouter): boolean {
+    const base = this.baseOf(request, router);
+    const current = this.currentVersions;
     return (
-      answer !== undefined &&
-      isSameVersions(request, answer.base) &&
-      isSameVersions(answer.sent, this.currentVersions)
+      current.configurationVersion > base.configurationVersion ||
+      current.epoch !== base.epoch ||
+      current.revision !== base.revision
     );
   }
 
-  /** Resolves at the next change or after a timeout. */
-  private waitForChange(milliseconds: number): Promise<void> {
+  /** Resolves at the next change, at the end of a call, or after a timeout. */
+  private waitForChange(
+    milliseconds: number,
+    call?: CallContext,
+  ): Promise<void> {
     return new Promise(resolve => {
       const resume = () => {
         cancel();
@@ -266,6 +364,7 @@
       const cancel = this.options.clock.setTimer(milliseconds, resume);
       if (this.waiters.size === 0) this.role = this.currentRole;
       this.waiters.add(resume);
+      call?.onEnd(resume);
       this.scheduleRoleCheck();
     });
   }
@@ -294,15 +393,28 @@
     });
   }
 
-  private buildUpdate(version: number): ConfigurationUpdate | undefined {
-    const newest = this.versions.at(-1);
-    if (newest === undefined || newest.version <= version) return undefined;
-    let update = this.updates.get(version);
-    if (update === undefined) {
-      const base = this.versions.find(known => known.version === version);
-      update = changesBetween(base, newest);
-      this.updates.set(version, update);
+  private configurationSince({
+    configurationVersion,
+  }: StateVersions): ConfigurationUpdate | undefined {
+    const update = this.configurations.updateSince(configurationVersion);
+    return update && shareEncoding(update);
+  }
+
+  private directorySince({
+    epoch,
+    revision,
+  }: StateVersions): DirectoryUpdate | undefined {
+    const {directory, directoryUpdates} = this;
+    if (directory.currentRevision !== this.directoryRevision) {
+      this.directoryRevision = directory.currentRevision;
+      directoryUpdates.clear();
     }
+    const key = epoch === directory.epoch ? revision : wholeDirectory;
+    const known = directoryUpdates.get(key);
+    if (known !== undefined) return known;
+    const update = directory.changesSince(epoch, revision);
+    if (update === undefined) return undefined;
+    directoryUpdates.set(key, shareEncoding(update));
     return update;
   }
 }
--- a/packages/control/tests/knownRouters.test.ts
+++ b/packages/control/tests/knownRouters.test.ts
@@ -229,7 +229,8 @@
     routers.update(createVersions(2));
     const [router] = routers.behind();
     await vi.advanceTimersByTimeAsync(5);
-    Object.assign(router ?? {}, {answeredAt: systemClock.now()});
+    const startedAt = systemClock.now();
+    Object.assign(router ?? {}, {delivery: {startedAt, endedAt: startedAt}});
     await runFor(400);
     expect(calls.map(({at}) => at)).toEqual([305]);
   });
--- a/packages/control/tests/leaderLoad.test.ts
+++ b/packages/control/tests/leaderLoad.test.ts
@@ -9,7 +9,13 @@
 
 import {LeaderLoad} from '../src/leaderLoad.js';
 
-const quiet = {isLeader: true, term: 3, waitingCalls: 2, routersBehind: 0};
+const quiet = {
+  isLeader: true,
+  term: 3,
+  waitingCalls: 2,
+  waitingDeliveries: 0,
+  routersBehind: 0,
+};
 
 function createLoad() {
   const lines: object[] = [];
--- a/packages/fleet/src/index.ts
+++ b/packages/fleet/src/index.ts
@@ -4,6 +4,7 @@
 export * from './checkConfiguration.js';
 export * from './concurrencyLimit.js';
 export * from './configurationChanges.js';
+export * from './configurationHistory.js';
 export * from './crashingSubjects.js';
 export * from './crashSubject.js';
 export * from './decayingRate.js';
--- a/packages/fleet/tests/configuration.test.ts
+++ b/packages/fleet/tests/configuration.test.ts
@@ -1,10 +1,12 @@
 import {type FleetConfiguration, type FleetRoute} from '@dogwoodtrestle/schema';
+import fc from 'fast-check';
 import {describe, expect, it} from 'vitest';
 
 import {
   applyChanges,
   changesBetween,
   checkConfiguration,
+  ConfigurationHistory,
   FleetState,
   RouteTable,
 } from '../src/index.js';
@@ -163,3 +165,63 @@
     expect(copy.snapshot()).toEqual(state.snapshot());
   });
 });
+
+// Guards against routers that lag by more than a few versions in a storm of changes
+// and get the whole configuration again and again (issue 49).
+describe('the changes since an earlier version', () => {
+  const names = fc.subarray(['a', 'b', 'c', 'd', 'constructor', '__proto__']);
+  const versions = fc.array(fc.tuple(names, fc.nat(2)), {minLength: 2});
+
+  it('lead to the newest one, from any version', () => {
+    fc.assert(
+      fc.property(versions, fc.nat(40), (drawn, maxNames) => {
+        const history = new ConfigurationHistory({maxNames});
+        const configurations = drawn.map(([routes, priority], index) =>
+          createConfiguration({
+            version: 3 * index + 1,
+            routes: routes.map(name => createRoute({name, priority})),
+            workspaces: priority === 2 ? undefined : [{name: 'w', keys: []}],
+          }),
+        );
+        for (const next of configurations) history.add(next);
+        const newest = configurations.at(-1)!;
+        expect(history.updateSince(newest.version)).toBeUndefined();
+        for (const base of [undefined, ...configurations.slice(0, -1)]) {
+          const update = history.updateSince(base?.version ?? 0)!;
+          const result = applyChanges(base, update);
+          const sorted = [...result!.routes].sort((a, b) =>
+            a.name.localeCompare(b.name),
+          );
+          const expected = [...newest.routes].sort((a, b) =>
+            a.name.localeCompare(b.name),
+          );
+          expect({...result, routes: sorted}).toEqual({
+            ...newest,
+            routes: expected,
+          });
+        }
+      }),
+    );
+  });
+
+  it('have only what changed, also of hundreds of versions', () => {
+    const history = new ConfigurationHistory();
+    const routes = Array.from({length: 50}, (_, n) =>
+      createRoute({name: `r-${n}`}),
+    );
+    for (let version = 1; version <= 400; version++) {
+      const priority = version % 7;
+      const [first, ...others] = routes;
+      history.add(
+        createConfiguration({
+          version,
+          routes: [{...first!, priority}, ...others],
+        }),
+      );
+    }
+    const update = history.updateSince(1);
+    expect(update).toMatchObject({baseVersion: 1, version: 400});
+    expect(update?.routes.put.map(({name}) => name)).toEqual(['r-0']);
+    expect(history.updateSince(1)).toBe(update);
+  });
+});
