fix(edge): keep few calls while no control process replies

While it is cut off a router kept up to three long polls and three other watch calls at each of five processes; those of all routers arrived together when the cut healed. Without a reply for 2.5 s each process now has one poll, which keeps its full time for busy links, and one other call that is replaced.

--- a/packages/edge/src/controlPlaneClient.ts
+++ b/packages/edge/src/controlPlaneClient.ts
@@ -22,11 +22,8 @@
 import {type EdgeOptions} from './edgeOptions.js';
 import {FleetCopy, type ServerListener} from './fleetCopy.js';
 import {LeaderContact} from './leaderContact.js';
-import {
-  callLimitMilliseconds,
-  type PendingCall,
-  PendingCalls,
-} from './pendingCalls.js';
+import {callLimitMilliseconds, type PendingCall} from './pendingCalls.js';
+import {PendingWatchCalls} from './pendingWatchCalls.js';
 import {type ReplyCounter} from './replyCounter.js';
 import {type RouterIdentity} from './routerIdentity.js';
 import {chooseTargets, searchPause} from './searchRound.js';
@@ -49,12 +46,6 @@
 /** Rounds of a search after which idle connections are not used any more. */
 const roundsBeforeRenewal = 3;
 
-/** Long polls without a reply at one process. */
-const maxPendingPolls = 3;
-
-/** Calls without a reply that ask one process for an immediate one. */
-const maxPendingAsks = 3;
-
 /** Receives changes other than those of the configuration. */
 export interface ControlPlaneListener extends ServerListener {
   /** Further subjects, applied after the records. */
@@ -96,9 +87,7 @@
   private peersSource?: string;
   private maxRouterCount = 1;
   private isStopped = false;
-  private readonly pendingPolls = new PendingCalls(maxPendingPolls);
-  /** Calls without a reply that ask for an immediate one. */
-  private readonly pendingAsks = new PendingCalls(maxPendingAsks);
+  private readonly pending: PendingWatchCalls;
   private readonly askedAt = new Map<string, number>();
   private readonly renewal: ConnectionRenewal;
   private readonly times: CallTimes;
@@ -123,6 +112,7 @@
     private readonly listener: ControlPlaneListener,
     private readonly replies: ReplyCounter,
   ) {
+    this.pending = new PendingWatchCalls(options.clock);
     this.updated = new Signal(options.clock);
     this.disturbed = new Signal(options.clock);
     this.copy = new FleetCopy(options, listener);
@@ -288,8 +278,13 @@
 
   private askInRound(probes: number, mayBeSilent: boolean): void {
     const {namedLeader, probed, replicas, options} = this;
+    const addresses = [...new Set([...replicas, ...options.seeds()])];
+    if (this.pending.isSilent) {
+      for (const address of addresses) this.callInSilence(address);
+      return;
+    }
     const {asked, polled} = chooseTargets({
-      addresses: [...new Set([...replicas, ...options.seeds()])],
+      addresses,
       namedLeader,
       isHolding: address =>
         address === this.leader || this.hasRecentPoll(address),
@@ -304,6 +299,14 @@
     for (const address of polled) void this.poll(address);
   }
 
+  /** Sends a call to a process that doesn't reply, if another one is due. */
+  private callInSilence(address: string): void {
+    const kind = this.pending.dueInSilence(address, this.times.askPatience);
+    if (kind === undefined) return;
+    this.renewal.renew(address);
+    void this[kind](address);
+  }
+
   /** Whether any reply has come within the time of a long poll. */
   private get hasRecentContact(): boolean {
     return this.contactAgeMilliseconds < this.times.pollTimeout;
@@ -311,7 +314,7 @@
 
   private hasRecentPoll(address: string): boolean {
     const {clock} = this.options;
-    const age = clock.now() - this.pendingPolls.newestSentAt(address);
+    const age = clock.now() - this.pending.polls.newestSentAt(address);
     return age < this.times.pollTimeout;
   }
 
@@ -320,10 +323,10 @@
     const {longPollMilliseconds: waitMilliseconds} = this.options;
     const time = this.requestTime();
     const {sentAt} = time;
-    const call = this.pendingPolls.add({address, sentAt, waitMilliseconds});
+    const call = this.pending.polls.add({address, sentAt, waitMilliseconds});
     if (call === undefined) return;
     await this.watchOnce(call, time);
-    this.pendingPolls.remove(call);
+    this.pending.polls.remove(call);
   }
 
   /** Sends a watch call that asks for an immediate reply, if none was sent lately. */
@@ -333,11 +336,11 @@
     const askedAt = this.askedAt.get(address) ?? -Infinity;
     if (sentAt - askedAt < this.times.askInterval) return;
     this.askedAt.set(address, sentAt);
-    this.pendingAsks.endSentBefore(address, sentAt - this.times.askPatience);
-    const call = this.pendingAsks.add({address, sentAt, waitMilliseconds: 0});
+    this.pending.asks.endSentBefore(address, sentAt - this.times.askPatience);
+    const call = this.pending.asks.add({address, sentAt, waitMilliseconds: 0});
     if (call === undefined) return;
     await this.watchOnce(call, time, {waitMilliseconds: 0});
-    this.pendingAsks.remove(call);
+    this.pending.asks.remove(call);
   }
 
   private async askLeader(): Promise<void> {
@@ -367,8 +370,7 @@
     try {
       const {signal} = controller;
       const reply = await this.requestUpdate(address, fields, signal);
-      this.pendingPolls.endLost(pending);
-      this.pendingAsks.endLost(pending);
+      this.pending.recordReply(pending);
       if (reply.kind === 'update') {
         this.applyUpdate(reply, {number, address, time});
       } else {
--- a/packages/edge/src/pendingCalls.ts
+++ b/packages/edge/src/pendingCalls.ts
@@ -46,6 +46,16 @@
     return this.to(address).at(-1)?.sentAt ?? -Infinity;
   }
 
+  /** Returns the number of calls to an address. */
+  countTo(address: string): number {
+    return this.to(address).length;
+  }
+
+  /** Ends the calls to an address but for the oldest ones. */
+  endAllBut(count: number, address: string): void {
+    for (const call of this.to(address).slice(count)) this.end(call);
+  }
+
   /** Ends the calls to an address that were sent before a time. */
   endSentBefore(address: string, time: number): void {
     for (const call of this.to(address)) {
