fix(control): count a reply as delivered once its router shows what it has

A reply now leaves its place when the router's next call shows its versions, or after 250 ms; 64 may be on their way.

--- a/packages/control/src/deliveryQueue.ts
+++ b/packages/control/src/deliveryQueue.ts
@@ -1,15 +1,16 @@
 /**
- * @fileoverview Limits the replies with changes that are on their way at once. The
- * others wait in order, and are built when their turn comes: with the newest changes,
- * and with room on the event loop and the link for messages between replicas.
+ * @fileoverview Limits the replies with changes that are on their way at once, until
+ * the routers' next calls show that they have arrived. The others wait in order, and
+ * are built when their turn comes: with the newest changes, and with room on the
+ * event loop and the link for messages between replicas.
  */
 import {type Clock} from '@dogwoodtrestle/runtime';
 
 /** Replies with changes that may be on their way. */
-const maxDeliveries = 24;
+const maxDeliveries = 64;
 
 /**
- * Time after which a reply leaves its place, though it was not handed over: its
+ * Time after which a reply leaves its place without a sign of its arrival: its
  * router may be gone, or have a slow link.
  */
 const placeMilliseconds = 250;
--- a/packages/control/src/knownRouters.ts
+++ b/packages/control/src/knownRouters.ts
@@ -30,6 +30,8 @@
   sent: StateVersions;
   /** When the reply was handed over, or its connection has ended. */
   endedAt?: number;
+  /** Called when the router is known to have the changes. */
+  onArrival: () => void;
 }
 
 /** A router that sent a watch request recently. Times are in milliseconds. */
@@ -176,6 +178,8 @@
     router.hasEnded = false;
     const isProgress = !hasApplied(router.applied, applied);
     if (isProgress) router.applied = applied;
+    const {delivery} = router;
+    if (delivery && hasApplied(applied, delivery.sent)) delivery.onArrival();
     this.removeLost(now);
     this.compare(router, now);
     // It is not stuck, even if it lacks newer changes.
--- a/packages/control/src/watchService.ts
+++ b/packages/control/src/watchService.ts
@@ -207,8 +207,8 @@
   /**
    * Waits until a reply with changes may be sent, if the router lacks any.
    *
-   * @param call Ends the delivery, as soon as the reply is handed over.
-   * @returns Ends the delivery before that.
+   * @param call Ends once the reply is handed over.
+   * @returns Ends the delivery, where no reply with changes is sent.
    */
   private async startDelivery(
     request: WatchRequest,
@@ -217,23 +217,26 @@
   ): Promise<() => void> {
     if (!this.hasChanges(request, router)) return () => undefined;
     const {clock} = this.options;
-    const base = this.baseOf(request, router);
     const delivery: Delivery = {
       call,
       startedAt: clock.now(),
-      base,
+      base: this.baseOf(request, router),
       sent: this.currentVersions,
+      onArrival: () => undefined,
     };
     router.delivery = delivery;
     const release = await this.deliveries.take();
     delivery.base = this.baseOf(request, router);
     delivery.sent = this.currentVersions;
-    const end = () => {
+    delivery.onArrival = release;
+    if (call.hasEnded) release();
+    call.onEnd(() => {
+      delivery.endedAt ??= clock.now();
+    });
+    return () => {
       delivery.endedAt ??= clock.now();
       release();
     };
-    call.onEnd(end);
-    return end;
   }
 
   private buildUpdate(
--- a/packages/edge/src/pendingCalls.ts
+++ b/packages/edge/src/pendingCalls.ts
@@ -46,6 +46,11 @@
     return this.to(address).at(-1)?.sentAt ?? -Infinity;
   }
 
+  /** Number of calls to all addresses. */
+  get count(): number {
+    return this.calls.size;
+  }
+
   /** Returns the number of calls to an address. */
   countTo(address: string): number {
     return this.to(address).length;
--- a/packages/fleet/src/configurationHistory.ts
+++ b/packages/fleet/src/configurationHistory.ts
@@ -74,7 +74,10 @@
         services: changedNames(texts.services, next.services),
         workspaces: changedNames(texts.workspaces, next.workspaces),
       };
-      const count = listNames.reduce((sum, name) => sum + changed[name].size, 0);
+      const count = listNames.reduce(
+        (sum, name) => sum + changed[name].size,
+        0,
+      );
       steps.push({base: current.version, changed, count});
       this.namesCount += count;
     }
