fix(control): limit the bytes of replies on their way, not their number

Calls of the routers had given up waiting (46 to 82 a second), as few places were held for 250 ms each. In storms up to 280 replies of 2 kB waited for places.

--- a/packages/control/src/knownRouters.ts
+++ b/packages/control/src/knownRouters.ts
@@ -30,7 +30,9 @@
   sent: StateVersions;
   /** When the reply was handed over, or its connection has ended. */
   endedAt?: number;
-  /** Called when the router is known to have the changes. */
+  /** Whether a later call has shown that the router has the changes. */
+  hasArrived: boolean;
+  /** Called then, and when another delivery follows. */
   onArrival: () => void;
 }
 
@@ -179,7 +181,10 @@
     const isProgress = !hasApplied(router.applied, applied);
     if (isProgress) router.applied = applied;
     const {delivery} = router;
-    if (delivery && hasApplied(applied, delivery.sent)) delivery.onArrival();
+    if (delivery !== undefined && hasApplied(applied, delivery.sent)) {
+      delivery.hasArrived = true;
+      delivery.onArrival();
+    }
     this.removeLost(now);
     this.compare(router, now);
     // It is not stuck, even if it lacks newer changes.
--- a/packages/control/src/watchService.ts
+++ b/packages/control/src/watchService.ts
@@ -6,7 +6,11 @@
   ConfigurationHistory,
   type ServerDirectory,
 } from '@dogwoodtrestle/fleet';
-import {CallContext, shareEncoding} from '@dogwoodtrestle/runtime';
+import {
+  CallContext,
+  encodedBytes,
+  shareEncoding,
+} from '@dogwoodtrestle/runtime';
 import {
   type ConfigurationUpdate,
   type DirectoryUpdate,
@@ -19,7 +23,7 @@
 } from '@dogwoodtrestle/schema';
 
 import {type ControlOptions} from './controlOptions.js';
-import {DeliveryQueue} from './deliveryQueue.js';
+import {DeliveryQueue, type StartedDelivery} from './deliveryQueue.js';
 import {
   type Delivery,
   type KnownRouter,
@@ -60,6 +64,9 @@
  */
 const resendAfterMilliseconds = 400;
 
+/** The same for newer changes, which most often contain those on their way. */
+const pauseBeforeNewerMilliseconds = 100;
+
 /** Time after which a reply with changes that was not handed over is lost. */
 const maxDeliveryMilliseconds = 1_000;
 
@@ -195,48 +202,56 @@
     const topicsWithNews = this.topics.filter(topic => topic.record(request));
     if (topicsWithNews.length > 0) this.notifyWatchers();
     await this.waitForNews(request, router);
-    const end = await this.startDelivery(request, router, call);
+    const delivery = await this.startDelivery(request, router, call);
     if (!this.group.leadsWithQuorum || !(await this.waitForConfirmation())) {
-      end();
+      delivery?.end();
       return this.leaderHint();
     }
-    if (call === undefined) end();
-    return this.buildUpdate(request, router, receivedAt);
+    const update = this.buildUpdate(request, router, receivedAt);
+    const {configuration, directory} = update;
+    for (const part of [configuration, directory]) {
+      if (part !== undefined) delivery?.addBytes(encodedBytes(part));
+    }
+    if (call === undefined) delivery?.end();
+    return update;
   }
 
   /**
-   * Waits until a reply with changes may be sent, if the router lacks any.
+   * Waits until a reply with changes may be sent; undefined if the router lacks
+   * none.
    *
    * @param call Ends once the reply is handed over.
-   * @returns Ends the delivery, where no reply with changes is sent.
    */
   private async startDelivery(
     request: WatchRequest,
     router: KnownRouter,
     call = new CallContext(),
-  ): Promise<() => void> {
-    if (!this.hasChanges(request, router)) return () => undefined;
+  ): Promise<StartedDelivery | undefined> {
+    if (!this.hasChanges(request, router)) return undefined;
     const {clock} = this.options;
     const delivery: Delivery = {
       call,
       startedAt: clock.now(),
       base: this.baseOf(request, router),
       sent: this.currentVersions,
+      hasArrived: false,
       onArrival: () => undefined,
     };
+    router.delivery?.onArrival();
     router.delivery = delivery;
-    const release = await this.deliveries.take();
+    const started = await this.deliveries.start();
     delivery.base = this.baseOf(request, router);
     delivery.sent = this.currentVersions;
-    delivery.onArrival = release;
-    if (call.hasEnded) release();
+    delivery.onArrival = () => started.end();
+    if (call.hasEnded) started.end();
     call.onEnd(() => {
       delivery.endedAt ??= clock.now();
     });
-    return () => {
+    const end = () => {
       delivery.endedAt ??= clock.now();
-      release();
+      started.end();
     };
+    return {...started, end};
   }
 
   private buildUpdate(
@@ -340,7 +355,10 @@
     const isSameReply =
       isSameVersions(this.baseOf(request, router), base) &&
       isSameVersions(sent, this.currentVersions);
-    return isSameReply ? endedAt + resendAfterMilliseconds - now : 0;
+    const pause = isSameReply
+      ? resendAfterMilliseconds
+      : pauseBeforeNewerMilliseconds;
+    return delivery.hasArrived ? 0 : endedAt + pause - now;
   }
 
   private hasChanges(request: WatchRequest, router: KnownRouter): boolean {
--- a/packages/runtime/src/index.ts
+++ b/packages/runtime/src/index.ts
@@ -16,6 +16,7 @@
   MetricsRegistry,
 } from './metricsRegistry.js';
 export {
+  encodedBytes,
   encodeMessage,
   type EncodedMessage,
   type EncodingOptions,
