fix(control): send one reply with changes to a router also where its calls wait together

Two tests that were written for the limit of one reply a router failed on the code before: of three calls of one router that were received, or resumed by a change, in the same turn of the event loop, each found no reply on its way and got one. The check and its record are now in one step.

--- a/packages/control/src/watchService.ts
+++ b/packages/control/src/watchService.ts
@@ -227,7 +227,14 @@
     router: KnownRouter,
     call = new CallContext(),
   ): Promise<StartedDelivery | undefined> {
-    if (!this.hasChanges(request, router)) return undefined;
+    for (;;) {
+      if (!this.hasChanges(request, router)) return undefined;
+      const left = this.timeUntilDelivery(request, router);
+      if (left <= 0) break;
+      const {delivery} = router;
+      const isOnItsWay = delivery?.endedAt === undefined;
+      await this.waitForChange(left, isOnItsWay ? delivery?.call : undefined);
+    }
     const {clock} = this.options;
     const delivery: Delivery = {
       call,
@@ -319,23 +326,15 @@
     return true;
   }
 
-  /** Waits for a reason to reply, for the time that the request allows. */
+  /** Waits for a change, for the time that the request allows. */
   private async waitForNews(
     request: WatchRequest,
     router: KnownRouter,
   ): Promise<void> {
+    if (this.hasChanges(request, router)) return;
     const {watchMilliseconds} = this.options;
-    if (!this.hasChanges(request, router)) {
-      const {waitMilliseconds = watchMilliseconds} = request;
-      await this.waitForChange(Math.min(waitMilliseconds, watchMilliseconds));
-    }
-    while (this.hasChanges(request, router)) {
-      const left = this.timeUntilDelivery(request, router);
-      if (left <= 0) return;
-      const {delivery} = router;
-      const isOnItsWay = delivery?.endedAt === undefined;
-      await this.waitForChange(left, isOnItsWay ? delivery?.call : undefined);
-    }
+    const {waitMilliseconds = watchMilliseconds} = request;
+    await this.waitForChange(Math.min(waitMilliseconds, watchMilliseconds));
   }
 
   /** Time for which a router gets no other reply with changes. */
--- a/packages/control/tests/watchService.test.ts
+++ b/packages/control/tests/watchService.test.ts
@@ -1,6 +1,7 @@
 /** @fileoverview Tests the replies to the routers' watch requests. */
 import {LimitShares, ServerDirectory} from '@dogwoodtrestle/fleet';
 import {
+  CallContext,
   MetricsRegistry,
   silentLogger,
   systemClock,
@@ -10,6 +11,7 @@
   type LimitReport,
   type WatchReply,
   type WatchRequest,
+  type WatchUpdate,
 } from '@dogwoodtrestle/schema';
 import {afterEach, beforeEach, describe, expect, it, vi} from 'vitest';
 
@@ -294,3 +296,63 @@
     expect(second.reply).toHaveProperty('directory.records.1.id', 's-2');
   });
 });
+
+// Guards against copies of a large change for each call of a router that a partition
+// held up, which fill its link and that of the leader (issue 49).
+describe('several calls of a router at once', () => {
+  it('get one reply with changes while it is on its way', async () => {
+    const {service, directory} = createService();
+    directory.announce(createRecord(), 0);
+    const contexts = [1, 2, 3].map(() => new CallContext());
+    const calls = contexts.map(one =>
+      track(service.watch(createRequest(), one)),
+    );
+    await vi.advanceTimersByTimeAsync(500);
+    expect(calls.filter(({reply}) => reply !== undefined)).toHaveLength(1);
+  });
+
+  it('get no changes that a later call shows it to have', async () => {
+    const {service, directory} = createService();
+    directory.announce(createRecord(), 0);
+    const contexts = [1, 2, 3].map(() => new CallContext());
+    const calls = contexts.map(one =>
+      track(service.watch(createRequest(), one)),
+    );
+    await vi.advanceTimersByTimeAsync(50);
+    contexts[0]!.end();
+    void service.watch(createCurrentRequest({revision: 1}));
+    await vi.advanceTimersByTimeAsync(watchMilliseconds);
+    for (const {reply} of calls.slice(1)) {
+      expect(reply).toMatchObject({kind: 'update', directory: undefined});
+    }
+  });
+
+  it('get a reply each where the first caller is gone', async () => {
+    const {service, directory} = createService();
+    directory.announce(createRecord(), 0);
+    const gone = new CallContext();
+    void service.watch(createRequest(), gone);
+    gone.end();
+    await vi.advanceTimersByTimeAsync(1);
+    const next = track(service.watch(createRequest(), new CallContext()));
+    await vi.advanceTimersByTimeAsync(watchMilliseconds);
+    expect(next.milliseconds).toBeLessThanOrEqual(400);
+    expect(next.reply).toHaveProperty('directory.records.0.id', 's-1');
+  });
+});
+
+// Guards against a change that is written anew for each router (issue 49).
+describe('the changes for many routers', () => {
+  it('are one object', async () => {
+    const {service, directory} = createService();
+    directory.announce(createRecord(), 0);
+    const names = ['r-1', 'r-2', 'r-3'];
+    const replies = await Promise.all(
+      names.map(router =>
+        watchOnce(service, createRequest({router, address: `${router}:1`})),
+      ),
+    );
+    const updates = replies.map(reply => reply as WatchUpdate);
+    expect(new Set(updates.map(update => update.directory)).size).toBe(1);
+  });
+});
