fix(edge): ask each process in turn while none replies

A test that was written for the calls kept in silence failed: of five processes only two were ever asked, since a call that had waited for long was ended only at the turn of its own process, which then took the free place again. If the leader is among the other three a router that was cut off hears of it by its old long poll alone, which is sent again late. Stale calls are now ended before the turn of any process.

--- a/packages/bench/src/main.ts
+++ b/packages/bench/src/main.ts
@@ -10,6 +10,10 @@
   defaultFreshnessBenchOptions,
   measureFreshness,
 } from './freshness/freshnessBench.js';
+import {
+  defaultLargeChangeBenchOptions,
+  measureLargeChanges,
+} from './freshness/largeChangeBench.js';
 import {compareGrantSizing} from './grants/grantBench.js';
 import {compareLimitPolicies} from './limits/limitBench.js';
 import {compareGrantTerms, compareMoney} from './money/index.js';
@@ -68,6 +72,19 @@
       });
     },
   },
+  'large-changes': {
+    description:
+      'how late routers have large changes, with the processor and link of one leader',
+    options: {
+      routers: defaultLargeChangeBenchOptions.routers.join(','),
+      seeds: defaultLargeChangeBenchOptions.seeds.join(','),
+    },
+    run: ({routers = '', seeds = ''}) =>
+      measureLargeChanges({
+        routers: routers.split(',').map(Number),
+        seeds: seeds.split(',').map(Number),
+      }),
+  },
   'server-limits': {
     description: 'ways to divide the limit of a backend server among routers',
     run: () => compareLimitPolicies(),
--- a/packages/edge/src/pendingCalls.ts
+++ b/packages/edge/src/pendingCalls.ts
@@ -68,6 +68,13 @@
     }
   }
 
+  /** Ends the calls to all addresses that were sent before a time. */
+  endAllSentBefore(time: number): void {
+    for (const call of [...this.calls]) {
+      if (call.sentAt < time) this.end(call);
+    }
+  }
+
   /** Ends the calls whose replies were due before an answered one was sent. */
   endLost({address, sentAt}: PendingCall): void {
     for (const call of this.to(address)) {
--- a/packages/edge/src/pendingWatchCalls.ts
+++ b/packages/edge/src/pendingWatchCalls.ts
@@ -54,7 +54,7 @@
    */
   dueInSilence(address: string, patience: number): WatchCallKind | undefined {
     this.polls.endAllBut(1, address);
-    this.asks.endSentBefore(address, this.clock.now() - patience);
+    this.asks.endAllSentBefore(this.clock.now() - patience);
     if (this.polls.countTo(address) === 0) return 'poll';
     const mayAsk =
       this.asks.countTo(address) === 0 && this.asks.count < maxAsksInSilence;
