feat(control): show open and new connections in the load of a leader

What holds them, for example connections that are opened anew, the logs can't tell; hence these two fields.

--- a/packages/control/src/controlNode.ts
+++ b/packages/control/src/controlNode.ts
@@ -249,6 +249,7 @@
         load.report({
           isLeader: group.isLeader,
           term: group.term,
+          connections: peerServer.connections,
           waitingCalls: watch.waitingCalls,
           waitingDeliveries: watch.waitingDeliveries,
           routersBehind: watch.routersBehind,
--- a/packages/control/src/leaderLoad.ts
+++ b/packages/control/src/leaderLoad.ts
@@ -5,6 +5,7 @@
  * and from routers that call another process.
  */
 import {
+  type ConnectionCounts,
   type Counter,
   EventLoopDelay,
   type Histogram,
@@ -32,6 +33,7 @@
 export interface LeaderState {
   isLeader: boolean;
   term: number;
+  connections: ConnectionCounts;
   waitingCalls: number;
   /** Replies with changes that wait until others are on their way. */
   waitingDeliveries: number;
@@ -47,6 +49,8 @@
   private readonly bytes: Counter;
   private readonly abandoned: Counter;
   private methods: Record<string, MethodLoad> = {};
+  /** Connections that were accepted before the last line. */
+  private accepted = 0;
 
   constructor(
     private readonly options: Pick<
@@ -101,10 +105,12 @@
   }
 
   /** Logs the load since the last call, if this process leads and it is high. */
-  report({isLeader, ...state}: LeaderState): void {
+  report({isLeader, connections, ...state}: LeaderState): void {
     const eventLoopMilliseconds = Math.round(this.eventLoop.takeLongest());
     const {methods} = this;
     this.methods = {};
+    const newConnections = connections.accepted - this.accepted;
+    this.accepted = connections.accepted;
     const isSlow = eventLoopMilliseconds >= slowMilliseconds;
     if (!isLeader || (!isSlow && state.routersBehind === 0)) return;
     for (const load of Object.values(methods)) {
@@ -112,7 +118,13 @@
       load.slowestMilliseconds = Math.round(load.slowestMilliseconds);
     }
     this.options.logger.info(
-      {...state, eventLoopMilliseconds, methods},
+      {
+        ...state,
+        openConnections: connections.open,
+        newConnections,
+        eventLoopMilliseconds,
+        methods,
+      },
       'load of the leader',
     );
   }
--- a/packages/control/tests/leaderLoad.test.ts
+++ b/packages/control/tests/leaderLoad.test.ts
@@ -12,6 +12,7 @@
 const quiet = {
   isLeader: true,
   term: 3,
+  connections: {open: 9, accepted: 12},
   waitingCalls: 2,
   waitingDeliveries: 0,
   routersBehind: 0,
@@ -55,7 +56,10 @@
     };
     expect(lines).toMatchObject([{routersBehind: 7, methods: {watch}}]);
     load.report({...quiet, routersBehind: 7});
-    expect(lines[1]).toMatchObject({methods: {}});
+    expect(lines).toMatchObject([
+      {openConnections: 9, newConnections: 12},
+      {openConnections: 9, newConnections: 0, methods: {}},
+    ]);
   });
 
   it('is logged while the event loop is late', () => {
--- a/packages/runtime/src/index.ts
+++ b/packages/runtime/src/index.ts
@@ -34,6 +34,7 @@
 export {
   type CallHandler,
   type CallHandlers,
+  type ConnectionCounts,
   type ConnectionEnd,
   PeerCallServer,
   type PeerCallServerOptions,
--- a/packages/runtime/src/peerCallServer.ts
+++ b/packages/runtime/src/peerCallServer.ts
@@ -57,16 +57,33 @@
   onReplied?: (record: ReplyRecord) => void;
 }
 
+/** Connections of other processes. */
+export interface ConnectionCounts {
+  open: number;
+  accepted: number;
+}
+
 /** Serves calls from other processes. */
 export class PeerCallServer {
   private readonly server: Server;
+  private readonly counts: ConnectionCounts = {open: 0, accepted: 0};
 
   constructor(private readonly options: PeerCallServerOptions) {
     this.server = createServer((request, response) => {
       void this.handle(request, response);
     });
     this.server.keepAliveTimeout = 60_000;
-    this.server.on('connection', socket => socket.setNoDelay(true));
+    this.server.on('connection', socket => {
+      socket.setNoDelay(true);
+      this.counts.accepted++;
+      this.counts.open++;
+      socket.once('close', () => this.counts.open--);
+    });
+  }
+
+  /** Connections that are open now, and those accepted so far. */
+  get connections(): ConnectionCounts {
+    return {...this.counts};
   }
 
   /** Starts to listen; rejects if the port can't be bound. */
