--- a/packages/control/src/deliveryQueue.ts
+++ b/packages/control/src/deliveryQueue.ts
@@ -1,92 +1,75 @@
 /**
- * @fileoverview Limits the bytes of replies with changes that are on their way, until
- * the routers' next calls show that they have arrived. The others wait in order, and
- * are built when their turn comes: with the newest changes, and with room on the
- * event loop and the link for messages between replicas.
+ * @fileoverview Limits the replies with changes that are on their way at once. The
+ * others wait in order, and are built when their turn comes: with the newest changes,
+ * and with room on the event loop and the link for messages between replicas.
  */
 import {type Clock} from '@dogwoodtrestle/runtime';
 
-/** Bytes of replies that may be on their way, beside the last one. */
-const maxBytes = 2_000_000;
-
-/** Replies that are started before the event loop handles other messages. */
-const maxStartsPerTurn = 64;
-
-/** Pause between two turns. */
-const turnMilliseconds = 1;
+/** Replies with changes that may be on their way. */
+const maxDeliveries = 24;
 
 /**
- * Time after which a reply counts no more without a sign of its arrival: its router
- * may be gone, or have a slow link.
+ * Time after which a reply leaves its place, though it was not handed over: its
+ * router may be gone, or have a slow link.
  */
-const arrivalMilliseconds = 250;
+const placeMilliseconds = 250;
 
-/** A reply that may be sent. */
-export interface StartedDelivery {
-  /** Counts the length of the reply, once it is known. */
-  addBytes(bytes: number): void;
-  /** The reply is no longer on its way; repeated calls change nothing. */
-  end(): void;
-}
+/** Pause after which places that became free are taken. */
+const turnMilliseconds = 1;
 
-/** Replies with changes, in the order in which they are sent. */
+/** Gives a place back; repeated calls change nothing. */
+export type PlaceRelease = () => void;
+
+/** Places for replies with changes. */
 export class DeliveryQueue {
-  private bytes = 0;
-  private startsLeft = maxStartsPerTurn;
-  private readonly waiting: Array<(delivery: StartedDelivery) => void> = [];
+  private taken = 0;
+  private readonly waiting: Array<(release: PlaceRelease) => void> = [];
   private isTurnScheduled = false;
 
   constructor(private readonly clock: Clock) {}
 
-  /** Number of replies that wait for their turn. */
+  /** Number of replies that wait for a place. */
   get waitingCount(): number {
     return this.waiting.length;
   }
 
-  /** Resolves once a reply may be sent. */
-  start(): Promise<StartedDelivery> {
+  /** Resolves once a place is free, with the function that gives it back. */
+  take(): Promise<PlaceRelease> {
     return new Promise(resolve => {
       this.waiting.push(resolve);
-      this.startNext();
+      if (!this.isTurnScheduled) this.fillPlaces();
     });
   }
 
-  private startNext(): void {
-    while (this.bytes < maxBytes && this.startsLeft > 0) {
+  private fillPlaces(): void {
+    while (this.taken < maxDeliveries) {
       const next = this.waiting.shift();
       if (next === undefined) return;
-      this.startsLeft--;
-      this.scheduleTurn();
-      next(this.createDelivery());
+      next(this.place());
     }
   }
 
-  private createDelivery(): StartedDelivery {
-    let counted = 0;
-    let hasEnded = false;
-    const end = () => {
-      if (hasEnded) return;
-      hasEnded = true;
+  private place(): PlaceRelease {
+    this.taken++;
+    let isHeld = true;
+    const release = () => {
+      if (!isHeld) return;
+      isHeld = false;
       cancel();
-      this.bytes -= counted;
-      if (this.waiting.length > 0) this.scheduleTurn();
-    };
-    const cancel = this.clock.setTimer(arrivalMilliseconds, end);
-    const addBytes = (bytes: number) => {
-      if (hasEnded) return;
-      counted += bytes;
-      this.bytes += bytes;
+      this.taken--;
+      this.scheduleTurn();
     };
-    return {addBytes, end};
+    const cancel = this.clock.setTimer(placeMilliseconds, release);
+    return release;
   }
 
+  /** Lets the event loop handle other messages before the next replies. */
   private scheduleTurn(): void {
-    if (this.isTurnScheduled) return;
+    if (this.isTurnScheduled || this.waiting.length === 0) return;
     this.isTurnScheduled = true;
     this.clock.setTimer(turnMilliseconds, () => {
       this.isTurnScheduled = false;
-      this.startsLeft = maxStartsPerTurn;
-      this.startNext();
+      this.fillPlaces();
     });
   }
 }
--- a/packages/control/src/knownRouters.ts
+++ b/packages/control/src/knownRouters.ts
@@ -30,10 +30,6 @@
   sent: StateVersions;
   /** When the reply was handed over, or its connection has ended. */
   endedAt?: number;
-  /** Whether a later call has shown that the router has the changes. */
-  hasArrived: boolean;
-  /** Called then, and when another delivery follows. */
-  onArrival: () => void;
 }
 
 /** A router that sent a watch request recently. Times are in milliseconds. */
@@ -180,11 +176,6 @@
     router.hasEnded = false;
     const isProgress = !hasApplied(router.applied, applied);
     if (isProgress) router.applied = applied;
-    const {delivery} = router;
-    if (delivery !== undefined && hasApplied(applied, delivery.sent)) {
-      delivery.hasArrived = true;
-      delivery.onArrival();
-    }
     this.removeLost(now);
     this.compare(router, now);
     // It is not stuck, even if it lacks newer changes.
--- a/packages/control/src/watchService.ts
+++ b/packages/control/src/watchService.ts
@@ -6,11 +6,7 @@
   ConfigurationHistory,
   type ServerDirectory,
 } from '@dogwoodtrestle/fleet';
-import {
-  CallContext,
-  encodedBytes,
-  shareEncoding,
-} from '@dogwoodtrestle/runtime';
+import {CallContext, shareEncoding} from '@dogwoodtrestle/runtime';
 import {
   type ConfigurationUpdate,
   type DirectoryUpdate,
@@ -23,7 +19,7 @@
 } from '@dogwoodtrestle/schema';
 
 import {type ControlOptions} from './controlOptions.js';
-import {DeliveryQueue, type StartedDelivery} from './deliveryQueue.js';
+import {DeliveryQueue} from './deliveryQueue.js';
 import {
   type Delivery,
   type KnownRouter,
@@ -64,9 +60,6 @@
  */
 const resendAfterMilliseconds = 400;
 
-/** The same for newer changes, which most often contain those on their way. */
-const pauseBeforeNewerMilliseconds = 100;
-
 /** Time after which a reply with changes that was not handed over is lost. */
 const maxDeliveryMilliseconds = 1_000;
 
@@ -202,63 +195,45 @@
     const topicsWithNews = this.topics.filter(topic => topic.record(request));
     if (topicsWithNews.length > 0) this.notifyWatchers();
     await this.waitForNews(request, router);
-    const delivery = await this.startDelivery(request, router, call);
+    const end = await this.startDelivery(request, router, call);
     if (!this.group.leadsWithQuorum || !(await this.waitForConfirmation())) {
-      delivery?.end();
+      end();
       return this.leaderHint();
     }
-    const update = this.buildUpdate(request, router, receivedAt);
-    const {configuration, directory} = update;
-    for (const part of [configuration, directory]) {
-      if (part !== undefined) delivery?.addBytes(encodedBytes(part));
-    }
-    if (call === undefined) delivery?.end();
-    return update;
+    if (call === undefined) end();
+    return this.buildUpdate(request, router, receivedAt);
   }
 
   /**
-   * Waits until a reply with changes may be sent; undefined if the router lacks
-   * none.
+   * Waits until a reply with changes may be sent, if the router lacks any.
    *
-   * @param call Ends once the reply is handed over.
+   * @param call Ends the delivery, as soon as the reply is handed over.
+   * @returns Ends the delivery before that.
    */
   private async startDelivery(
     request: WatchRequest,
     router: KnownRouter,
     call = new CallContext(),
-  ): Promise<StartedDelivery | undefined> {
-    for (;;) {
-      if (!this.hasChanges(request, router)) return undefined;
-      const left = this.timeUntilDelivery(request, router);
-      if (left <= 0) break;
-      const {delivery} = router;
-      const isOnItsWay = delivery?.endedAt === undefined;
-      await this.waitForChange(left, isOnItsWay ? delivery?.call : undefined);
-    }
+  ): Promise<() => void> {
+    if (!this.hasChanges(request, router)) return () => undefined;
     const {clock} = this.options;
+    const base = this.baseOf(request, router);
     const delivery: Delivery = {
       call,
       startedAt: clock.now(),
-      base: this.baseOf(request, router),
+      base,
       sent: this.currentVersions,
-      hasArrived: false,
-      onArrival: () => undefined,
     };
-    router.delivery?.onArrival();
     router.delivery = delivery;
-    const started = await this.deliveries.start();
+    const release = await this.deliveries.take();
     delivery.base = this.baseOf(request, router);
     delivery.sent = this.currentVersions;
-    delivery.onArrival = () => started.end();
-    if (call.hasEnded) started.end();
-    call.onEnd(() => {
-      delivery.endedAt ??= clock.now();
-    });
     const end = () => {
       delivery.endedAt ??= clock.now();
-      started.end();
+      release();
     };
-    return {...started, end};
+    call.onEnd(end);
+    return end;
   }
 
   private buildUpdate(
@@ -326,15 +301,23 @@
     return true;
   }
 
-  /** Waits for a change, for the time that the request allows. */
+  /** Waits for a reason to reply, for the time that the request allows. */
   private async waitForNews(
     request: WatchRequest,
     router: KnownRouter,
   ): Promise<void> {
-    if (this.hasChanges(request, router)) return;
     const {watchMilliseconds} = this.options;
-    const {waitMilliseconds = watchMilliseconds} = request;
-    await this.waitForChange(Math.min(waitMilliseconds, watchMilliseconds));
+    if (!this.hasChanges(request, router)) {
+      const {waitMilliseconds = watchMilliseconds} = request;
+      await this.waitForChange(Math.min(waitMilliseconds, watchMilliseconds));
+    }
+    while (this.hasChanges(request, router)) {
+      const left = this.timeUntilDelivery(request, router);
+      if (left <= 0) return;
+      const {delivery} = router;
+      const isOnItsWay = delivery?.endedAt === undefined;
+      await this.waitForChange(left, isOnItsWay ? delivery?.call : undefined);
+    }
   }
 
   /** Time for which a router gets no other reply with changes. */
@@ -354,10 +337,7 @@
     const isSameReply =
       isSameVersions(this.baseOf(request, router), base) &&
       isSameVersions(sent, this.currentVersions);
-    const pause = isSameReply
-      ? resendAfterMilliseconds
-      : pauseBeforeNewerMilliseconds;
-    return delivery.hasArrived ? 0 : endedAt + pause - now;
+    return isSameReply ? endedAt + resendAfterMilliseconds - now : 0;
   }
 
   private hasChanges(request: WatchRequest, router: KnownRouter): boolean {
--- a/packages/edge/src/controlPlaneClient.ts
+++ b/packages/edge/src/controlPlaneClient.ts
@@ -262,8 +262,7 @@
     const {count} = this.updated;
     for (let round = 0; !this.isStopped; round++) {
       this.askInRound(probes, isSilent || round >= roundsBeforeRenewal);
-      const elapsed = clock.now() - startedAt;
-      const pause = searchPause(elapsed, this.maxRouterCount);
+      const pause = searchPause(clock.now() - startedAt);
       // Replies to reports show that the leader is late and not lost.
       const isLate = this.leader !== undefined && this.hasRecentContact;
       const interval = isLate ? this.times.askInterval : pause;
@@ -281,15 +280,12 @@
     const {namedLeader, probed, replicas, options} = this;
     const addresses = [...new Set([...replicas, ...options.seeds()])];
     if (this.pending.isSilent) {
-      const first = this.probed++ % Math.max(1, addresses.length);
-      const rotated = [...addresses.slice(first), ...addresses.slice(0, first)];
-      for (const address of rotated) this.callInSilence(address);
+      for (const address of addresses) this.callInSilence(address);
       return;
     }
     const {asked, polled} = chooseTargets({
       addresses,
       namedLeader,
-      leader: this.leader,
       isHolding: address =>
         address === this.leader || this.hasRecentPoll(address),
       probes,
--- a/packages/edge/src/pendingCalls.ts
+++ b/packages/edge/src/pendingCalls.ts
@@ -46,11 +46,6 @@
     return this.to(address).at(-1)?.sentAt ?? -Infinity;
   }
 
-  /** Number of calls to all addresses. */
-  get count(): number {
-    return this.calls.size;
-  }
-
   /** Returns the number of calls to an address. */
   countTo(address: string): number {
     return this.to(address).length;
@@ -68,13 +63,6 @@
     }
   }
 
-  /** Ends the calls to all addresses that were sent before a time. */
-  endAllSentBefore(time: number): void {
-    for (const call of [...this.calls]) {
-      if (call.sentAt < time) this.end(call);
-    }
-  }
-
   /** Ends the calls whose replies were due before an answered one was sent. */
   endLost({address, sentAt}: PendingCall): void {
     for (const call of this.to(address)) {
--- a/packages/edge/src/pendingWatchCalls.ts
+++ b/packages/edge/src/pendingWatchCalls.ts
@@ -16,9 +16,6 @@
 /** Time without a reply of any process after which the router may be cut off. */
 const silenceMilliseconds = 2_500;
 
-/** Calls for an immediate reply in silence, at all processes together. */
-const maxAsksInSilence = 2;
-
 /** Kind of a watch call. */
 export type WatchCallKind = 'poll' | 'ask';
 
@@ -54,10 +51,8 @@
    */
   dueInSilence(address: string, patience: number): WatchCallKind | undefined {
     this.polls.endAllBut(1, address);
-    this.asks.endAllSentBefore(this.clock.now() - patience);
-    if (this.polls.countTo(address) === 0) return 'poll';
-    const mayAsk =
-      this.asks.countTo(address) === 0 && this.asks.count < maxAsksInSilence;
-    return mayAsk ? 'ask' : undefined;
+    this.asks.endSentBefore(address, this.clock.now() - patience);
+    if (this.asks.countTo(address) > 0) return undefined;
+    return this.polls.countTo(address) > 0 ? 'ask' : 'poll';
   }
 }
--- a/packages/edge/src/searchRound.ts
+++ b/packages/edge/src/searchRound.ts
@@ -12,20 +12,12 @@
 /** Duration of a search from which on the longer pause applies. */
 const longSearchMilliseconds = 3_000;
 
-/**
- * Least pause for each router of the fleet, so that the search of all of them leaves
- * the control processes time to elect a leader.
- */
-const pauseMillisecondsPerRouter = 0.7;
-
 /** What is known at the start of a round. */
 export interface SearchState {
   /** Addresses of the known control processes. */
   addresses: readonly string[];
   /** Address that another control process has named as the leader. */
   namedLeader?: string;
-  /** Address of the leader that was followed last. */
-  leader?: string;
   /** Whether a process may be holding a call until it has changes. */
   isHolding: (address: string) => boolean;
   /** Further processes that are called. */
@@ -44,13 +36,7 @@
 
 /** Chooses the named leader and some others in rotation. */
 export function chooseTargets(state: SearchState): SearchTargets {
-  const {addresses, namedLeader, leader, isHolding, probes, probed} = state;
-  const holding = addresses.filter(isHolding);
-  const likely = holding.filter(
-    address => address === namedLeader || address === leader,
-  );
-  const next = holding[probed % Math.max(1, holding.length)];
-  const asked = new Set([...likely, ...(next === undefined ? [] : [next])]);
+  const {addresses, namedLeader, isHolding, probes, probed} = state;
   const others = addresses.filter(address => !isHolding(address));
   const first = probed % Math.max(1, others.length);
   const rotated = [...others.slice(first), ...others.slice(0, first)];
@@ -58,19 +44,12 @@
   if (namedLeader !== undefined && !isHolding(namedLeader)) {
     polled.add(namedLeader);
   }
-  return {asked: [...asked], polled: [...polled]};
+  return {asked: addresses.filter(isHolding), polled: [...polled]};
 }
 
-/**
- * Returns the pause after a round of a search that has lasted for some time.
- *
- * @param routers Number of routers of the fleet.
- */
-export function searchPause(
-  elapsedMilliseconds: number,
-  routers: number,
-): number {
-  const isLong = elapsedMilliseconds > longSearchMilliseconds;
-  const pause = isLong ? longSearchPauseMilliseconds : searchPauseMilliseconds;
-  return Math.max(pause, routers * pauseMillisecondsPerRouter);
+/** Returns the pause after a round of a search that has lasted for some time. */
+export function searchPause(elapsedMilliseconds: number): number {
+  return elapsedMilliseconds > longSearchMilliseconds
+    ? longSearchPauseMilliseconds
+    : searchPauseMilliseconds;
 }
--- a/packages/runtime/src/index.ts
+++ b/packages/runtime/src/index.ts
@@ -16,7 +16,6 @@
   MetricsRegistry,
 } from './metricsRegistry.js';
 export {
-  encodedBytes,
   encodeMessage,
   type EncodedMessage,
   type EncodingOptions,
--- a/packages/runtime/src/messageEncoding.ts
+++ b/packages/runtime/src/messageEncoding.ts
@@ -55,13 +55,6 @@
   return part;
 }
 
-/** Returns the length of a shared part as it is sent, compressed if it is long. */
-export function encodedBytes(part: object): number {
-  const work = {writtenLength: 0, compressedLength: 0};
-  const {length} = encodingOf(part, work);
-  return length < minCompressedBytes ? length : compressPart(part, work).length;
-}
-
 /** Encodes a message. */
 export function encodeMessage(
   message: unknown,
