--- a/packages/fleet/src/grantPlanner.ts
+++ b/packages/fleet/src/grantPlanner.ts
@@ -141,6 +141,7 @@
         borrowed,
         returned,
         committed: used + lent + reserved + wanted,
+        waiting: wanted,
         cover,
         grantUpTo: Math.max(0, Math.ceil(deducted + Math.max(target, needed))),
       },
--- a/packages/fleet/src/prepaidAccounts.ts
+++ b/packages/fleet/src/prepaidAccounts.ts
@@ -46,6 +46,8 @@
 export interface RecordedCommitment {
   /** Used, lent, reserved and wanted when the commitment was made. */
   committed: number;
+  /** Those of them that no request had yet; missing if unknown. */
+  waiting?: number;
   /** Unspent tokens that become spendable over time. */
   cover: number;
   /** Borrowed by then; tokens borrowed later aren't limited. */
@@ -103,6 +105,18 @@
   returned: Record<string, number>;
   /** Unspent tokens that permanently count as spent, by workspace. */
   forfeited: Record<string, number>;
+  /** What these may have been spent on, summed over all workspaces. */
+  causes: ForfeitCauses;
+}
+
+/** Tokens that an ended incarnation may have spent, by what on. */
+export interface ForfeitCauses {
+  /** Reserved by requests under way at its newest commitment. */
+  underWay: number;
+  /** Committed in advance to requests that waited for tokens, or to come. */
+  waiting: number;
+  /** Allowed by the spending limit for the time after that. */
+  window: number;
 }
 
 /**
@@ -202,8 +216,8 @@
     }
     if (!incarnation.isOver) {
       if (isCommitment) {
-        const {committed, cover, borrowed} = entry;
-        totals.promise = {committed, cover, borrowed};
+        const {committed, waiting, cover, borrowed} = entry;
+        totals.promise = {committed, waiting, cover, borrowed};
       }
       updateTotals(account, totals, entry, prepaidOf(entry.workspace));
     }
@@ -335,6 +349,7 @@
     ...unreported,
     returned: createNameTable(),
     forfeited: createNameTable(),
+    causes: {underWay: 0, waiting: 0, window: 0},
   };
   for (const [workspace, account] of Object.entries(state.accounts)) {
     const totals = account.routers[router];
@@ -349,10 +364,26 @@
     account.forfeited += unspent - returned;
     if (returned > 0) ended.returned[workspace] = returned;
     if (unspent > returned) ended.forfeited[workspace] = unspent - returned;
+    addCauses(ended.causes, totals, unspent - returned);
   }
   return ended;
 }
 
+/** Adds the causes of an incarnation's forfeited tokens of one workspace. */
+function addCauses(
+  causes: ForfeitCauses,
+  {promise, used, lent}: RouterTotals,
+  forfeited: number,
+): void {
+  const {committed, waiting: notStarted = 0} = promise;
+  const reserved = Math.max(0, committed - notStarted - used - lent);
+  const underWay = Math.min(forfeited, reserved);
+  const waiting = Math.min(forfeited - underWay, notStarted);
+  causes.underWay += underWay;
+  causes.waiting += waiting;
+  causes.window += forfeited - underWay - waiting;
+}
+
 /** Tokens that can't have been spent within a time after the commitment. */
 function unspendableAfter(
   {promise, granted, returned}: RouterTotals,
--- a/packages/fleet/tests/prepaidAccounts.test.ts
+++ b/packages/fleet/tests/prepaidAccounts.test.ts
@@ -255,6 +255,43 @@
     expect(after - before).toBeGreaterThan(20_000);
   });
 
+  // Guards against a forfeit of which nobody can tell whether requests under way,
+  // waiting ones, or the spending limit made it (issue 52).
+  it('tell what forfeited tokens may have been spent on', () => {
+    const state = emptyPrepaidState();
+    const record = (router: string, startedAt: number) =>
+      recordUsage(
+        state,
+        {
+          kind: 'recordUsage',
+          router,
+          life: {instance: 'a', clock: 'boot-1', startedAt},
+          reportedAt: startedAt,
+          entries: [
+            {
+              workspace,
+              used: 100,
+              lent: 0,
+              borrowed: 0,
+              returned: 0,
+              committed: 1_300,
+              waiting: 200,
+              cover: 40_000,
+              grantUpTo: 41_300,
+            },
+          ],
+        },
+        () => prepaid,
+        startedAt,
+      ).ended;
+    record('old', 1_000);
+    const [ended] = record('new', 1_500);
+    const {forfeited, causes} = ended!;
+    expect(causes).toMatchObject({underWay: 1_000, waiting: 200});
+    const all = causes.underWay + causes.waiting + causes.window;
+    expect(all).toBe(forfeited[workspace]);
+  });
+
   // Guards against grants that are permanently forfeited by a power loss (issue
   // 18).
   it('get back what can not have been spent before the power returned', () => {
