--- a/packages/edge/src/requestHandler.ts
+++ b/packages/edge/src/requestHandler.ts
@@ -252,6 +252,7 @@
     }
     const now = this.context.clock.now();
     this.events += count;
+    this.tokens.recordEvents(this.events);
     if (progress.open !== undefined) progress.open.events += count;
     progress.progressAt = now;
     if (!progress.hasFirstEvent) {
@@ -523,8 +524,7 @@
   }
 
   private settle(): number | undefined {
-    const {hasRun: mayHaveRun, events} = this;
-    return this.tokens.settle({mayHaveRun, events});
+    return this.tokens.settle({mayHaveRun: this.hasRun, events: this.events});
   }
 
   private log(message: string, fields: object): void {
--- a/packages/edge/src/requestTokens.ts
+++ b/packages/edge/src/requestTokens.ts
@@ -55,16 +55,27 @@
     return undefined;
   }
 
+  /** Records the tokens of the events that have arrived, and of the prompt. */
+  recordEvents(events: number): void {
+    const used = this.usedBy({mayHaveRun: true, events});
+    if (this.reservation === undefined || used === undefined) return;
+    this.context.grants.recordUse(this.reservation, used);
+  }
+
   /** Settles the reservation; returns the tokens used. */
   settle(progress: RequestProgress): number | undefined {
-    const {reservation} = this;
+    const used = this.usedBy(progress);
+    if (this.reservation === undefined || used === undefined) return undefined;
+    this.context.grants.settle(this.reservation, used);
+    return used;
+  }
+
+  private usedBy(progress: RequestProgress): number | undefined {
     const {request, service} = this.input;
     const {generation} = request;
-    if (reservation === undefined || generation === undefined) return undefined;
-    const {grants, routes} = this.context;
-    const {tokensPerEvent} = routes()?.service(service)?.engine ?? {};
-    const used = usedTokens({generation, ...progress, tokensPerEvent});
-    grants.settle(reservation, used);
-    return used;
+    if (generation === undefined) return undefined;
+    const engine = this.context.routes()?.service(service)?.engine;
+    const {tokensPerEvent} = engine ?? {};
+    return usedTokens({generation, ...progress, tokensPerEvent});
   }
 }
--- a/packages/fleet/src/heldGrants.ts
+++ b/packages/fleet/src/heldGrants.ts
@@ -79,6 +79,8 @@
 export interface Reservation {
   workspace: string;
   tokens: number;
+  /** Those of them that the request is known to have used. */
+  used: number;
   isSettled: boolean;
 }
 
@@ -195,7 +197,7 @@
     grant.isChanged = true;
     if (this.spendableOf(grant, now) < tokens) return undefined;
     grant.reserved += tokens;
-    const reservation = {workspace, tokens, isSettled: false};
+    const reservation = {workspace, tokens, used: 0, isSettled: false};
     this.reserved.set(reservation, grant);
     return reservation;
   }
@@ -265,6 +267,24 @@
     if (this.isClosing) this.returnSurplus(grant, 0);
   }
 
+  /**
+   * Records what an open request has used so far, so that it counts as used, not
+   * as reserved, if this incarnation ends before the request.
+   *
+   * @param used Tokens used; rounded up, and limited to those reserved.
+   */
+  recordUse(reservation: Reservation, used: number): void {
+    if (reservation.isSettled) return;
+    const {workspace, tokens, used: known} = reservation;
+    const total = Math.min(Math.ceil(used), tokens);
+    if (total <= known) return;
+    const grant = this.reserved.get(reservation) ?? this.grantOf(workspace);
+    reservation.used = total;
+    grant.reserved -= total - known;
+    grant.used += total - known;
+    grant.isChanged = true;
+  }
+
   /**
    * Ends a reservation. Repeated calls change nothing.
    *
@@ -272,11 +292,11 @@
    */
   settle(reservation: Reservation, used: number): void {
     if (reservation.isSettled) return;
+    this.recordUse(reservation, used);
     reservation.isSettled = true;
-    const {workspace} = reservation;
+    const {workspace, tokens, used: total} = reservation;
     const grant = this.reserved.get(reservation) ?? this.grantOf(workspace);
-    grant.reserved -= reservation.tokens;
-    grant.used += Math.min(Math.ceil(used), reservation.tokens);
+    grant.reserved -= tokens - total;
     grant.isChanged = true;
     if (this.isClosing) this.returnSurplus(grant, 0);
   }
--- a/packages/fleet/tests/heldGrants.test.ts
+++ b/packages/fleet/tests/heldGrants.test.ts
@@ -32,6 +32,24 @@
   return Math.round(grants.spendable(workspace, now));
 }
 
+describe('an open reservation', () => {
+  // Guards against charging requests that have begun at their most when their
+  // router loses its power (issue 52).
+  it('counts as used as far as its use is known', () => {
+    const grants = createGrants();
+    grants.confirm(commit(grants, 1_000));
+    const reservation = grants.reserve(workspace, 4_000, 1_000)!;
+    grants.recordUse(reservation, 3_000.5);
+    grants.recordUse(reservation, 2_000);
+    const usageOf = () => grants.report(true, 1_100).usages[0];
+    expect(usageOf()).toMatchObject({used: 3_001, reserved: 999});
+    grants.settle(reservation, 3_500);
+    expect(usageOf()).toMatchObject({used: 3_500, reserved: 0});
+    grants.recordUse(reservation, 4_000);
+    expect(usageOf()).toMatchObject({used: 3_500, reserved: 0});
+  });
+});
+
 describe('commitments of a router', () => {
   // Guards against double spending: a leader may have recorded either of two
   // commitments that it has not replied to (issue 37).
