--- a/packages/bench/src/grants/grantModel.ts
+++ b/packages/bench/src/grants/grantModel.ts
@@ -25,8 +25,8 @@
   type GrantDay,
   type GrantDayOutcome,
   type GrantPolicy,
-  type TimeSpan,
 } from './grantDayTypes.js';
+import {isTick, isWithin, tickMilliseconds} from './daySteps.js';
 import {meanTokens, sampleTokens} from './requestSizes.js';
 
 interface Router {
@@ -41,11 +41,11 @@
   customer: string;
   reservation: Reservation;
   used: number;
+  /** When its first event arrives. */
+  beginsAt: number;
   endsAt: number;
 }
 
-const tickMilliseconds = 20;
-
 /** Duration of a power outage, as on the users' standard days. */
 const defaultOutageMilliseconds = 1_000;
 
@@ -64,6 +64,9 @@
 const usedFraction = 0.95;
 const requestMilliseconds = 1_200;
 
+/** Time until the first event of a request. */
+const firstEventMilliseconds = 160;
+
 /** Simulates one day. */
 export function simulateGrantDay(
   day: GrantDay,
@@ -265,8 +268,9 @@
     }
     requests.served++;
     this.used.set(customer, this.usedOf(customer) + used);
+    const beginsAt = this.now + firstEventMilliseconds;
     const endsAt = this.now + requestMilliseconds;
-    this.open.push({router, customer, reservation, used, endsAt});
+    this.open.push({router, customer, reservation, used, beginsAt, endsAt});
   }
 
   private reserveTokens(
@@ -491,6 +495,9 @@
   }
 
   private endRequests(): void {
+    for (const {router, reservation, used, beginsAt} of this.open) {
+      if (beginsAt <= this.now) router.grants.recordUse(reservation, used);
+    }
     const ended = this.open.filter(({endsAt}) => endsAt <= this.now);
     this.open = this.open.filter(({endsAt}) => endsAt > this.now);
     for (const {router, reservation, used} of ended) {
@@ -528,14 +535,6 @@
   }
 }
 
-function isWithin(now: number, {from, to}: TimeSpan): boolean {
-  return now >= from && now < to;
-}
-
-function isTick(now: number, at: number): boolean {
-  return now <= at && at < now + tickMilliseconds;
-}
-
 function names(kind: string, count: number): string[] {
   return Array.from({length: count}, (_, index) => `${kind}-${index}`);
 }
--- a/packages/fleet/src/grantPlanner.ts
+++ b/packages/fleet/src/grantPlanner.ts
@@ -78,6 +78,8 @@
   private readonly demands = new Map<string, WorkspaceDemand>();
   private readonly holders = new TokenHolders();
   private readonly lost: LostRouters;
+  /** Time of the newest report. */
+  private now = 0;
 
   constructor(
     private readonly state: PlannerState,
@@ -105,6 +107,7 @@
     usages: readonly WorkspaceUsage[],
     now: number,
   ): void {
+    this.now = now;
     this.lost.recordReport(router, now, this.state.prepaid);
     const oldest = now - this.options.routerLostAfterMilliseconds;
     for (const usage of usages) {
@@ -114,6 +117,8 @@
         this.demands.set(usage.workspace, demand);
       }
       demand.record(router, usage, now);
+      const account = this.state.prepaid.accounts[usage.workspace];
+      demand.recordUse(account?.used ?? 0, now);
       demand.expire(oldest);
     }
   }
@@ -180,6 +185,7 @@
         recentTotalRate: demand?.recentRate ?? 0,
         ungranted: this.ungranted(workspace),
         held: this.held(workspace),
+        use: demand?.useAt(this.now),
       },
       this.state.prepaidOf(workspace),
       this.options.sizing,
--- a/packages/fleet/src/grantSizing.ts
+++ b/packages/fleet/src/grantSizing.ts
@@ -37,6 +37,12 @@
   'totalRate' | 'recentTotalRate' | 'ungranted' | 'held'
 >;
 
+/** Use of tokens by requests at all routers, in tokens per second. */
+export interface TokenUse {
+  rate: number;
+  recentRate: number;
+}
+
 /** Parameters of the decision. */
 export interface GrantSizingOptions {
   /** Seconds of the total demand that all routers hold together. */
@@ -74,13 +80,16 @@
  * @param prepaid The prepaid total in tokens; Infinity where it is unlimited.
  */
 export function pacedShareOf(
-  demand: SharedDemand,
+  demand: SharedDemand & {use?: TokenUse},
   prepaid: number,
   options: Partial<GrantSizingOptions> = {},
 ): number {
   const settings = {...defaultGrantSizingOptions, ...options};
   const {shared} = sharedTokens(demand, settings);
-  const maxPaced = settings.maxPacedShare * prepaid;
+  const {horizonSeconds, recentShare, maxPacedShare} = settings;
+  const {rate = Infinity, recentRate = Infinity} = demand.use ?? {};
+  const used = Math.max(rate, recentShare * recentRate) * horizonSeconds;
+  const maxPaced = Math.min(maxPacedShare * prepaid, used);
   return shared <= maxPaced ? 1 : maxPaced / shared;
 }
 
--- a/packages/fleet/src/spendingLimit.ts
+++ b/packages/fleet/src/spendingLimit.ts
@@ -29,7 +29,7 @@
  * Part of the expected demand that the paced tokens allow in each second. The
  * immediate part and loans make up for the rest until the whole cover is free.
  */
-const paceShare = 0.75;
+const paceShare = 0.78;
 
 /** Time for which a cover lasts at the expected demand; see `grantSizing`. */
 const coverMilliseconds = 11_500;
@@ -41,7 +41,7 @@
 const fullAfterMilliseconds = 4_200;
 
 /** Exponent of the elapsed time with which the rest of the cover gets free. */
-const growthPower = 8;
+const growthPower = 12;
 
 /**
  * Returns the most tokens that may be committed (used, lent, reserved or wanted)
--- a/packages/fleet/src/workspaceDemand.ts
+++ b/packages/fleet/src/workspaceDemand.ts
@@ -6,6 +6,15 @@
  */
 import {type WorkspaceUsage} from '@dogwoodtrestle/schema';
 
+import {DecayingRate} from './decayingRate.js';
+
+/** Time constants of the use of tokens: a usual time, and that of a surge. */
+const slowUseMilliseconds = 12_000;
+const fastUseMilliseconds = 3_000;
+
+/** Time for which the use must have been observed to be known. */
+const useKnownAfterMilliseconds = 5_000;
+
 interface RouterDemand {
   rate: number;
   recentRate: number;
@@ -19,6 +28,10 @@
   private rateSum = 0;
   private recentRateSum = 0;
   private rateSquareSum = 0;
+  private readonly slowUse = new DecayingRate(slowUseMilliseconds);
+  private readonly fastUse = new DecayingRate(fastUseMilliseconds);
+  private used?: number;
+  private useObservedFrom = Infinity;
 
   /** Usual demand at all routers, in tokens per second. */
   get rate(): number {
@@ -42,6 +55,32 @@
     return Math.min(1, Math.max(0, (index - even) / (1 - even)));
   }
 
+  /**
+   * Records the total that requests have used at all routers.
+   *
+   * @param used Total by the replicated state, in tokens.
+   */
+  recordUse(used: number, now: number): void {
+    if (this.used === undefined) this.useObservedFrom = now;
+    const increase = Math.max(0, used - (this.used ?? used));
+    this.used = Math.max(used, this.used ?? 0);
+    this.slowUse.add(increase, now);
+    this.fastUse.add(increase, now);
+  }
+
+  /**
+   * Returns the use of tokens at all routers per second, usual and recent;
+   * undefined until it was observed for long enough.
+   */
+  useAt(now: number): {rate: number; recentRate: number} | undefined {
+    const age = now - this.useObservedFrom;
+    if (age < useKnownAfterMilliseconds) return undefined;
+    return {
+      rate: this.slowUse.value(now),
+      recentRate: this.fastUse.value(now),
+    };
+  }
+
   /** Replaces the demand of a router by that of a new report. */
   record(
     router: string,
