--- a/packages/edge/src/attemptProgress.ts
+++ b/packages/edge/src/attemptProgress.ts
@@ -4,7 +4,7 @@
 import {ByteAccumulator, type ByteBudget} from '@dogwoodtrestle/runtime';
 
 import {type Attempt} from './attempt.js';
-import {type EventScanner} from './eventScanner.js';
+import {EventScanner} from './eventScanner.js';
 import {type OpenRequest} from './serverCrashes.js';
 import {type ServerObservers} from './serverObservers.js';
 import {type PooledServer} from './serverPool.js';
@@ -49,6 +49,17 @@
   };
 }
 
+/** Starts to read the events of a stream, after the last one that is known. */
+export function startEvents(
+  progress: AttemptProgress,
+  lastEventId: string | undefined,
+  budget: ByteBudget,
+): void {
+  const known = lastEventId === undefined ? undefined : Number(lastEventId);
+  progress.scanner = new EventScanner(known, budget);
+  progress.isPassedOn = true;
+}
+
 /**
  * How an attempt ended: the server `broke` off, or gave a `whole` answer, or a
  * whole response of another status, `failed`.
--- a/packages/edge/src/requestHandler.ts
+++ b/packages/edge/src/requestHandler.ts
@@ -12,12 +12,14 @@
   classifyAttemptEnd,
   createProgress,
   releaseBytes,
+  startEvents,
 } from './attemptProgress.js';
 import {type CallerExchange} from './callerExchange.js';
 import {type EdgeContext} from './edgeContext.js';
-import {EventScanner} from './eventScanner.js';
+import {type EventScanner} from './eventScanner.js';
 import {createForwardInstructions} from './forwardInstructions.js';
 import {blockedReason, type RefusalReason, retryAfterFor} from './refusal.js';
+import {RelayedStream} from './relayedStream.js';
 import {RequestGuard} from './requestGuard.js';
 import {
   cancelTimeoutMilliseconds,
@@ -42,16 +44,20 @@
 import {type LimitDecision} from './serverLimits.js';
 import {createServerObservers} from './serverObservers.js';
 import {type PooledServer} from './serverPool.js';
-import {refuseWithoutServer, selectServer} from './serverSelection.js';
-import {watchForStall} from './stallWatch.js';
+import {
+  refuseWithoutServer,
+  type SelectionCriteria,
+  selectServer,
+} from './serverSelection.js';
+import {stallStateOf, watchForStall} from './stallWatch.js';
 import {emptyResponseHead, type ResponseHead} from './wireCodec.js';
 
 /** Forwards one request and writes its response. */
 export class RequestHandler {
   private readonly terms: RequestTerms;
   private readonly responseTimes: ResponseTimes;
-  private readonly triedServers = new Set<string>();
-  private readonly triedAddresses: string[] = [];
+  /** Addresses of the servers that were tried, by id. */
+  private readonly tried = new Map<string, string>();
   private readonly limitDecisions: LimitDecision[] = [];
   private current?: AttemptProgress;
   private readonly tokens: RequestTokens;
@@ -61,10 +67,8 @@
   private sentAttempts = 0;
   private connectFailures = 0;
   private hasRun = false;
-  private events = 0;
-  private lastEventId?: string;
+  private readonly stream = new RelayedStream();
   private failedResponse?: BufferedResponse;
-  private firstEventAt?: number;
   private isOver = false;
   /** Whether it is still unknown if a cancelled attempt was executed. */
   private awaitsCancelResult = false;
@@ -140,25 +144,29 @@
     this.sendTo(server, now);
   }
 
-  private chooseServer(now: number): PooledServer | undefined {
+  /** What a server for the next attempt is chosen by. */
+  private get criteria(): SelectionCriteria {
     const {service, request} = this.input;
+    const {tried, limitDecisions} = this;
     const {generation} = request;
-    const {triedServers: tried, limitDecisions} = this;
-    const criteria = {service, generation, tried, limitDecisions};
-    return selectServer(this.context, criteria, now);
+    const {softwareVersion} = this.stream;
+    return {service, generation, softwareVersion, tried, limitDecisions};
+  }
+
+  private chooseServer(now: number): PooledServer | undefined {
+    return selectServer(this.context, this.criteria, now);
   }
 
   private sendTo(server: PooledServer, now: number): void {
     const {options, clock, limits} = this.context;
     const {request, body} = this.input;
     const {record} = server;
-    this.triedServers.add(record.id);
-    this.triedAddresses.push(`${record.id}@${record.address}`);
+    this.tried.set(record.id, record.address);
     this.sentAttempts++;
     const target = {
       server: record,
       timeRemainingMilliseconds: this.terms.deadline - now,
-      lastEventId: this.lastEventId,
+      lastEventId: this.stream.lastEventId,
     };
     const instructions = createForwardInstructions(this.input, target);
     const headers = options.codec.encodeRequest(request, instructions);
@@ -209,12 +217,8 @@
       this.responseTimes.observe(0, now - progress.startedAt);
     }
     if (!this.terms.isStream || status >= 300) return;
-    const known = this.lastEventId ?? undefined;
-    progress.scanner = new EventScanner(
-      known === undefined ? undefined : Number(known),
-      this.context.responseBudget,
-    );
-    progress.isPassedOn = true;
+    const {responseBudget} = this.context;
+    startEvents(progress, this.stream.lastEventId, responseBudget);
     if (!this.exchange.isStarted) this.exchange.start(head, status);
   }
 
@@ -244,15 +248,15 @@
     chunk: Buffer,
   ): boolean {
     const {data, count} = scanner.push(chunk);
-    if (count > 0) this.lastEventId = scanner.lastEventId;
     if (count === 0) {
       if (scanner.isEndless) this.abandonEndless(progress, 'event');
       else if (data.length > 0) return this.write(progress, data);
       return true;
     }
     const now = this.context.clock.now();
-    this.events += count;
-    this.tokens.recordEvents(this.events);
+    const {lastEventId} = scanner;
+    this.stream.record(progress.server.record, {count, lastEventId}, now);
+    this.tokens.recordEvents(this.stream.events);
     if (progress.open !== undefined) progress.open.events += count;
     progress.progressAt = now;
     if (!progress.hasFirstEvent) {
@@ -262,7 +266,6 @@
         this.terms.promptTokens,
         now - progress.startedAt,
       );
-      this.firstEventAt ??= now;
     }
     return this.write(progress, data);
   }
@@ -342,7 +345,7 @@
     const now = clock.now();
     if (this.sentAttempts >= route.maxAttempts) return false;
     if (!this.guard.mayResend()) return false;
-    if (this.events > 0 && this.lastEventId === undefined) return false;
+    if (!this.stream.mayGoOn) return false;
     if (this.terms.deadline - now < minSendTimeMilliseconds) return false;
     const server = this.chooseServer(now);
     if (server === undefined) return false;
@@ -351,7 +354,8 @@
       return false;
     }
     metrics.retries.add({service, outcome: 'sent'});
-    this.log('retrying request', {reason, lastEventId: this.lastEventId});
+    const {lastEventId, softwareVersion} = this.stream;
+    this.log('retrying request', {reason, lastEventId, softwareVersion});
     this.sendTo(server, now);
     return true;
   }
@@ -363,15 +367,11 @@
     const stateOf = () => {
       if (this.isOver || this.current !== progress) return undefined;
       if (this.sentAttempts >= this.input.route.maxAttempts) return undefined;
-      const now = clock.now();
-      return {
-        silence: now - progress.progressAt,
-        serverSilence: now - server.lastByteAt,
-        hasFirstEvent: progress.hasFirstEvent,
-        patience: this.responseTimes.firstEventTimeout(this.terms.promptTokens),
-        gapLimit: options.eventGapTimeoutMilliseconds,
-        timeLeft: this.terms.deadline - now,
-      };
+      const {promptTokens, deadline} = this.terms;
+      const patience = this.responseTimes.firstEventTimeout(promptTokens);
+      const gapLimit = options.eventGapTimeoutMilliseconds;
+      const limits = {patience, gapLimit, deadline};
+      return stallStateOf(progress, limits, clock.now());
     };
     const cancel = watchForStall(clock, stateOf, state => {
       const isAlive = state.serverSilence < state.silence;
@@ -439,9 +439,8 @@
 
   /** Fails as no server accepts the request, with the time until one may. */
   private failWithoutServer(reason: RefusalReason, now: number): void {
-    const {context, limitDecisions} = this;
-    const request = {service: this.input.service, reason, limitDecisions};
-    const refusal = refuseWithoutServer(context, request, now);
+    const request = {...this.criteria, reason};
+    const refusal = refuseWithoutServer(this.context, request, now);
     this.fail(refusal.reason, refusal.retryAfterSeconds);
   }
 
@@ -509,7 +508,8 @@
     const usedTokens = this.awaitsCancelResult ? undefined : this.settle();
     this.release?.();
     this.onFinished();
-    const {firstEventAt, events, triedAddresses: servers} = this;
+    const {events, firstEventAt} = this.stream;
+    const servers = [...this.tried].map(([id, address]) => `${id}@${address}`);
     recordRequest(this.context, this.input, {
       outcome,
       status,
@@ -524,7 +524,8 @@
   }
 
   private settle(): number | undefined {
-    return this.tokens.settle({mayHaveRun: this.hasRun, events: this.events});
+    const {events} = this.stream;
+    return this.tokens.settle({mayHaveRun: this.hasRun, events});
   }
 
   private log(message: string, fields: object): void {
--- a/packages/edge/src/serverPool.ts
+++ b/packages/edge/src/serverPool.ts
@@ -9,6 +9,7 @@
   type ServerCandidate,
   type ServerSignal,
   RequestLimit,
+  softwareVersionOf,
 } from '@dogwoodtrestle/fleet';
 import {OutlierDetector} from '@dogwoodtrestle/routing';
 import {
@@ -178,7 +179,7 @@
    */
   candidates(
     service: string,
-    except: ReadonlySet<string>,
+    except: Pick<ReadonlySet<string>, 'has'>,
     maxConnections: number,
     now: number,
   ): PooledServer[] {
@@ -195,10 +196,17 @@
   /**
    * Returns the server of a service that may accept requests first, and the time
    * until then: 0 where one may now. Undefined where none will.
+   *
+   * @param softwareVersion The only version that may get it; any if undefined.
    */
-  firstAvailable(service: string, now: number): Availability | undefined {
+  firstAvailable(
+    service: string,
+    softwareVersion: string | undefined,
+    now: number,
+  ): Availability | undefined {
     let first: Availability | undefined;
     for (const server of this.servers.values()) {
+      if (!hasVersion(server, softwareVersion)) continue;
       if (server.record.service !== service || !isEligible(server, now)) {
         continue;
       }
@@ -380,6 +388,19 @@
   }
 }
 
+/**
+ * Whether a server's software has a version.
+ *
+ * @param softwareVersion Any version matches if undefined.
+ */
+export function hasVersion(
+  {record}: PooledServer,
+  softwareVersion: string | undefined,
+): boolean {
+  const isAny = softwareVersion === undefined;
+  return isAny || softwareVersionOf(record) === softwareVersion;
+}
+
 /** Servers that left are kept, as delayed records may name them again. */
 const maxDepartedServers = 200;
 
--- a/packages/edge/src/serverSelection.ts
+++ b/packages/edge/src/serverSelection.ts
@@ -10,7 +10,7 @@
   type TimedRefusal,
 } from './refusal.js';
 import {type LimitDecision} from './serverLimits.js';
-import {type PooledServer} from './serverPool.js';
+import {hasVersion, type PooledServer} from './serverPool.js';
 import {type GenerationParameters, type PromptPart} from './wireCodec.js';
 
 /** Share of a server's connection limit that all routers together use. */
@@ -23,8 +23,10 @@
 export interface SelectionCriteria {
   service: string;
   generation?: GenerationParameters;
+  /** The only software version that may get the request; missing for any. */
+  softwareVersion?: string;
   /** Ids of servers that were tried before; they are excluded. */
-  tried: ReadonlySet<string>;
+  tried: ReadonlyMap<string, unknown>;
   /** Receives the decisions that follow from limits of servers. */
   limitDecisions: LimitDecision[];
 }
@@ -40,9 +42,12 @@
 ): PooledServer | undefined {
   const {pool, limits} = context;
   const {service, generation, tried, limitDecisions} = criteria;
+  const {softwareVersion} = criteria;
   limits.recordDemand(service, now);
   const limit = connectionLimit(context, service);
-  const available = pool.candidates(service, tried, limit, now);
+  const available = pool
+    .candidates(service, tried, limit, now)
+    .filter(server => hasVersion(server, softwareVersion));
   const wanted = choose(context, available, generation, now);
   let server = wanted;
   if (wanted !== undefined && !wanted.limit.admits(now)) {
@@ -58,6 +63,8 @@
 /** A request that no server accepts. */
 export interface UnservedRequest {
   service: string;
+  /** The only software version that may get it; missing for any. */
+  softwareVersion?: string;
   reason: RefusalReason;
   /** Receives the decision if a server's limit leads to the refusal. */
   limitDecisions: LimitDecision[];
@@ -66,10 +73,10 @@
 /** Returns the refusal of a request, with the time at which to retry it. */
 export function refuseWithoutServer(
   {pool, limits, options}: Pick<EdgeContext, 'pool' | 'limits' | 'options'>,
-  {service, reason, limitDecisions}: UnservedRequest,
+  {service, softwareVersion, reason, limitDecisions}: UnservedRequest,
   now: number,
 ): TimedRefusal {
-  const first = pool.firstAvailable(service, now);
+  const first = pool.firstAvailable(service, softwareVersion, now);
   if (first?.isLimited === true) {
     limits.recordDecision(first.server, 'refused', limitDecisions);
   }
--- a/packages/edge/src/stallWatch.ts
+++ b/packages/edge/src/stallWatch.ts
@@ -4,6 +4,8 @@
  */
 import {type Clock} from '@dogwoodtrestle/runtime';
 
+import {type AttemptProgress} from './attemptProgress.js';
+
 /** State of a request at a server. Times are in milliseconds. */
 export interface StallCheckState {
   /** Time since the last complete event, or since the request was sent. */
@@ -19,6 +21,31 @@
   timeLeft: number;
 }
 
+/** Time limits of a request at a server, in milliseconds. */
+export interface StallLimits extends Pick<
+  StallCheckState,
+  'patience' | 'gapLimit'
+> {
+  /** Monotonic time of the request's deadline. */
+  deadline: number;
+}
+
+/** Returns the state of an attempt at a time. */
+export function stallStateOf(
+  {progressAt, hasFirstEvent, server}: AttemptProgress,
+  {patience, gapLimit, deadline}: StallLimits,
+  now: number,
+): StallCheckState {
+  return {
+    silence: now - progressAt,
+    serverSilence: now - server.lastByteAt,
+    hasFirstEvent,
+    patience,
+    gapLimit,
+    timeLeft: deadline - now,
+  };
+}
+
 /** Time that a retry needs, as a share of the timeout. */
 const minRetryTimeShare = 0.5;
 
--- a/packages/fleet/src/serverRecords.ts
+++ b/packages/fleet/src/serverRecords.ts
@@ -23,6 +23,13 @@
   return state === 'draining' || state === 'left';
 }
 
+/** Returns the version of a server's software; empty if it is unknown. */
+export function softwareVersionOf({
+  softwareVersion = '',
+}: BackendServerRecord): string {
+  return softwareVersion;
+}
+
 /** Whether two records are equal, apart from the sequence. */
 export function isEqualRecord(
   a: BackendServerRecord,
@@ -33,6 +40,7 @@
     a.service === b.service &&
     a.address === b.address &&
     a.failureDomain === b.failureDomain &&
+    a.softwareVersion === b.softwareVersion &&
     a.state === b.state &&
     a.slots === b.slots
   );
