--- a/packages/fleet/src/spendingLimit.ts
+++ b/packages/fleet/src/spendingLimit.ts
@@ -23,13 +23,16 @@
 }
 
 /** Part of the paced tokens that may be spent at once. */
-const immediateShare = 0.02;
+const immediateShare = 0.03;
 
 /**
  * Part of the expected demand that the paced tokens allow in each second. The
  * immediate part and loans make up for the rest until the whole cover is free.
  */
-const paceShare = 0.78;
+const paceShare = 0.85;
+
+/** Part of the paced tokens that may be spent before the whole cover gets free. */
+const maxPacedPart = 0.185;
 
 /** Time for which a cover lasts at the expected demand; see `grantSizing`. */
 const coverMilliseconds = 11_500;
@@ -38,7 +41,7 @@
  * Time after which the whole cover may be spent. Losses of power that are over
  * sooner forfeit little more than the paced tokens.
  */
-const fullAfterMilliseconds = 4_200;
+const fullAfterMilliseconds = 3_600;
 
 /** Exponent of the elapsed time with which the rest of the cover gets free. */
 const growthPower = 12;
@@ -56,6 +59,7 @@
   const elapsed = Math.max(0, at - commitment.at);
   const {committed, cover, paced} = commitment;
   const pace = immediateShare + (paceShare * elapsed) / coverMilliseconds;
+  const part = Math.min(maxPacedPart, pace);
   const growth = (elapsed / fullAfterMilliseconds) ** growthPower;
-  return committed + Math.floor(Math.min(cover, paced * pace + cover * growth));
+  return committed + Math.floor(Math.min(cover, paced * part + cover * growth));
 }
