--- a/packages/control/src/controlNode.ts
+++ b/packages/control/src/controlNode.ts
@@ -138,7 +138,7 @@
       state,
       directory,
     );
-    const {watch, refresher, recorder, departures, grants, service} =
+    const {watch, refresher, recorder, departures, grants, streams, service} =
       createControlParts({
         options,
         client,
@@ -172,6 +172,10 @@
         receivedCalls.add({call: 'usage'});
         return grants.report(report);
       }),
+      recordStreams: checkedHandler('StreamReport', report =>
+        streams.record(report),
+      ),
+      findStream: checkedHandler('StreamQuery', query => streams.find(query)),
       presence: checkedHandler('PresenceRequest', request => {
         grants.openConnection(request);
         return neverReply();
--- a/packages/control/src/controlParts.ts
+++ b/packages/control/src/controlParts.ts
@@ -15,6 +15,7 @@
 import {type RouterEndOptions} from './routerEndDetector.js';
 import {RouterRefresher} from './routerRefresher.js';
 import {ServerChangeRecorder} from './serverChangeRecorder.js';
+import {StreamService} from './streamService.js';
 import {WatchService} from './watchService.js';
 import {type WatchTopic} from './watchTopic.js';
 
@@ -36,6 +37,7 @@
   recorder: ServerChangeRecorder;
   departures: DepartureAcknowledger;
   grants: GrantService;
+  streams: StreamService;
   service: ControlService;
 }
 
@@ -78,6 +80,9 @@
       () => routers.addresses,
       watch,
     ),
+    streams: new StreamService(options.logger, group, state, directory, () =>
+      watch.leaderHint(),
+    ),
     service: new ControlService(
       options,
       client,
--- a/packages/edge/src/attempt.ts
+++ b/packages/edge/src/attempt.ts
@@ -39,6 +39,25 @@
   onFailed(failure: AttemptFailure): void;
 }
 
+/** Returns a listener that is called only while its attempt is the current one. */
+export function whileCurrent(
+  isCurrent: () => boolean,
+  listener: AttemptListener,
+): AttemptListener {
+  return {
+    onHead: (status, head) => {
+      if (isCurrent()) listener.onHead(status, head);
+    },
+    onData: chunk => !isCurrent() || listener.onData(chunk),
+    onEnd: () => {
+      if (isCurrent()) listener.onEnd();
+    },
+    onFailed: failure => {
+      if (isCurrent()) listener.onFailed(failure);
+    },
+  };
+}
+
 /** Options of an attempt. */
 export interface AttemptOptions {
   request: CallerRequest;
--- a/packages/edge/src/controlPlaneClient.ts
+++ b/packages/edge/src/controlPlaneClient.ts
@@ -145,6 +145,11 @@
     return this.maxRouterCount;
   }
 
+  /** Address of the leader; undefined while none is known. */
+  get leaderAddress(): string | undefined {
+    return this.leader;
+  }
+
   /** Whether a leader has replied recently. */
   get isConnected(): boolean {
     return this.leader !== undefined && this.contact.isRecent;
--- a/packages/edge/src/edgeContext.ts
+++ b/packages/edge/src/edgeContext.ts
@@ -22,6 +22,7 @@
 import {type ServerCrashes} from './serverCrashes.js';
 import {type ServerLimits} from './serverLimits.js';
 import {type ServerPool} from './serverPool.js';
+import {type StreamOrigins} from './streamOrigins.js';
 
 /** Metrics of callers' requests. */
 export interface RequestMetrics {
@@ -48,6 +49,7 @@
   crashSubjects: CrashSubjects;
   control: ControlPlaneClient;
   loans: Loans;
+  streams: StreamOrigins;
   /** Limits what all responses together occupy before they are relayed. */
   responseBudget: ByteBudget;
   metrics: RequestMetrics;
--- a/packages/edge/src/edgeNode.ts
+++ b/packages/edge/src/edgeNode.ts
@@ -47,6 +47,7 @@
 import {ServerCrashes} from './serverCrashes.js';
 import {ServerLimits} from './serverLimits.js';
 import {ServerPool} from './serverPool.js';
+import {StreamOrigins} from './streamOrigins.js';
 import {matchRequest} from './viewDecision.js';
 import {type CallerRequest} from './wireCodec.js';
 
@@ -141,6 +142,7 @@
       }
       pool.update(records, options);
       crashes.observeRecords(records);
+      streams.observeServers();
     };
     const crashes = new ServerCrashes({
       clock,
@@ -180,6 +182,14 @@
       report: () => control.report(),
     };
     const loans = new Loans(options, this.calls, participant, replies);
+    const streams = new StreamOrigins({
+      clock,
+      logger,
+      calls: this.calls,
+      pool,
+      leader: () => control.leaderAddress,
+      routerCount: () => control.routerCount,
+    });
     const [host = '', port = '0'] = options.peerAddress.split(':');
     this.listener = new PeerCallServer({
       host,
@@ -205,6 +215,7 @@
       crashSubjects,
       control,
       loans,
+      streams,
       retryBudget: new WindowedRetryBudget(options.retryBudget),
       responseBudget: new ByteBudget(maxResponseBytes),
       metrics: {
--- a/packages/edge/src/refusal.ts
+++ b/packages/edge/src/refusal.ts
@@ -23,6 +23,8 @@
   | 'serversLimited'
   | 'promptBlocked'
   | 'requestBlocked'
+  | 'streamUnknown'
+  | 'streamVersionGone'
   | 'outOfTime'
   | 'outcomeUnknown'
   | 'timedOut';
@@ -114,6 +116,20 @@
     // No sooner than a server may be tried with it again.
     retryAfterSeconds: 120,
   },
+  streamUnknown: {
+    status: 503,
+    message:
+      'It is not known which software version began the stream; the request has not run.',
+    // The router that began it may not have told the leader yet.
+    retryAfterSeconds: 0.5,
+  },
+  streamVersionGone: {
+    status: 503,
+    message:
+      'No server of the software version that began the stream is left; the request has not run.',
+    // Servers of a version that was replaced seldom come back.
+    retryAfterSeconds: 30,
+  },
   outOfTime: {
     status: 503,
     message: 'No time is left for the request; it has not run.',
--- a/packages/edge/src/relayedStream.ts
+++ b/packages/edge/src/relayedStream.ts
@@ -40,15 +40,22 @@
     return this.eventCount === 0 || this.newestEventId !== undefined;
   }
 
-  /** Records complete events of a server. */
+  /** Lets only servers of a software version go on; any if it is undefined. */
+  restrictTo(softwareVersion: string | undefined): void {
+    this.version = softwareVersion;
+  }
+
+  /** Records complete events of a server. Returns whether they are the first. */
   record(
     server: BackendServerRecord,
     {count, lastEventId}: {count: number; lastEventId?: string},
     now: number,
-  ): void {
+  ): boolean {
+    const isFirst = this.eventCount === 0;
     this.beganAt ??= now;
     this.eventCount += count;
     this.newestEventId = lastEventId;
     this.version ??= softwareVersionOf(server);
+    return isFirst;
   }
 }
--- a/packages/edge/src/requestHandler.ts
+++ b/packages/edge/src/requestHandler.ts
@@ -6,7 +6,7 @@
  */
 import {type ResponseTimes} from '@dogwoodtrestle/fleet';
 
-import {Attempt, type AttemptFailure} from './attempt.js';
+import {Attempt, type AttemptFailure, whileCurrent} from './attempt.js';
 import {
   type AttemptProgress,
   classifyAttemptEnd,
@@ -50,6 +50,7 @@
   selectServer,
 } from './serverSelection.js';
 import {stallStateOf, watchForStall} from './stallWatch.js';
+import {decideTakeUp} from './streamTakeUp.js';
 import {emptyResponseHead, type ResponseHead} from './wireCodec.js';
 
 /** Forwards one request and writes its response. */
@@ -111,7 +112,10 @@
       this.refuse('routerBusy', retryAfterFor('routerBusy', options.random));
       return;
     }
-    const refusal = await this.tokens.reserve(() => this.isOver);
+    const takeUp = await decideTakeUp(this.context, this.input);
+    this.stream.restrictTo(takeUp.softwareVersion);
+    const refusal =
+      takeUp.refusal ?? (await this.tokens.reserve(() => this.isOver));
     if (this.isOver) {
       this.settle();
       return;
@@ -137,11 +141,8 @@
       return;
     }
     const server = this.chooseServer(now);
-    if (server === undefined) {
-      this.failWithoutServer('noServer', now);
-      return;
-    }
-    this.sendTo(server, now);
+    if (server === undefined) this.failWithoutServer('noServer', now);
+    else this.sendTo(server, now);
   }
 
   /** What a server for the next attempt is chosen by. */
@@ -187,18 +188,12 @@
         clock,
         ...progress.observers,
       },
-      {
-        onHead: (status, head) => {
-          if (isCurrent()) this.receiveHead(progress, status, head);
-        },
-        onData: chunk => !isCurrent() || this.receiveData(progress, chunk),
-        onEnd: () => {
-          if (isCurrent()) this.receiveEnd(progress);
-        },
-        onFailed: failure => {
-          if (isCurrent()) this.receiveFailure(progress, failure);
-        },
-      },
+      whileCurrent(isCurrent, {
+        onHead: (status, head) => this.receiveHead(progress, status, head),
+        onData: chunk => this.receiveData(progress, chunk),
+        onEnd: () => this.receiveEnd(progress),
+        onFailed: failure => this.receiveFailure(progress, failure),
+      }),
     );
     if (this.terms.isRetryable) this.watchForStall(progress);
   }
@@ -255,7 +250,9 @@
     }
     const now = this.context.clock.now();
     const {lastEventId} = scanner;
-    this.stream.record(progress.server.record, {count, lastEventId}, now);
+    const {record} = progress.server;
+    const isFirst = this.stream.record(record, {count, lastEventId}, now);
+    if (isFirst) this.context.streams.begin(this.input, record);
     this.tokens.recordEvents(this.stream.events);
     if (progress.open !== undefined) progress.open.events += count;
     progress.progressAt = now;
@@ -507,6 +504,7 @@
     // The result of a cancelled attempt decides whether the prompt counts.
     const usedTokens = this.awaitsCancelResult ? undefined : this.settle();
     this.release?.();
+    this.context.streams.end(this.input, outcome === 'delivered');
     this.onFinished();
     const {events, firstEventAt} = this.stream;
     const servers = [...this.tried].map(([id, address]) => `${id}@${address}`);
--- a/packages/edge/src/serverPool.ts
+++ b/packages/edge/src/serverPool.ts
@@ -8,8 +8,11 @@
   CircuitBreaker,
   type ServerCandidate,
   type ServerSignal,
+  isDeparture,
   RequestLimit,
+  RetiredVersions,
   softwareVersionOf,
+  streamLifetimeMilliseconds,
 } from '@dogwoodtrestle/fleet';
 import {OutlierDetector} from '@dogwoodtrestle/routing';
 import {
@@ -133,6 +136,7 @@
     maximumEjectedShare: 0.5,
   });
 
+  private readonly retired = new RetiredVersions();
   private readonly responseTimesByService = new Map<string, ResponseTimes>();
 
   private readonly connectTimeout: AdaptiveTimeout;
@@ -193,6 +197,30 @@
     );
   }
 
+  /**
+   * Returns the software versions of a service's servers, also of those that may
+   * have begun streams before they left.
+   */
+  softwareVersions(service: string, now: number): Set<string> {
+    const since = now - streamLifetimeMilliseconds;
+    const versions = new Set(this.retired.since(service, since));
+    for (const {record} of this.servers.values()) {
+      const isPresent = record.state !== 'left' && record.service === service;
+      if (isPresent) versions.add(softwareVersionOf(record));
+    }
+    return versions;
+  }
+
+  /** Whether a server of a service has a software version and doesn't leave. */
+  hasReadyServer(service: string, softwareVersion: string): boolean {
+    return [...this.servers.values()].some(
+      server =>
+        server.record.service === service &&
+        !isDeparture(server.record) &&
+        hasVersion(server, softwareVersion),
+    );
+  }
+
   /**
    * Returns the server of a service that may accept requests first, and the time
    * until then: 0 where one may now. Undefined where none will.
@@ -293,7 +321,9 @@
 
   /** Marks a server as left: another incarnation responds at its address. */
   markReplaced(server: PooledServer): void {
-    server.record = {...server.record, state: 'left'};
+    const left = {...server.record, state: 'left'} as const;
+    this.retired.observe(server.record, left, this.options.clock.now());
+    server.record = left;
     server.connections.closeIdle();
   }
 
@@ -316,9 +346,11 @@
     const known = this.servers.get(record.id);
     if (known === undefined) {
       if (record.state !== 'left') this.add(record);
+      else this.retired.observe(known, record, this.options.clock.now());
       return;
     }
     if (record.startedAt < known.record.startedAt) return;
+    this.retired.observe(known.record, record, this.options.clock.now());
     known.unlistedAt = Infinity;
     const isSameIncarnation =
       record.startedAt === known.record.startedAt &&
--- a/packages/edge/src/wireCodec.ts
+++ b/packages/edge/src/wireCodec.ts
@@ -33,6 +33,8 @@
   generation?: GenerationParameters;
   /** Id of the last event of a stream that the caller has received. */
   lastEventId?: string;
+  /** Attempt that brought the first event of that stream, if the caller says. */
+  resumedAttemptId?: string;
   /** Headers to forward, as alternating names and values. */
   headers: string[];
 }
--- a/packages/fleet/src/fleetState.ts
+++ b/packages/fleet/src/fleetState.ts
@@ -18,7 +18,9 @@
   type PrepaidState,
   recordUsage,
 } from './prepaidAccounts.js';
+import {RetiredVersions, type RetiredVersion} from './retiredVersions.js';
 import {isNewerRecord} from './serverRecords.js';
+import {type KnownStream, StreamVersions} from './streamVersions.js';
 import {
   stateVersion,
   upgradePrepaidState,
@@ -46,6 +48,10 @@
   servers: BackendServerRecord[];
   /** Missing before version 3. */
   blockedParts?: BlockedParts;
+  /** Missing before version 4. */
+  streams?: Array<[string, KnownStream]>;
+  /** Missing before version 4. */
+  retiredVersions?: RetiredVersion[];
 }
 
 type CommandHandlers = {
@@ -96,7 +102,11 @@
         name => this.prepaidOf(name),
         now,
       ),
-    noteServers: ({records}) => this.recordServers(records),
+    noteServers: ({records}, now) => this.recordServers(records, now),
+    noteStreams: ({streams}, now) => {
+      this.streams.record(streams, now);
+      return null;
+    },
     blockPart: (command, now) => {
       const blocked = this.blockedPartList.block(command, now);
       this.notify(to => to.onBlockedPart?.(command.part, blocked));
@@ -111,6 +121,10 @@
 
   private readonly blockedPartList = new BlockedPartList();
   private servers = new Map<string, BackendServerRecord>();
+  private readonly retired = new RetiredVersions();
+  private readonly streams = new StreamVersions();
+  /** Time of the newest entry by the log, in milliseconds. */
+  private appliedAt = 0;
   /** The command that is being applied. */
   private applying?: Pick<FleetStateFailure, 'kind' | 'index'>;
 
@@ -131,6 +145,19 @@
     return this.servers;
   }
 
+  /** Streams that servers have begun; changed by `apply`. */
+  get streamVersions(): Pick<StreamVersions, 'find'> {
+    return this.streams;
+  }
+
+  /**
+   * Software versions of a service that servers had within a time, and have no
+   * more. The time by the log never runs ahead, so none is missing.
+   */
+  retiredVersions(service: string, milliseconds: number): string[] {
+    return this.retired.since(service, this.appliedAt - milliseconds);
+  }
+
   /** Parts of prompts that crash backend servers; changed by `apply`. */
   get blockedParts(): Pick<BlockedPartList, 'state' | 'find'> {
     return this.blockedPartList;
@@ -156,6 +183,7 @@
    * @throws If a command is of an unknown kind, as a later version wrote it.
    */
   apply({index, timestamp, commands = []}: Entry): unknown[] {
+    this.appliedAt = Math.max(this.appliedAt, timestamp);
     return commands.map(command => {
       const {kind} = command as FleetCommand;
       if (!Object.hasOwn(this.handlers, kind)) {
@@ -185,6 +213,8 @@
       book: this.prepaidState,
       servers,
       blockedParts: this.blockedPartList.state,
+      streams: this.streams.snapshot(),
+      retiredVersions: this.retired.snapshot(),
     } satisfies Snapshot;
   }
 
@@ -196,6 +226,9 @@
   restore(snapshot: unknown): void {
     const copy = structuredClone(snapshot) as Snapshot;
     const {version, held, book, servers, blockedParts} = copy;
+    const {streams = [], retiredVersions = []} = copy;
+    this.streams.restore(streams);
+    this.retired.restore(retiredVersions);
     this.prepaidState = upgradePrepaidState(book, version);
     this.active = held;
     this.blockedPartList.restore(blockedParts ?? {revision: 0, parts: []});
@@ -235,12 +268,13 @@
     return {kind: 'accepted', version: configuration.version};
   }
 
-  private recordServers(records: BackendServerRecord[]): null {
+  private recordServers(records: BackendServerRecord[], now: number): null {
     for (const record of records) {
       const known = this.servers.get(record.id);
       if (known !== undefined && !isNewerRecord(record, known)) continue;
       this.servers.delete(record.id);
       this.servers.set(record.id, record);
+      this.retired.observe(known, record, now);
     }
     const ids = [...this.servers.keys()];
     const departed = ids.filter(id => this.hasLeft(id));
