feat: tell responses that a close ended, and a process's use of its heap

'request ended' has endedByClose; the metrics page has the resident memory, the heap in use and its limit. No decision reads them.

--- a/packages/edge/src/requestHandler.ts
+++ b/packages/edge/src/requestHandler.ts
@@ -69,6 +69,8 @@
   private readonly relay: ResponseRelay;
   private failedResponse?: BufferedResponse;
   private isOver = false;
+  /** Whether only a close told the end of the last response. */
+  private endedByClose = false;
   /** Whether it is still unknown if a cancelled attempt was executed. */
   private awaitsCancelResult = false;
   private cancelTimers: Array<() => void> = [];
@@ -202,6 +204,7 @@
   private receiveEnd(progress: AttemptProgress): void {
     const {status, head = emptyResponseHead, held, scanner} = progress;
     this.guard.end(progress, classifyAttemptEnd(progress));
+    this.endedByClose = head.isUnframed;
     const end = classifyResponse({
       status,
       isPassedOn: progress.isPassedOn,
@@ -448,6 +451,7 @@
       firstEventAt,
       events,
       servers,
+      endedByClose: this.endedByClose,
       limitDecisions: this.limitDecisions,
       placement: this.placements.at(-1),
       shortage: this.tokens.shortage,
--- a/packages/edge/src/requestSummary.ts
+++ b/packages/edge/src/requestSummary.ts
@@ -22,6 +22,8 @@
   events: number;
   /** Servers that the request was sent to, as `id@address`, in order. */
   servers: readonly string[];
+  /** Whether only the close of its connection told the end of the response. */
+  endedByClose: boolean;
   /** Decisions that followed from the limits of servers, in order. */
   limitDecisions: readonly LimitDecision[];
   /** Why the last server was chosen; undefined if none was. */
@@ -79,6 +81,7 @@
           : Math.round(end.waitedMilliseconds),
       events,
       servers,
+      endedByClose: end.endedByClose || undefined,
       limits: limitDecisions.length > 0 ? limitDecisions : undefined,
       placement: end.placement && describePlacement(end.placement),
       shortage: end.shortage,
--- a/packages/runtime/src/index.ts
+++ b/packages/runtime/src/index.ts
@@ -85,3 +85,4 @@
 export {limitRequestsAhead, maxOpenRequests} from './requestsAhead.js';
 export {settledWithin} from './settledWithin.js';
 export {PeriodicTask, type PeriodicTaskOptions} from './periodicTask.js';
+export {registerMemoryGauges} from './processMemory.js';
--- a/packages/runtime/src/metricsRegistry.ts
+++ b/packages/runtime/src/metricsRegistry.ts
@@ -1,5 +1,5 @@
 /**
- * @fileoverview Counters and histograms of one process, rendered in the
+ * @fileoverview Counters, gauges and histograms of one process, rendered in the
  * Prometheus text exposition format.
  */
 
@@ -30,9 +30,11 @@
 interface Family {
   name: string;
   help: string;
-  type: 'counter' | 'histogram';
+  type: 'counter' | 'gauge' | 'histogram';
   counters: Map<string, number>;
   histograms: Map<string, HistogramSeries>;
+  /** Returns the value of a gauge. */
+  read?: () => number;
 }
 
 /** Limit of series per metric family; bounds the memory used by labels. */
@@ -54,6 +56,11 @@
     };
   }
 
+  /** Registers a gauge whose value is read each time that it is rendered. */
+  gauge(name: string, help: string, read: () => number): void {
+    this.addFamily(name, help, 'gauge').read = read;
+  }
+
   /** Registers a histogram, in the same way. */
   histogram(name: string, help: string): Histogram {
     const {histograms} = this.addFamily(name, help, 'histogram');
@@ -98,8 +105,9 @@
 }
 
 function renderFamily(family: Family): string {
-  const {name, help, type, counters, histograms} = family;
+  const {name, help, type, counters, histograms, read} = family;
   const lines = [`# HELP ${name} ${help}`, `# TYPE ${name} ${type}`];
+  if (read !== undefined) lines.push(`${name} ${read()}`);
   for (const [labels, value] of counters) {
     lines.push(`${name}${wrapInBraces(labels)} ${value}`);
   }
