fix(edge): delimit each response to a caller by more than its close

Cause: the kernel closes the connections of a process in an orderly way, however it ended, so no code of ours can reset them then. HTTP/1.0 callers got bodies to the close even where the server had sent chunks.

Change: a body that is held gets a length, others are sent in chunks. A caller of HTTP/1.0 gets a long response only with its length (else 502, it may have run), and no stream (505, nothing runs).

Ruled out: a reset by the router on its way out, as SIGKILL and SIGABRT run no code; SO_LINGER, which Node.js doesn't set.

--- a/packages/edge/src/callerExchange.ts
+++ b/packages/edge/src/callerExchange.ts
@@ -18,13 +18,16 @@
  */
 const unreadMilliseconds = 60_000;
 
+/** Statuses of responses that have no body, and so need no length. */
+const bodilessStatuses: ReadonlySet<number> = new Set([204, 304]);
+
 /** Writes one response; only the first final response is sent. */
 export class CallerExchange {
   private isAnswered = false;
   private hasClosed = false;
   /** What the caller has not read yet. */
   private unread?: HeldBytes;
-  private isUnframed = false;
+  private isServerUnframed = false;
   private goneListener?: () => void;
   private drainListener?: () => void;
   private isLast = false;
@@ -83,18 +86,29 @@
     this.goneListener = listener;
   }
 
-  /** Whether only the close of the connection marks the response's end. */
+  /** Whether the response was started with the head of one without a length. */
   get isStartedUnframed(): boolean {
-    return this.isUnframed;
+    return this.isServerUnframed;
+  }
+
+  /** Whether the caller can tell the end of a response without a length. */
+  get readsChunks(): boolean {
+    return this.response.useChunkedEncodingByDefault;
+  }
+
+  /** Whether the caller can tell the end of a response with this head. */
+  canDelimit({headers}: ResponseHead): boolean {
+    return this.readsChunks || hasLength(headers);
   }
 
   /**
-   * Starts a response whose body follows. A server's response without a length
-   * is relayed without one, as it may have been truncated.
+   * Starts a response whose body follows. Without a length it is sent in chunks,
+   * whatever the server did: the kernel closes the connections of a process that
+   * ends in an orderly way, and a body that only a close delimits looks complete.
    */
-  start({headers, isUnframed}: ResponseHead, status: number): void {
-    this.isUnframed = isUnframed;
-    this.writeHead(status, headers);
+  start(head: ResponseHead, status: number): void {
+    this.isServerUnframed = head.isUnframed;
+    this.writeHead(status, head.headers);
     this.response.flushHeaders();
   }
 
@@ -147,10 +161,11 @@
     body: Buffer,
   ): void {
     this.isAnswered = true;
-    this.isUnframed = isUnframed;
-    const length = isUnframed ? undefined : body.length;
+    const isHead = this.request.method === 'HEAD';
+    const hasNoBody = isHead || bodilessStatuses.has(status);
+    const length = isUnframed && hasNoBody ? undefined : body.length;
     this.writeHead(status, withoutLength(headers), length);
-    this.finish(this.request.method === 'HEAD' ? undefined : body);
+    this.finish(isHead ? undefined : body);
   }
 
   /**
@@ -185,12 +200,6 @@
   abort(): void {
     this.isAnswered = true;
     const {socket} = this.request;
-    // Without a length only a reset shows that the response is incomplete.
-    // Otherwise, data already written is delivered before the close.
-    if (this.isUnframed) {
-      socket.resetAndDestroy();
-      return;
-    }
     socket.setTimeout(unreadMilliseconds, () => socket.destroy());
     socket.destroySoon();
   }
@@ -202,8 +211,7 @@
   ): void {
     const all = [...headers];
     if (length !== undefined) all.push('content-length', String(length));
-    if (this.isUnframed) this.response.removeHeader('transfer-encoding');
-    if (this.isLast || this.isUnframed || this.shouldCloseConnection()) {
+    if (this.isLast || this.shouldCloseConnection()) {
       all.push('connection', 'close');
       this.isLast = true;
     }
@@ -222,6 +230,10 @@
   return Math.ceil(seconds * 10) / 10;
 }
 
+function hasLength(headers: readonly string[]): boolean {
+  return withoutLength(headers).length < headers.length;
+}
+
 function withoutLength(headers: readonly string[]): string[] {
   const remaining: string[] = [];
   for (let index = 0; index + 1 < headers.length; index += 2) {
--- a/packages/edge/src/refusal.ts
+++ b/packages/edge/src/refusal.ts
@@ -12,6 +12,7 @@
   | 'malformed'
   | 'unknownRoute'
   | 'unknownKey'
+  | 'versionUnsupported'
   | 'bodyTooLarge'
   | 'bodyLate'
   | 'memoryFull'
@@ -59,6 +60,10 @@
   malformed: {status: 400, message: 'The request lacks its attempt id.'},
   unknownRoute: {status: 404, message: 'No route matches the request.'},
   unknownKey: {status: 401, message: 'The key is missing or unknown.'},
+  versionUnsupported: {
+    status: 505,
+    message: 'A stream needs HTTP/1.1; the request has not run.',
+  },
   bodyTooLarge: {status: 413, message: 'The body is too large.'},
   bodyLate: {
     status: 408,
--- a/packages/edge/src/requestHandler.ts
+++ b/packages/edge/src/requestHandler.ts
@@ -101,6 +101,7 @@
     this.relay = new ResponseRelay(
       {context, input, terms, timer, stream, tokens, exchange},
       (progress, part) => this.abandonEndless(progress, part),
+      progress => this.abandonUndelimited(progress),
     );
   }
 
@@ -113,6 +114,10 @@
     );
     this.cancelTimers.push(timer);
     if (this.refuseIfBlocked()) return;
+    if (this.terms.isStream && !this.exchange.readsChunks) {
+      this.refuse('versionUnsupported');
+      return;
+    }
     const busy = await this.waits.admit();
     if (this.isOver) return;
     if (busy) return this.refuse(busy.reason, busy.retryAfterSeconds);
@@ -334,6 +339,13 @@
     this.abandon(progress, `${part} without end`);
   }
 
+  /** Leaves a server whose response is too long to be held for its caller. */
+  private abandonUndelimited(progress: AttemptProgress): void {
+    this.detach(progress);
+    progress.attempt?.abort();
+    this.fail('outcomeUnknown');
+  }
+
   private detach(
     progress: AttemptProgress,
     outcome?: 'success' | 'failure',
--- a/packages/edge/src/responseRelay.ts
+++ b/packages/edge/src/responseRelay.ts
@@ -30,13 +30,18 @@
 
 /** Relays the responses of a request's attempts. */
 export class ResponseRelay {
-  /** @param onEndless Called to leave a server whose response has no end. */
+  /**
+   * @param onEndless Called to leave a server whose response has no end.
+   * @param onUndelimited Called to end a request whose caller could not tell the
+   *     end of the response.
+   */
   constructor(
     private readonly request: RelayedRequest,
     private readonly onEndless: (
       progress: AttemptProgress,
       part: EndlessPart,
     ) => void,
+    private readonly onUndelimited: (progress: AttemptProgress) => void,
   ) {}
 
   /** Receives the head of a response. */
@@ -73,8 +78,13 @@
       return true;
     }
     if (!isTooLong && !context.responseBudget.isExceeded) return true;
+    const head = progress.head ?? emptyResponseHead;
+    if (!exchange.canDelimit(head)) {
+      this.onUndelimited(progress);
+      return true;
+    }
     progress.isPassedOn = true;
-    exchange.start(progress.head ?? emptyResponseHead, progress.status);
+    exchange.start(head, progress.status);
     return this.write(progress, progress.held.take());
   }
 
--- a/packages/edge/tests/callerExchange.test.ts
+++ b/packages/edge/tests/callerExchange.test.ts
@@ -1,4 +1,7 @@
-/** @fileoverview What becomes of a connection whose request is refused. */
+/**
+ * @fileoverview What becomes of a connection whose request is refused, and how
+ * responses are delimited.
+ */
 import {createServer, get, type IncomingMessage} from 'node:http';
 import {type AddressInfo} from 'node:net';
 
@@ -7,6 +10,7 @@
 
 import {CallerExchange} from '../src/callerExchange.js';
 import {type RefusalReason, refusals} from '../src/refusal.js';
+import {emptyResponseHead, type ResponseHead} from '../src/wireCodec.js';
 
 async function refuse(reason: RefusalReason): Promise<IncomingMessage> {
   const server = createServer((request, response) => {
@@ -73,3 +77,69 @@
     expect(headers.connection).toBe(connection);
   });
 });
+
+/** Head of a response without a length. */
+const unframedHead: ResponseHead = {...emptyResponseHead, isUnframed: true};
+
+const body = Buffer.from('body');
+
+/** Ways in which a whole response is written, and what its caller gets. */
+const writers: Record<string, [(exchange: CallerExchange) => void, RegExp]> = {
+  'as it arrives': [
+    exchange => {
+      exchange.start(unframedHead, 200);
+      exchange.write(body, () => undefined);
+      exchange.end();
+    },
+    /transfer-encoding: chunked\r\n(.*\r\n)*\r\n4\r\nbody\r\n0\r\n\r\n$/i,
+  ],
+  'at once': [
+    exchange => exchange.sendResponse(unframedHead, 200, body),
+    /content-length: 4\r\n(.*\r\n)*\r\nbody$/i,
+  ],
+};
+
+/** Returns the bytes of a response, to the close of its connection. */
+async function respond(
+  head: string,
+  write: (exchange: CallerExchange) => void,
+): Promise<string> {
+  const server = createServer((request, response) => {
+    write(new CallerExchange(request, response, () => true));
+  });
+  await new Promise<void>(resolve => server.listen(0, '127.0.0.1', resolve));
+  const {port} = server.address() as AddressInfo;
+  const start = `${head}\r\nHost: s\r\n\r\n`;
+  const bytes = {start, part: Buffer.alloc(0), count: 0};
+  const answer = await sendThenRead(`127.0.0.1:${port}`, bytes);
+  server.close();
+  return answer;
+}
+
+describe('a response without a length', () => {
+  // Guards against bodies that look whole wherever their connection ended (MIXED).
+  it.each(Object.keys(writers))(
+    'has an end of its own, sent %s',
+    async name => {
+      const [write, bytes] = writers[name]!;
+      expect(await respond('GET / HTTP/1.1', write)).toMatch(bytes);
+    },
+  );
+
+  it.each([
+    ['GET / HTTP/1.1', 204],
+    ['GET / HTTP/1.1', 304],
+    ['HEAD / HTTP/1.1', 200],
+  ])('to %s and of the status %i gets no length', async (head, status) => {
+    const answer = await respond(head, exchange =>
+      exchange.sendResponse(unframedHead, status, Buffer.alloc(0)),
+    );
+    expect(answer).toMatch(new RegExp(`^HTTP/1.1 ${status} `));
+    expect(answer).not.toMatch(/content-length|transfer-encoding/i);
+  });
+
+  it('has one for a caller of HTTP/1.0', async () => {
+    const [write, bytes] = writers['at once']!;
+    expect(await respond('GET / HTTP/1.0', write)).toMatch(bytes);
+  });
+});
