fix(edge): take no body without a length that may hold another response

Callers got a body with a second response inside (MIXED): a server that answers a request twice sends the copy late on the kept connection, into the next response, or answers twice before it closes. Where only the close delimits a body, all that arrives is body.

Change: a response without a length on a reused connection is no answer: the request goes on elsewhere if it may be repeated, else it ends with 502. On a connection of its own the body is searched for the head of a response that repeats the attempt's id; a copy without the id can't be told from the body.

Cost: a server that gives a length to some responses only loses those without one that may not be repeated and came on a reused connection.

--- a/packages/edge/src/attempt.ts
+++ b/packages/edge/src/attempt.ts
@@ -13,6 +13,7 @@
 
 import {type EventCoalescer} from './eventCoalescer.js';
 import {type ServerConnection} from './serverConnections.js';
+import {SecondResponse} from './secondResponse.js';
 import {type PooledServer} from './serverPool.js';
 import {
   type CallerRequest,
@@ -111,6 +112,9 @@
   return status >= 100 && status < 600;
 }
 
+/** Statuses of responses that end with their head. */
+const bodilessStatuses: ReadonlySet<number> = new Set([204, 304]);
+
 /** Error of a connection to a port on which no process listens. */
 const refusedCode = 'ECONNREFUSED';
 
@@ -123,6 +127,8 @@
   private isSent = false;
   private isOver = false;
   private head?: ResponseHead;
+  /** Set while only the close of the connection delimits the body. */
+  private secondResponse?: SecondResponse;
   private readonly pieces = new ByteAccumulator();
   private tinyPieces = 0;
   /** Whether the caller has yet to read what was passed on. */
@@ -245,6 +251,11 @@
             return;
           }
           this.recordByte();
+          if (this.secondResponse?.isInside(chunk) === true) {
+            const reason = 'second response inside a body without a length';
+            this.failAndClose({kind: 'unknown', reason});
+            return;
+          }
           this.receiveData(chunk);
         },
         onResponseEnd: () => this.end(),
@@ -335,11 +346,24 @@
       this.failAndClose({kind: 'unknown', reason: 'response with an encoding'});
       return;
     }
+    if (head.isUnframed && !this.endsWithHead(status)) {
+      if (this.isReused) {
+        // The second response to an earlier request would be part of its body.
+        const reason = 'response without a length on a reused connection';
+        this.failAndClose({kind: 'unknown', reason});
+        return;
+      }
+      this.secondResponse = new SecondResponse(request.attemptId);
+    }
     this.head = head;
     server.connections.recordByte(this.connection, server.lastByteAt);
     this.listener.onHead(status, head);
   }
 
+  private endsWithHead(status: number): boolean {
+    return this.input.request.method === 'HEAD' || bodilessStatuses.has(status);
+  }
+
   /** Closes the connection where the body of a refusal is too long. */
   private receiveRefusalBody(refusal: AttemptFailure, chunk: Buffer): void {
     this.refusalBytes += chunk.length;
