fix(edge): give no stream the length of its first server's response

Cause: the head of the first server is relayed as it is, with a content-length if it has one. The events of the server that goes on are others in number and length.

Change: streams are sent in chunks whatever their first server did. A server that breaks off such a stream still ends it without a last chunk.

Evidence: platform/tests/truncatedResponses.test.ts, 'a stream whose first server gave it a length': 2 of 2 failed before (incomplete; 'Data after Connection: close'), 0 after. packages/edge: 274 passed. Ruled out: responses that are no streams, which are relayed from one server only.

--- a/packages/edge/src/callerExchange.ts
+++ b/packages/edge/src/callerExchange.ts
@@ -112,6 +112,14 @@
     this.response.flushHeaders();
   }
 
+  /**
+   * Starts a stream of events. Another server may go on with it, so a length that
+   * the first one gave it need not be that of all events.
+   */
+  startStream(head: ResponseHead, status: number): void {
+    this.start({...head, headers: withoutLength(head.headers)}, status);
+  }
+
   /**
    * Writes a chunk of the body; after false, wait for `onDrain`. The listener of a
    * later chunk replaces that of an earlier one.
--- a/packages/edge/src/responseRelay.ts
+++ b/packages/edge/src/responseRelay.ts
@@ -59,7 +59,7 @@
     }
     if (!terms.isStream || status >= 300) return;
     startEvents(progress, stream.lastEventId, context.responseBudget);
-    if (!exchange.isStarted) exchange.start(head, status);
+    if (!exchange.isStarted) exchange.startStream(head, status);
   }
 
   /** Receives bytes. Returns false to pause reading from the server. */
