fix(daemon): end a line of the bill archive at its line feed only

A bill archive whose file ended right before the last line feed took that line for whole and, at its next start, put a byte of zero in the line feed's place. The bill appended next was joined to it; it and all that followed could not be read, and a read returned fewer bills than there are without an error.

Cause: Node.js's readline returns the rest of a file as a line, and the archive took whatever parses for whole.

Change: lines are read by their line feeds; what follows the last one is truncated.

Evidence: ledgerHost.test.ts, 'loses no bill if its file ends at any byte', failed before at the first such cut (73 bytes: no bill found, three expected), passes now at every byte. 11 passed.

--- a/packages/daemon/src/ledgerHost/billArchive.ts
+++ b/packages/daemon/src/ledgerHost/billArchive.ts
@@ -15,7 +15,6 @@
   openSync,
   writeSync,
 } from 'node:fs';
-import {createInterface} from 'node:readline';
 
 import {type Bill} from '@dogwoodtrestle/schema';
 
@@ -47,6 +46,9 @@
 
 const defaultLimit = 1000;
 
+/** Ends a line; one without it is incomplete, whatever its text is. */
+const lineFeed = 0x0a;
+
 /** Stores bills in the order of their log entries. */
 export class BillArchive {
   private readonly descriptor: number;
@@ -175,13 +177,21 @@
 
   private async *readLines(): AsyncGenerator<{line: ArchiveLine; end: number}> {
     this.flush();
-    const input = createReadStream(this.file);
+    let rest = Buffer.alloc(0);
     let end = 0;
-    for await (const text of createInterface({input})) {
-      end += Buffer.byteLength(text) + 1;
-      const line = parseLine(text);
-      if (line === undefined) break;
-      yield {line, end};
+    for await (const piece of createReadStream(this.file)) {
+      const bytes = Buffer.concat([rest, piece as Buffer]);
+      let start = 0;
+      for (;;) {
+        const stop = bytes.indexOf(lineFeed, start);
+        if (stop < 0) break;
+        const line = parseLine(bytes.toString('utf8', start, stop));
+        if (line === undefined) return;
+        end += stop + 1 - start;
+        start = stop + 1;
+        yield {line, end};
+      }
+      rest = bytes.subarray(start);
     }
   }
 }
--- a/packages/daemon/tests/ledgerHost.test.ts
+++ b/packages/daemon/tests/ledgerHost.test.ts
@@ -1,4 +1,4 @@
-import {appendFile} from 'node:fs/promises';
+import {appendFile, readFile, writeFile} from 'node:fs/promises';
 import path from 'node:path';
 
 import {type Bill, type PeerIdentity} from '@dogwoodtrestle/schema';
@@ -64,6 +64,32 @@
     again.close();
     expect((await BillArchive.open(file, 7)).gap).toBeUndefined();
   });
+
+  // Guards against a last line without its end that is taken for whole: the next
+  // line was joined to it, and no bill after it could be read.
+  it('loses no bill if its file ends at any byte', async () => {
+    const file = await archiveFile();
+    const bills = [1, 2].map(index => billOf(index, 'ลำไย\u2028'));
+    const archive = await BillArchive.open(file, 0);
+    archive.append(bills);
+    archive.sync(2);
+    archive.close();
+    const whole = await readFile(file);
+    for (let length = 0; length <= whole.length; length++) {
+      await writeFile(file, whole.subarray(0, length));
+      const cut = await BillArchive.open(file, 2);
+      const isWhole = cut.gap === undefined;
+      if (!isWhole) cut.fillGap(bills);
+      cut.append([billOf(3)]);
+      const found = await cut.read({});
+      cut.close();
+      expect({length, isWhole, found}).toEqual({
+        length,
+        isWhole: length === whole.length,
+        found: [...bills, billOf(3)],
+      });
+    }
+  });
 });
 
 describe('BillFetcher', () => {
