fix(consensus): take no sealed segment that ends early for whole

Readers of the log's history, among them replicas that fill a gap of their own from it, got entries with some missing among them and no error, if a sealed segment's file ended at the end of one of its frames, or was empty.

Cause: frames are checked one by one, and the end of a file was the end of its frames. The name of a sealed segment tells its last entry, but nothing compared the two.

Change: a sealed segment without that entry is damaged, as one with a damaged byte is.

Evidence: fileStorage.test.ts, 'rejects a sealed segment that ends at any byte', failed before at 0 bytes (entry 4 without 1 to 3), passes now at every byte. packages/consensus: 65 passed. Not seen on a disk: segments are synced before they are sealed. The newest live segment has no such mark: its end at the end of a frame is still taken for its own.

--- a/packages/consensus/src/fileStorage/segment.ts
+++ b/packages/consensus/src/fileStorage/segment.ts
@@ -62,6 +62,18 @@
   return entries;
 }
 
+/**
+ * Reads all entries of a sealed segment; throws `CorruptFile` as above, and if the
+ * file ends before the last entry that its name tells.
+ */
+export async function readSealed({file, lastIndex}: Segment): Promise<Entry[]> {
+  const entries = await readSegment(file);
+  if (entries.some(({index}) => index >= lastIndex)) return entries;
+  throw new CorruptFile(`log file ${file} has no entry ${lastIndex}`, {
+    props: {file, offset: 0},
+  });
+}
+
 /** Returns the error for a segment that is damaged at an offset in bytes. */
 export function corruptSegment(file: string, offset: number): Error {
   return new CorruptFile(`log file ${file} is damaged at byte ${offset}`, {
--- a/packages/consensus/src/fileStorage/segmentedLog.ts
+++ b/packages/consensus/src/fileStorage/segmentedLog.ts
@@ -24,6 +24,7 @@
   appendReplacing,
   parseLiveName,
   parseSealedName,
+  readSealed,
   readSegment,
   sealedName,
   type Segment,
@@ -158,7 +159,11 @@
     for (const segment of [...this.sealed, ...this.live]) {
       if (segment.lastIndex <= afterIndex || segment.firstIndex > end) continue;
       const last = Math.min(end, segment.lastIndex);
-      for (const entry of await readSegment(segment.file)) {
+      const isSealed = this.sealed.includes(segment);
+      const entries = await (isSealed
+        ? readSealed(segment)
+        : readSegment(segment.file));
+      for (const entry of entries) {
         if (entry.index <= afterIndex || entry.index > last) continue;
         entriesByIndex.set(entry.index, entry);
       }
--- a/packages/consensus/tests/fileStorage.test.ts
+++ b/packages/consensus/tests/fileStorage.test.ts
@@ -196,6 +196,27 @@
     expect(await next.history(5, 100, 7)).toEqual(all.slice(5, 7));
   });
 
+  // Guards against a file that ends between two frames and looks whole: readers of
+  // the history got entries with some missing among them.
+  it('rejects a sealed segment that ends at any byte', async () => {
+    const storage = await reopen();
+    await storage.append(entries(1, 2));
+    await storage.append([entry(3)]);
+    await storage.saveSnapshot(snapshot(3), 3);
+    await storage.append([entry(4)]);
+    await storage.close();
+    const file = path.join(folder, 'history', '0000000001-1-3.log');
+    const whole = await readFile(file);
+    const next = await reopen();
+    for (let bytes = 0; bytes < whole.length; bytes++) {
+      await writeFile(file, whole.subarray(0, bytes));
+      const error = await next.history(0, 9, 4).catch((e: unknown) => e);
+      expect({bytes, error}).toEqual({bytes, error: expect.any(CorruptFile)});
+    }
+    await writeFile(file, whole);
+    expect(await next.history(0, 9, 4)).toEqual(entries(1, 4));
+  });
+
   it('discards uncommitted entries when a snapshot is installed', async () => {
     const storage = await reopen();
     await storage.append(entries(1, 9));
