fix(daemon): give whole chat responses a length

Cause: each chat response was written as a stream, also one that is complete before its first byte. Node.js sends no chunks to callers of HTTP/1.0.

Change: a response that is complete is sent with its length. A streamed chat keeps the end that its protocol has, the event [DONE].

Callers of HTTP/1.1 got chunks before.

--- a/packages/daemon/src/requests/callerRoutes.ts
+++ b/packages/daemon/src/requests/callerRoutes.ts
@@ -140,7 +140,9 @@
     if (contentType === 'text/event-stream') {
       reply.header('cache-control', 'no-cache');
     }
-    await sendAnswer(reply, answer, closed.signal);
+    // With a length, as callers of HTTP/1.0 read no chunks.
+    if (answer.state === 'complete') await reply.send(answer.text());
+    else await sendAnswer(reply, answer, closed.signal);
     const isComplete = answer.state === 'complete';
     return {
       code: isComplete ? 'ok' : (answer.failure?.reason ?? 'callerLeft'),
--- a/packages/daemon/src/requests/chatRun.ts
+++ b/packages/daemon/src/requests/chatRun.ts
@@ -108,11 +108,14 @@
     });
     const usage = usageOf(result.answer['usage'] as EngineUsage | undefined);
     await this.billing.settle({outcome: 'completed', usage});
-    job.answer.setHead({status: 200, contentType: 'application/json'});
-    await job.answer.push(
-      JSON.stringify({...result.answer, id: `chatcmpl-${job.requestId}`}),
-    );
-    job.answer.complete();
+    job.answer.completeWith({
+      status: 200,
+      contentType: 'application/json',
+      body: JSON.stringify({
+        ...result.answer,
+        id: `chatcmpl-${job.requestId}`,
+      }),
+    });
   }
 
   private async runStream(): Promise<void> {
--- a/packages/daemon/src/requests/responseBuffer.ts
+++ b/packages/daemon/src/requests/responseBuffer.ts
@@ -35,11 +35,9 @@
   private readonly abandonListeners: (() => void)[] = [];
 
   /** Returns a complete buffer that holds a stored response. */
-  static fromStored({status, contentType, body}: StoredAnswer): ResponseBuffer {
+  static fromStored(stored: StoredAnswer): ResponseBuffer {
     const answer = new ResponseBuffer();
-    answer.setHead({status, contentType});
-    void answer.push(body);
-    answer.complete();
+    answer.completeWith(stored);
     return answer;
   }
 
@@ -84,6 +82,13 @@
     this.notifyWaiters();
   }
 
+  /** Writes a whole response at once, so that no reader finds a part of it. */
+  completeWith({status, contentType, body}: StoredAnswer): void {
+    this.setHead({status, contentType});
+    void this.push(body);
+    this.complete();
+  }
+
   /** Ends the response with a refusal. */
   fail(failure: Refusal): void {
     if (this.state !== 'running') return;
