fix(daemon): show no part of a folder's lock while it is written

Two daemons that started at once could both use a data folder: one that read the other's lock between its creation and its last byte took it for that of a process that has ended, and removed it.

Cause: the lock was created empty and then written; the end of the file was taken for the lock's end.

Change: it is written to a file of its own and then linked, which fails if a lock exists.

Evidence: folderLock.test.ts, 'shows no part of its lock to others', failed before (the first two bytes were seen), passes now; 5 passed. Not seen with two processes.

--- a/packages/daemon/src/util/folderLock.ts
+++ b/packages/daemon/src/util/folderLock.ts
@@ -4,7 +4,8 @@
  * The lock identifies its process by id and start time, since the system reuses
  * process ids.
  */
-import {readFile, rm, writeFile} from 'node:fs/promises';
+import {randomUUID} from 'node:crypto';
+import {link, readFile, rm, writeFile} from 'node:fs/promises';
 import path from 'node:path';
 
 const fileName = 'process.lock';
@@ -32,18 +33,25 @@
   const file = path.join(folder, fileName);
   const release = () => rm(file, {force: true});
   const own = await describeProcess(process.pid);
-  for (;;) {
-    try {
-      await writeFile(file, own, {flag: 'wx'});
-      return release;
-    } catch (error) {
-      if ((error as {code?: string}).code !== 'EEXIST') throw error;
+  // Others must not read a lock that is being written.
+  const whole = `${file}.${randomUUID()}`;
+  await writeFile(whole, own, {flag: 'wx'});
+  try {
+    for (;;) {
+      try {
+        await link(whole, file);
+        return release;
+      } catch (error) {
+        if ((error as {code?: string}).code !== 'EEXIST') throw error;
+      }
+      const owner = await readFile(file, 'utf8').catch(() => '');
+      if (owner !== own && (await isRunning(owner))) {
+        throw new FolderInUseError(folder, owner);
+      }
+      await release();
     }
-    const owner = await readFile(file, 'utf8').catch(() => '');
-    if (owner !== own && (await isRunning(owner))) {
-      throw new FolderInUseError(folder, owner);
-    }
-    await release();
+  } finally {
+    await rm(whole, {force: true});
   }
 }
 
--- a/packages/daemon/tests/folderLock.test.ts
+++ b/packages/daemon/tests/folderLock.test.ts
@@ -1,18 +1,34 @@
-import {mkdtemp, readFile, rm, writeFile} from 'node:fs/promises';
+import {mkdtemp, readdir, readFile, rm, writeFile} from 'node:fs/promises';
 import os from 'node:os';
 import path from 'node:path';
 
-import {afterEach, beforeEach, describe, expect, it} from 'vitest';
+import {afterEach, beforeEach, describe, expect, it, vi} from 'vitest';
 
 import {FolderInUseError, lockFolder} from '../src/util/folderLock.js';
 
+/** Called when a file that is being written has its first bytes. */
+let onPartWritten: () => Promise<void> = () => Promise.resolve();
+
+vi.mock('node:fs/promises', async importOriginal => {
+  const files = await importOriginal<{writeFile: typeof writeFile}>();
+  const writeSlowly = async (file: string, text: string, options?: object) => {
+    await files.writeFile(file, text.slice(0, 2), options);
+    await onPartWritten();
+    await files.writeFile(file, text);
+  };
+  return {...files, writeFile: writeSlowly};
+});
+
 let folder: string;
 
 beforeEach(async () => {
   folder = await mkdtemp(path.join(os.tmpdir(), 'lock-'));
 });
 
-afterEach(() => rm(folder, {recursive: true}));
+afterEach(async () => {
+  onPartWritten = () => Promise.resolve();
+  await rm(folder, {recursive: true});
+});
 
 /** Locks and releases the folder; returns the contents of the lock file. */
 async function ownLock(): Promise<string> {
@@ -48,4 +64,18 @@
       await lockFolder(folder)
     )();
   });
+
+  // Guards against a part of a lock that looks like that of a process that has ended:
+  // another one that starts meanwhile took the folder too.
+  it('shows no part of its lock to others', async () => {
+    let parts = 0;
+    onPartWritten = async () => {
+      parts++;
+      const seen = await readFile(lockFile(), 'utf8').catch(() => undefined);
+      expect(seen).toBeUndefined();
+    };
+    expect(await ownLock()).toMatch(new RegExp(`^${process.pid} `));
+    expect(parts).toBe(1);
+    expect(await readdir(folder)).toEqual([]);
+  });
 });
