--- a/packages/consensus/tests/fileStorage.test.ts
+++ b/packages/consensus/tests/fileStorage.test.ts
@@ -180,6 +180,24 @@
     },
   );
 
+  it.each(['snapshot.json', 'vote.json', 'identity.json'])(
+    'rejects a %s that ends at any byte',
+    async name => {
+      const storage = await reopen();
+      await storage.append(entries(1, 4));
+      await storage.saveSnapshot(snapshot(4), 0);
+      await storage.close();
+      const file = path.join(folder, name);
+      const whole = await readFile(file, 'utf8');
+      for (let length = 0; length < whole.trimEnd().length; length++) {
+        await writeFile(file, whole.slice(0, length));
+        const opening = reopen().then(next => next.load());
+        await expect(opening).rejects.toThrow(CorruptFile);
+      }
+    },
+    slowDiskMilliseconds,
+  );
+
   it('keeps sealed segments as history', async () => {
     const storage = await reopen({segmentBytes: 1});
     await storage.append(entries(1, 3));
--- a/packages/daemon/tests/journal.test.ts
+++ b/packages/daemon/tests/journal.test.ts
@@ -60,6 +60,26 @@
     expect(await reopen(file)).toEqual([header, opened(1), opened(2)]);
   });
 
+  // Guards against a part of a line that is taken for whole, or that joins the next.
+  it('keeps the whole lines of a file that ends at any byte', async () => {
+    const entries = [header, opened(1), opened(2)];
+    const file = await journalWith(entries);
+    const whole = await readFile(file);
+    for (let length = 0; length < whole.length; length++) {
+      const cut = whole.subarray(0, length);
+      await writeFile(file, cut);
+      const journal = await JournalFile.open(file);
+      const kept = entries.slice(
+        0,
+        cut.toString('latin1').split('\n').length - 1,
+      );
+      expect(journal.entries).toEqual(kept);
+      await journal.append([opened(3)]);
+      await journal.close();
+      expect(await reopen(file)).toEqual([...kept, opened(3)]);
+    }
+  });
+
   it('rejects a file that is damaged before its last line', async () => {
     const file = await journalWith([header, opened(1), opened(2)]);
     const text = await readFile(file, 'utf8');
--- a/packages/runtime/tests/messageEncoding.test.ts
+++ b/packages/runtime/tests/messageEncoding.test.ts
@@ -79,6 +79,22 @@
     );
   });
 
+  // Guards against a part of a message that is taken for whole.
+  it.each([true, false])(
+    'is not read if it ends at any byte, compressed: %s',
+    isCompressible => {
+      const shared = shareEncoding({put: createRoutes(60)});
+      const message = {own: createRoutes(2), list: [shared, shared], shared};
+      const encoded = encodeMessage(message, {isCompressible});
+      expect(encoded.isCompressed).toBe(isCompressible);
+      const encoding = encoded.isCompressed ? 'gzip' : undefined;
+      for (let length = 0; length < encoded.body.length; length++) {
+        const cut = encoded.body.subarray(0, length);
+        expect(() => decodeMessage(cut, encoding, maxBytes)).toThrow();
+      }
+    },
+  );
+
   it('is not read if it is too long once it is decompressed', () => {
     const body = gzipSync(`"${'z'.repeat(2 * maxBytes)}"`);
     expect(() => decodeMessage(body, 'gzip', maxBytes)).toThrow();
