fix(edge): keep the length of a response that has no body

Callers of HEAD, and those whose copy is still valid (304), were told a length of 0, and a response without content (204) had a length, which HTTP doesn't allow.

Cause: a held response got the length of the bytes that were held.

Change: to HEAD and with 304 it has the server's length, if any; with 204 it has none.

Evidence: callerExchange.test.ts, four new cases: 4 of 4 failed before ('0' each), 0 after. Ruled out: a 304 with a length in the body's place; undici refuses one before it gets here (length mismatch), so its caller still gets 502.

--- a/packages/edge/src/callerExchange.ts
+++ b/packages/edge/src/callerExchange.ts
@@ -18,8 +18,11 @@
  */
 const unreadMilliseconds = 60_000;
 
-/** Statuses of responses that have no body, and so need no length. */
-const bodilessStatuses: ReadonlySet<number> = new Set([204, 304]);
+/** Status of a response that has neither a body nor a length. */
+const noContentStatus = 204;
+
+/** Statuses of responses that have no body. */
+const bodilessStatuses: ReadonlySet<number> = new Set([noContentStatus, 304]);
 
 /** Writes one response; only the first final response is sent. */
 export class CallerExchange {
@@ -163,17 +166,18 @@
   }
 
   /** Writes a server's complete response. */
-  sendResponse(
-    {headers, isUnframed}: ResponseHead,
-    status: number,
-    body: Buffer,
-  ): void {
+  sendResponse({headers}: ResponseHead, status: number, body: Buffer): void {
     this.isAnswered = true;
     const isHead = this.request.method === 'HEAD';
-    const hasNoBody = isHead || bodilessStatuses.has(status);
-    const length = isUnframed && hasNoBody ? undefined : body.length;
-    this.writeHead(status, withoutLength(headers), length);
-    this.finish(isHead ? undefined : body);
+    if (isHead || bodilessStatuses.has(status)) {
+      // A length is that of the body which another request would get.
+      const mayHaveLength = status !== noContentStatus;
+      this.writeHead(status, mayHaveLength ? headers : withoutLength(headers));
+      this.finish();
+      return;
+    }
+    this.writeHead(status, withoutLength(headers), body.length);
+    this.finish(body);
   }
 
   /**
--- a/packages/edge/tests/callerExchange.test.ts
+++ b/packages/edge/tests/callerExchange.test.ts
@@ -138,6 +138,24 @@
     expect(answer).not.toMatch(/content-length|transfer-encoding/i);
   });
 
+  // Guards against a length that isn't the resource's own.
+  it.each([
+    ['HEAD / HTTP/1.1', 200, ['content-length', '9'], '9'],
+    ['HEAD / HTTP/1.1', 200, [], undefined],
+    ['GET / HTTP/1.1', 304, ['content-length', '9'], '9'],
+    ['GET / HTTP/1.1', 204, ['content-length', '0'], undefined],
+  ])(
+    'to %s and of the status %i with the headers %j gets the length %s',
+    async (head, status, headers, length) => {
+      const answer = await respond(head, exchange => {
+        const framedHead = {...emptyResponseHead, headers};
+        exchange.sendResponse(framedHead, status, Buffer.alloc(0));
+      });
+      expect(/content-length: (\d+)/i.exec(answer)?.[1]).toBe(length);
+      expect(answer).not.toMatch(/transfer-encoding/i);
+    },
+  );
+
   it('has one for a caller of HTTP/1.0', async () => {
     const [write, bytes] = writers['at once']!;
     expect(await respond('GET / HTTP/1.0', write)).toMatch(bytes);
