fix(platform): take no response in a foreign transfer coding for whole

Cause: any Transfer-Encoding counted as chunks. undici reads a body whose last coding is another to the close, and undoes no coding but chunks.

Change: such a response is one with an encoding, which is none: the request may have run (502).

--- a/packages/edge/src/wireCodec.ts
+++ b/packages/edge/src/wireCodec.ts
@@ -70,7 +70,7 @@
   isNotExecuted: boolean;
   /** It carries the server's signature. */
   isSigned: boolean;
-  /** Its body has a content encoding. */
+  /** Its body has a content encoding, or a transfer coding other than chunks. */
   isEncoded: boolean;
   /** The server is shutting down and accepts no more requests. */
   isLeaving: boolean;
