fix(daemon): take no page without bills for the end of an archive

A replica that fetched the bills of a gap from another one kept its archive without those of a log entry that has more bills than a page, and of all entries after it, and took it for whole: an audit there would miss them.

Cause: a page had whole entries only. If its first one filled it, the page was empty, which the fetcher takes for the end. An entry may have 256 commands of 200 bills each, a page has 10,000.

Change: a page ends between entries, after as many as have its number of bills or more.

--- a/packages/daemon/src/ledgerHost/billArchive.ts
+++ b/packages/daemon/src/ledgerHost/billArchive.ts
@@ -125,15 +125,8 @@
    */
   async read(filter: BillFilter): Promise<Bill[]> {
     const {customer, since = 0, after = 0, limit = defaultLimit} = filter;
-    if (this.openGap !== undefined) {
-      throw new BillsIncompleteError(
-        'bills are still being fetched from another replica',
-      );
-    }
     const found: Bill[] = [];
-    for await (const {line} of this.readLines()) {
-      if (!('bill' in line)) continue;
-      const {bill} = line;
+    for await (const bill of this.readBills()) {
       const matches =
         (customer === undefined || bill.customer === customer) &&
         bill.settledAt >= since &&
@@ -144,6 +137,23 @@
     return found;
   }
 
+  /**
+   * Reads all bills of some log entries, oldest first: of as many entries as have
+   * `limit` bills or more, so that only an empty list is the end.
+   *
+   * @throws BillsIncompleteError while there is a gap.
+   */
+  async readEntries({after, until}: BillGap, limit: number): Promise<Bill[]> {
+    const found: Bill[] = [];
+    for await (const bill of this.readBills()) {
+      if (bill.index <= after) continue;
+      const isNextEntry = bill.index !== found.at(-1)?.index;
+      if (bill.index > until || (isNextEntry && found.length >= limit)) break;
+      found.push(bill);
+    }
+    return found;
+  }
+
   /** Flushes, syncs and closes the file. */
   close(): void {
     this.flush();
@@ -175,6 +185,17 @@
     this.buffered = [];
   }
 
+  private async *readBills(): AsyncGenerator<Bill> {
+    if (this.openGap !== undefined) {
+      throw new BillsIncompleteError(
+        'bills are still being fetched from another replica',
+      );
+    }
+    for await (const {line} of this.readLines()) {
+      if ('bill' in line) yield line.bill;
+    }
+  }
+
   private async *readLines(): AsyncGenerator<{line: ArchiveLine; end: number}> {
     this.flush();
     let rest = Buffer.alloc(0);
--- a/packages/daemon/src/ledgerHost/ledgerHost.ts
+++ b/packages/daemon/src/ledgerHost/ledgerHost.ts
@@ -219,8 +219,8 @@
     const isComplete =
       this.bills.gap === undefined && this.machine.appliedIndex >= until;
     if (!isComplete) return {};
-    const page = await this.bills.read({after, limit: billsPerPage});
-    return {bills: dropPartialEntry(page, until)};
+    const range = {after, until};
+    return {bills: await this.bills.readEntries(range, billsPerPage)};
   }
 
   /** State of the replica, as shown to operators. */
@@ -329,12 +329,3 @@
 function isNotProposed(error: unknown): boolean {
   return error instanceof NotLeader || error instanceof Stopped;
 }
-
-/**
- * Drops the last entry of a full page, since its bills may continue on the next
- * page.
- */
-function dropPartialEntry(page: Bill[], until: number): Bill[] {
-  const last = page.length === billsPerPage ? page.at(-1)?.index : undefined;
-  return page.filter(({index}) => index <= until && index !== last);
-}
--- a/packages/daemon/tests/ledgerHost.test.ts
+++ b/packages/daemon/tests/ledgerHost.test.ts
@@ -109,6 +109,26 @@
     const bills = await fetcher.fetch({after: 1, until: 4});
     expect(bills?.map(({index}) => index)).toEqual([2, 3, 4]);
   });
+
+  // Guards against a page without bills that is taken for the end: a page had whole
+  // log entries only, and none where the next entry had more bills than it.
+  it.each([1, 2, 3, 4, 9])(
+    'reads all bills in pages of %i',
+    async billsPerPage => {
+      const archive = await BillArchive.open(await archiveFile(), 0);
+      const indexes = [1, 2, 2, 2, 2, 3, 5, 5, 6];
+      archive.append(indexes.map(index => billOf(index)));
+      const fetcher = new BillFetcher({
+        addresses: () => ['whole'],
+        fetchPage: async (_, range) => ({
+          bills: await archive.readEntries(range, billsPerPage),
+        }),
+      });
+      const bills = await fetcher.fetch({after: 1, until: 5});
+      archive.close();
+      expect(bills?.map(({index}) => index)).toEqual(indexes.slice(1, -1));
+    },
+  );
 });
 
 describe('BarrierQueue', () => {
