fix(daemon): list no bills as complete behind a damaged line

Operators, audits and replicas that fill a gap got the bills before a damaged line of the archive as if they were all.

Cause: a line that can't be parsed ended the reading like the end of the file. That is right for the tail that a crash left, which is truncated when the archive is opened, and wrong afterwards.

Change: reading bills fails as it does while bills are missing; others are asked then.

Evidence: ledgerHost.test.ts, 'ends no list of bills as if it were complete': 2 of 2 failed before (one bill of three, no error), 0 after; 18 passed. Not seen on a disk.

--- a/packages/daemon/src/ledgerHost/billArchive.ts
+++ b/packages/daemon/src/ledgerHost/billArchive.ts
@@ -121,7 +121,7 @@
   /**
    * Reads bills, oldest first.
    *
-   * @throws BillsIncompleteError while there is a gap.
+   * @throws BillsIncompleteError while there is a gap, and for a damaged line.
    */
   async read(filter: BillFilter): Promise<Bill[]> {
     const {customer, since = 0, after = 0, limit = defaultLimit} = filter;
@@ -141,7 +141,7 @@
    * Reads all bills of some log entries, oldest first: of as many entries as have
    * `limit` bills or more, so that only an empty list is the end.
    *
-   * @throws BillsIncompleteError while there is a gap.
+   * @throws BillsIncompleteError while there is a gap, and for a damaged line.
    */
   async readEntries({after, until}: BillGap, limit: number): Promise<Bill[]> {
     const found: Bill[] = [];
@@ -165,6 +165,7 @@
     let length = 0;
     let through = 0;
     for await (const {line, end} of this.readLines()) {
+      if (line === undefined) break;
       if ('through' in line) through = line.through;
       else if (line.bill.index > index) break;
       else this.newestIndex = line.bill.index;
@@ -191,12 +192,21 @@
         'bills are still being fetched from another replica',
       );
     }
-    for await (const {line} of this.readLines()) {
+    for await (const {line, end} of this.readLines()) {
+      if (line === undefined) {
+        throw new BillsIncompleteError(
+          `bill archive ${this.file} is damaged at byte ${end}`,
+        );
+      }
       if ('bill' in line) yield line.bill;
     }
   }
 
-  private async *readLines(): AsyncGenerator<{line: ArchiveLine; end: number}> {
+  /** Yields whole lines and where they end; no line where one is damaged. */
+  private async *readLines(): AsyncGenerator<{
+    line: ArchiveLine | undefined;
+    end: number;
+  }> {
     this.flush();
     let rest = Buffer.alloc(0);
     let end = 0;
@@ -207,8 +217,7 @@
         const stop = bytes.indexOf(lineFeed, start);
         if (stop < 0) break;
         const line = parseLine(bytes.toString('utf8', start, stop));
-        if (line === undefined) return;
-        end += stop + 1 - start;
+        if (line !== undefined) end += stop + 1 - start;
         start = stop + 1;
         yield {line, end};
       }
@@ -217,7 +226,7 @@
   }
 }
 
-/** Parses a line; returns undefined if a crash left it incomplete. */
+/** Parses a line; returns undefined if it is damaged. */
 function parseLine(text: string): ArchiveLine | undefined {
   try {
     return JSON.parse(text) as ArchiveLine;
--- a/packages/daemon/tests/ledgerHost.test.ts
+++ b/packages/daemon/tests/ledgerHost.test.ts
@@ -92,6 +92,27 @@
   });
 });
 
+describe('a damaged line of a bill archive', () => {
+  // Guards against bills before it that are taken for all bills.
+  it.each(['read', 'readEntries'] as const)(
+    'ends no list of bills as if it were complete: %s',
+    async method => {
+      const file = await archiveFile();
+      const archive = await BillArchive.open(file, 0);
+      archive.append([billOf(1), billOf(2), billOf(3)]);
+      archive.sync(3);
+      const text = await readFile(file, 'utf8');
+      await writeFile(file, text.replace('{"bill":{"index":2', 'x'));
+      const readers = {
+        read: () => archive.read({}),
+        readEntries: () => archive.readEntries({after: 0, until: 3}, 10),
+      };
+      await expect(readers[method]()).rejects.toThrow(/damaged at byte \d+/);
+      archive.close();
+    },
+  );
+});
+
 describe('BillFetcher', () => {
   it('reads all pages from a replica whose archive is complete', async () => {
     const pages = new Map([
