fix(daemon): answer no bytes behind a request that runs

A caller that sent bytes which are no request, or a head that did not end in time, behind a request that ran got 400 or 408 with didNotRun in the place of that request's answer, though it ran and was billed, or in the middle of that answer's body.

Cause: an error of the parser was answered whatever the connection was used for.

Change: such a connection is closed, as Node.js does once a head was written.

Evidence: badInput.test.ts, 'answers no bytes behind a request that runs': 2 of 2 failed before (400 as the answer; 400 inside a stream), 0 after. Tests of requests, bodies and operators pass. Ruled out: one request whose own body ends late still gets 408.

--- a/packages/daemon/src/httpServer.ts
+++ b/packages/daemon/src/httpServer.ts
@@ -3,7 +3,10 @@
  */
 import {type Socket} from 'node:net';
 
-import {type LimitListener} from '@dogwoodtrestle/runtime';
+import {
+  followRunningRequests,
+  type LimitListener,
+} from '@dogwoodtrestle/runtime';
 import {type Settings} from '@dogwoodtrestle/schema';
 import {fastify, type FastifyInstance} from 'fastify';
 
@@ -59,9 +62,14 @@
     },
     forceCloseConnections: 'idle',
     return503OnClosing: false,
-    clientErrorHandler: (error, socket) =>
-      sendProtocolError((error as {code?: string}).code, socket),
+    clientErrorHandler: (error, socket) => {
+      const {code} = error as {code?: string};
+      // The answer would be taken for that of the earlier request.
+      if (hasRunningRequest(socket)) socket.destroy();
+      else sendProtocolError(code, socket);
+    },
   });
+  const hasRunningRequest = followRunningRequests(server.server);
   limitBodies(server, {
     maxBytes: maximumBodyBytes,
     maxTotalBytes: bodyMemoryBytes,
--- a/packages/daemon/tests/requests/badInput.test.ts
+++ b/packages/daemon/tests/requests/badInput.test.ts
@@ -10,6 +10,7 @@
 beforeAll(async () => {
   fixture = await RequestFixture.start({
     requests: {maximumBodyBytes: 2048, bodyTimeoutMilliseconds: 600},
+    standIn: {tokenDelayMilliseconds: 20},
   });
   await fixture.startModel();
 });
@@ -136,6 +137,32 @@
     expect(answer).toContain('"didNotRun":true');
   });
 
+  // Guards against a refusal that is written in place of the answer to an earlier
+  // request of the connection, which runs, or into the middle of it.
+  it.each([true, false])(
+    'answers no bytes behind a request that runs, streamed: %s',
+    async stream => {
+      const body = JSON.stringify({
+        model: 'barley-7b',
+        stream,
+        max_tokens: 200,
+        messages: [{role: 'user', content: 'word '.repeat(100)}],
+      });
+      const lines = [
+        'POST /v1/chat/completions HTTP/1.1',
+        'host: x',
+        `authorization: Bearer ${callerKey}`,
+        'content-type: application/json',
+        `content-length: ${body.length}`,
+      ];
+      const bytes = `${lines.join('\r\n')}\r\n\r\n${body}`;
+      const answer = await exchange(bytes, '\0\r\n\r\n');
+      expect(answer).toMatch(stream ? /^HTTP\/1.1 200 / : /^$/);
+      expect(answer).not.toContain('didNotRun');
+      await fixture.settledBudget();
+    },
+  );
+
   it('settles the request of a client that disconnects during a stream', async () => {
     const closed = new AbortController();
     const answer = await fetch(`${fixture.base}/v1/chat/completions`, {
@@ -163,8 +190,11 @@
   });
 });
 
+/** Time in which a request begins to run, and does not end. */
+const laterMilliseconds = 100;
+
 /** Sends raw bytes and returns all data received until the connection closes. */
-function exchange(bytes: string): Promise<string> {
+function exchange(bytes: string, later = ''): Promise<string> {
   return new Promise((resolve, reject) => {
     const socket = net.connect(Number(new URL(fixture.base).port), '127.0.0.1');
     let answer = '';
@@ -172,5 +202,7 @@
     socket.on('close', () => resolve(answer));
     socket.on('error', reject);
     socket.write(bytes);
+    if (later === '') return;
+    setTimeout(() => socket.write(later), laterMilliseconds);
   });
 }
--- a/packages/runtime/src/index.ts
+++ b/packages/runtime/src/index.ts
@@ -83,6 +83,7 @@
   type ParsingTurnOptions,
 } from './parsingTurns.js';
 export {limitRequestsAhead, maxOpenRequests} from './requestsAhead.js';
+export {followRunningRequests} from './runningRequests.js';
 export {settledWithin} from './settledWithin.js';
 export {PeriodicTask, type PeriodicTaskOptions} from './periodicTask.js';
 export {registerMemoryGauges} from './processMemory.js';
