fix(edge): refuse no bytes behind a request that runs

Cause: Node.js answers an error of the parser unless a head was written already.

Change: a connection on which a request runs is closed. Other refusals of the kind have a length of 0; their statuses are as before.

--- a/packages/edge/src/callerServer.ts
+++ b/packages/edge/src/callerServer.ts
@@ -2,12 +2,14 @@
  * @fileoverview The HTTP server for callers, and the limits of their requests.
  */
 import {createServer, type RequestListener, type Server} from 'node:http';
+import {type Duplex} from 'node:stream';
 
 import {type RouteTable} from '@dogwoodtrestle/fleet';
 import {
   type BodyFailure,
   ConnectionLimit,
   divideParsing,
+  followRunningRequests,
 } from '@dogwoodtrestle/runtime';
 
 import {type CallerLimits} from './callerLimits.js';
@@ -33,6 +35,13 @@
 /** Interval at which heads that arrive slowly are looked for. */
 const headCheckMilliseconds = 1_000;
 
+/** Statuses of bytes that can't be parsed, by the code of the error; else 400. */
+const protocolErrorStatuses: Readonly<Record<string, string>> = {
+  ERR_HTTP_REQUEST_TIMEOUT: '408 Request Timeout',
+  HPE_CHUNK_EXTENSIONS_OVERFLOW: '413 Payload Too Large',
+  HPE_HEADER_OVERFLOW: '431 Request Header Fields Too Large',
+};
+
 /** Refusals of requests whose bodies were not read; none if the caller left. */
 export const bodyRefusals: Readonly<
   Record<BodyFailure, RefusalReason | undefined>
@@ -59,6 +68,14 @@
   server.requestTimeout = 0;
   followIdleTimeout(server, undefined);
   divideParsing(server);
+  const hasRunningRequest = followRunningRequests(server);
+  server.on('clientError', ({code}: NodeJS.ErrnoException, connection) => {
+    // The refusal would be taken for the answer to the earlier request.
+    if (connection.writable && !hasRunningRequest(connection)) {
+      refuseBytes(connection, code);
+    }
+    connection.destroy();
+  });
   new ConnectionLimit({
     maxConnections: maxCallerConnections,
     onClosed: () => limits.record('connections'),
@@ -66,6 +83,12 @@
   return server;
 }
 
+function refuseBytes(connection: Duplex, code = ''): void {
+  const status = protocolErrorStatuses[code] ?? '400 Bad Request';
+  const headers = 'Connection: close\r\nContent-Length: 0\r\n';
+  connection.write(`HTTP/1.1 ${status}\r\n${headers}\r\n`);
+}
+
 /** Closes idle connections, and those whose heads trickle, after the idle time. */
 export function followIdleTimeout(
   server: Server,
--- a/packages/edge/tests/callerExchange.test.ts
+++ b/packages/edge/tests/callerExchange.test.ts
@@ -9,6 +9,8 @@
 import {describe, expect, it} from 'vitest';
 
 import {CallerExchange} from '../src/callerExchange.js';
+import {type CallerLimits} from '../src/callerLimits.js';
+import {createCallerServer} from '../src/callerServer.js';
 import {type RefusalReason, refusals} from '../src/refusal.js';
 import {emptyResponseHead, type ResponseHead} from '../src/wireCodec.js';
 
@@ -161,3 +163,28 @@
     expect(await respond('GET / HTTP/1.0', write)).toMatch(bytes);
   });
 });
+
+describe('bytes that are no request', () => {
+  /** Returns what a caller reads that sends them, after other bytes if any. */
+  async function sendMalformed(before: string): Promise<string> {
+    const limits = {record: () => undefined} as unknown as CallerLimits;
+    const options = {maxCallerConnections: 10};
+    const server = createCallerServer(options, limits, () => undefined);
+    await new Promise<void>(resolve => server.listen(0, '127.0.0.1', resolve));
+    const {port} = server.address() as AddressInfo;
+    const bytes = {start: before, part: Buffer.from('\0\r\n\r\n'), count: 1};
+    const answer = await sendThenRead(`127.0.0.1:${port}`, bytes);
+    server.close();
+    return answer;
+  }
+
+  it('are refused, with an end of its own', async () => {
+    const answer = await sendMalformed('');
+    expect(answer).toMatch(/^HTTP\/1.1 400 .*\r\ncontent-length: 0\r\n/is);
+  });
+
+  // Guards against a refusal that is taken for the answer to an earlier request.
+  it('are not refused behind a request that runs', async () => {
+    expect(await sendMalformed('GET / HTTP/1.1\r\nHost: s\r\n\r\n')).toBe('');
+  });
+});
