--- a/packages/daemon/src/ledgerHost/billArchive.ts
+++ b/packages/daemon/src/ledgerHost/billArchive.ts
@@ -15,7 +15,6 @@
   openSync,
   writeSync,
 } from 'node:fs';
-import {createInterface} from 'node:readline';
 
 import {type Bill} from '@dogwoodtrestle/schema';
 
@@ -47,6 +46,9 @@
 
 const defaultLimit = 1000;
 
+/** Ends a line; one without it is incomplete, whatever its text is. */
+const lineFeed = 0x0a;
+
 /** Stores bills in the order of their log entries. */
 export class BillArchive {
   private readonly descriptor: number;
@@ -119,19 +121,12 @@
   /**
    * Reads bills, oldest first.
    *
-   * @throws BillsIncompleteError while there is a gap.
+   * @throws BillsIncompleteError while there is a gap, and for a damaged line.
    */
   async read(filter: BillFilter): Promise<Bill[]> {
     const {customer, since = 0, after = 0, limit = defaultLimit} = filter;
-    if (this.openGap !== undefined) {
-      throw new BillsIncompleteError(
-        'bills are still being fetched from another replica',
-      );
-    }
     const found: Bill[] = [];
-    for await (const {line} of this.readLines()) {
-      if (!('bill' in line)) continue;
-      const {bill} = line;
+    for await (const bill of this.readBills()) {
       const matches =
         (customer === undefined || bill.customer === customer) &&
         bill.settledAt >= since &&
@@ -142,6 +137,23 @@
     return found;
   }
 
+  /**
+   * Reads all bills of some log entries, oldest first: of as many entries as have
+   * `limit` bills or more, so that only an empty list is the end.
+   *
+   * @throws BillsIncompleteError while there is a gap, and for a damaged line.
+   */
+  async readEntries({after, until}: BillGap, limit: number): Promise<Bill[]> {
+    const found: Bill[] = [];
+    for await (const bill of this.readBills()) {
+      if (bill.index <= after) continue;
+      const isNextEntry = bill.index !== found.at(-1)?.index;
+      if (bill.index > until || (isNextEntry && found.length >= limit)) break;
+      found.push(bill);
+    }
+    return found;
+  }
+
   /** Flushes, syncs and closes the file. */
   close(): void {
     this.flush();
@@ -153,6 +165,7 @@
     let length = 0;
     let through = 0;
     for await (const {line, end} of this.readLines()) {
+      if (line === undefined) break;
       if ('through' in line) through = line.through;
       else if (line.bill.index > index) break;
       else this.newestIndex = line.bill.index;
@@ -173,20 +186,47 @@
     this.buffered = [];
   }
 
-  private async *readLines(): AsyncGenerator<{line: ArchiveLine; end: number}> {
+  private async *readBills(): AsyncGenerator<Bill> {
+    if (this.openGap !== undefined) {
+      throw new BillsIncompleteError(
+        'bills are still being fetched from another replica',
+      );
+    }
+    for await (const {line, end} of this.readLines()) {
+      if (line === undefined) {
+        throw new BillsIncompleteError(
+          `bill archive ${this.file} is damaged at byte ${end}`,
+        );
+      }
+      if ('bill' in line) yield line.bill;
+    }
+  }
+
+  /** Yields whole lines and where they end; no line where one is damaged. */
+  private async *readLines(): AsyncGenerator<{
+    line: ArchiveLine | undefined;
+    end: number;
+  }> {
     this.flush();
-    const input = createReadStream(this.file);
+    let rest = Buffer.alloc(0);
     let end = 0;
-    for await (const text of createInterface({input})) {
-      end += Buffer.byteLength(text) + 1;
-      const line = parseLine(text);
-      if (line === undefined) break;
-      yield {line, end};
+    for await (const piece of createReadStream(this.file)) {
+      const bytes = Buffer.concat([rest, piece as Buffer]);
+      let start = 0;
+      for (;;) {
+        const stop = bytes.indexOf(lineFeed, start);
+        if (stop < 0) break;
+        const line = parseLine(bytes.toString('utf8', start, stop));
+        if (line !== undefined) end += stop + 1 - start;
+        start = stop + 1;
+        yield {line, end};
+      }
+      rest = bytes.subarray(start);
     }
   }
 }
 
-/** Parses a line; returns undefined if a crash left it incomplete. */
+/** Parses a line; returns undefined if it is damaged. */
 function parseLine(text: string): ArchiveLine | undefined {
   try {
     return JSON.parse(text) as ArchiveLine;
--- a/packages/daemon/tests/ledgerHost.test.ts
+++ b/packages/daemon/tests/ledgerHost.test.ts
@@ -1,4 +1,4 @@
-import {appendFile} from 'node:fs/promises';
+import {appendFile, readFile, writeFile} from 'node:fs/promises';
 import path from 'node:path';
 
 import {type Bill, type PeerIdentity} from '@dogwoodtrestle/schema';
@@ -64,6 +64,53 @@
     again.close();
     expect((await BillArchive.open(file, 7)).gap).toBeUndefined();
   });
+
+  // Guards against a last line without its end that is taken for whole: the next
+  // line was joined to it, and no bill after it could be read.
+  it('loses no bill if its file ends at any byte', async () => {
+    const file = await archiveFile();
+    const bills = [1, 2].map(index => billOf(index, 'ลำไย\u2028'));
+    const archive = await BillArchive.open(file, 0);
+    archive.append(bills);
+    archive.sync(2);
+    archive.close();
+    const whole = await readFile(file);
+    for (let length = 0; length <= whole.length; length++) {
+      await writeFile(file, whole.subarray(0, length));
+      const cut = await BillArchive.open(file, 2);
+      const isWhole = cut.gap === undefined;
+      if (!isWhole) cut.fillGap(bills);
+      cut.append([billOf(3)]);
+      const found = await cut.read({});
+      cut.close();
+      expect({length, isWhole, found}).toEqual({
+        length,
+        isWhole: length === whole.length,
+        found: [...bills, billOf(3)],
+      });
+    }
+  });
+});
+
+describe('a damaged line of a bill archive', () => {
+  // Guards against bills before it that are taken for all bills.
+  it.each(['read', 'readEntries'] as const)(
+    'ends no list of bills as if it were complete: %s',
+    async method => {
+      const file = await archiveFile();
+      const archive = await BillArchive.open(file, 0);
+      archive.append([billOf(1), billOf(2), billOf(3)]);
+      archive.sync(3);
+      const text = await readFile(file, 'utf8');
+      await writeFile(file, text.replace('{"bill":{"index":2', 'x'));
+      const readers = {
+        read: () => archive.read({}),
+        readEntries: () => archive.readEntries({after: 0, until: 3}, 10),
+      };
+      await expect(readers[method]()).rejects.toThrow(/damaged at byte \d+/);
+      archive.close();
+    },
+  );
 });
 
 describe('BillFetcher', () => {
@@ -83,6 +130,26 @@
     const bills = await fetcher.fetch({after: 1, until: 4});
     expect(bills?.map(({index}) => index)).toEqual([2, 3, 4]);
   });
+
+  // Guards against a page without bills that is taken for the end: a page had whole
+  // log entries only, and none where the next entry had more bills than it.
+  it.each([1, 2, 3, 4, 9])(
+    'reads all bills in pages of %i',
+    async billsPerPage => {
+      const archive = await BillArchive.open(await archiveFile(), 0);
+      const indexes = [1, 2, 2, 2, 2, 3, 5, 5, 6];
+      archive.append(indexes.map(index => billOf(index)));
+      const fetcher = new BillFetcher({
+        addresses: () => ['whole'],
+        fetchPage: async (_, range) => ({
+          bills: await archive.readEntries(range, billsPerPage),
+        }),
+      });
+      const bills = await fetcher.fetch({after: 1, until: 5});
+      archive.close();
+      expect(bills?.map(({index}) => index)).toEqual(indexes.slice(1, -1));
+    },
+  );
 });
 
 describe('BarrierQueue', () => {
