fix(edge): limit the bytes of a response that are no body

Cause: limits counted what undici's parser reports. It limits header lines and trailers, but reports nothing of a status line's text, of informational responses beyond each head, or of chunk extensions.

Change: a socket counts, for each response, what was read less what was delivered as body, whatever the bytes are (`runtime/responseOverhead`). A response with more than 256 KiB beyond as many as its body has is given up as `endless response`. It doesn't count as one that its server broke off, so a request is not taken for one that crashes servers.

Ruled out: a limit for each kind (the next kind would have none). A connection that is used again has its count begun anew: a test sends 33 heads of 16 kB on one.

--- a/packages/edge/src/attempt.ts
+++ b/packages/edge/src/attempt.ts
@@ -8,6 +8,7 @@
 import {
   ByteAccumulator,
   type Clock,
+  EndlessResponse,
   isOrderlyEnd,
 } from '@dogwoodtrestle/runtime';
 
@@ -239,6 +240,7 @@
           else this.receiveLateHead(status, rawHeaders);
         },
         onResponseData: (_, chunk) => {
+          this.connection.socket?.recordBody(chunk.length);
           if (this.isOver) return;
           if (this.refusal !== undefined) {
             this.receiveRefusalBody(this.refusal, chunk);
@@ -412,6 +414,10 @@
       return;
     }
     const reason = error.message;
+    if (error instanceof EndlessResponse) {
+      this.failAndClose({kind: 'unknown', reason, isEndless: true});
+      return;
+    }
     if (!this.isSent) {
       const isRefused = (error as NodeJS.ErrnoException).code === refusedCode;
       this.input.onSignal({kind: 'unreachable', isRefused});
--- a/packages/edge/src/requestHandler.ts
+++ b/packages/edge/src/requestHandler.ts
@@ -269,7 +269,7 @@
             this.context,
             this.input,
             progress.server,
-            'pieces',
+            failure.reason,
           );
         }
         this.detach(progress, 'failure');
--- a/packages/edge/src/serverConnections.ts
+++ b/packages/edge/src/serverConnections.ts
@@ -9,6 +9,7 @@
   type ConnectCallback,
   openSocket,
   type PausableSocket,
+  ResponseOverhead,
 } from '@dogwoodtrestle/runtime';
 import {Client} from 'undici';
 
@@ -241,6 +242,7 @@
       isLate = true;
       callback(new Error('connection attempt timed out'), null);
     });
+    socket.limitOverhead(new ResponseOverhead());
     connection.socket = socket;
     connection.wasReset = false;
     socket.on('error', (error: NodeJS.ErrnoException) => {
--- a/packages/edge/tests/attempt.test.ts
+++ b/packages/edge/tests/attempt.test.ts
@@ -14,6 +14,7 @@
 } from '@dogwoodtrestle/fleet';
 import {
   AdaptiveTimeout,
+  maxOverheadBytes,
   MetricsRegistry,
   systemClock,
 } from '@dogwoodtrestle/runtime';
@@ -302,6 +303,88 @@
   });
 });
 
+/**
+ * Bytes that a server can send before its connection is closed: those that are
+ * allowed, and what the system's buffers take.
+ */
+const maxEndlessBytes = 16 * 1024 * 1024;
+
+const filler = 'x'.repeat(65_536);
+
+/** Responses that are no more than their start and the same bytes again. */
+const endlessCases: ReadonlyArray<
+  readonly [name: string, start: string, rest: string]
+> = [
+  ['a status line', 'HTTP/1.1 200 ', filler],
+  ['a header line', `${statusLine}X: `, filler],
+  ['header lines', statusLine, 'X: x\r\n'.repeat(10_000)],
+  [
+    'informational responses',
+    '',
+    'HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n'.repeat(1_000),
+  ],
+  ['a chunk extension', `${createHead('by chunks', '')}5;x=`, filler],
+  [
+    'an extension of each chunk',
+    createHead('by chunks', ''),
+    `1;x=${filler}\r\nx\r\n`,
+  ],
+  ['a chunk size', createHead('by chunks', ''), '0'.repeat(65_536)],
+  ['trailers', `${createHead('by chunks', '')}0\r\n`, `X: ${filler}\r\n`],
+  ['bytes that are no HTTP', '', filler],
+];
+
+/** Sends the same bytes until the connection is closed. */
+function sendEndlessly(socket: Socket, rest: string): void {
+  const write = () => {
+    if (socket.destroyed) return;
+    if (socket.write(rest)) setImmediate(write);
+    else socket.once('drain', write);
+  };
+  write();
+}
+
+describe('a response without end', () => {
+  // Guards against a server that takes memory or processor time of all callers with
+  // bytes that are no body, which the parser neither limits nor reports (issue 60).
+  it.each(endlessCases)('is given up: %s', async (_, start, rest) => {
+    let sentBytes = () => 0;
+    const target = await startServer(socket => {
+      sentBytes = () => socket.bytesWritten - socket.writableLength;
+      socket.write(start);
+      sendEndlessly(socket, rest);
+    });
+    expect(await send(target)).toMatchObject({kind: 'unknown'});
+    expect(sentBytes()).toBeLessThan(maxEndlessBytes);
+    expect(target.connections.open).toBe(0);
+  });
+
+  it('is not one of many on a connection, each with a long head', async () => {
+    const {head, content} = framings['by its length']!;
+    const sockets = new Set<Socket>();
+    const target = await startServer(socket => {
+      sockets.add(socket);
+      const long = `X: ${'x'.repeat(16_000)}\r\n`;
+      socket.write(`${statusLine}${long}${head}\r\n${content}`);
+    });
+    const count = Math.ceil((2 * maxOverheadBytes) / 16_000);
+    for (let sent = 0; sent < count; sent++) {
+      expect(await send(target)).toEqual({body});
+    }
+    expect(sockets.size).toBe(1);
+  });
+
+  it('is told from one that a server broke off', async () => {
+    const target = await startServer(socket => {
+      socket.write(`${createHead('by chunks', '')}5;x=`);
+      sendEndlessly(socket, filler);
+    });
+    const outcome = await send(target);
+    expect(outcome).toMatchObject({kind: 'unknown', isEndless: true});
+    expect(outcome).not.toHaveProperty('isClosed');
+  });
+});
+
 describe('a response to a request that the server has not taken', () => {
   it('is complete, and its connection with the unsent bytes is closed', async () => {
     const {head, content} = framings['by its length']!;
--- a/packages/runtime/src/index.ts
+++ b/packages/runtime/src/index.ts
@@ -83,6 +83,11 @@
   type ParsingTurnOptions,
 } from './parsingTurns.js';
 export {limitRequestsAhead, maxOpenRequests} from './requestsAhead.js';
+export {
+  EndlessResponse,
+  maxOverheadBytes,
+  ResponseOverhead,
+} from './responseOverhead.js';
 export {settledWithin} from './settledWithin.js';
 export {PeriodicTask, type PeriodicTaskOptions} from './periodicTask.js';
 export {registerMemoryGauges} from './processMemory.js';
