fix(runtime): limit the bytes of a reply that are no body

Callers saw: nothing. A call to an address at which something else listens by now, or to a faulty process, read bytes without end until the call's timeout.

Cause: a reply's body had a limit (64 MiB), what is around it had none: status line, informational responses, chunk extensions, chunk sizes.

Change: the sockets of calls between processes count what is read of a reply. The calls' pool doesn't tell a socket what was body, so all bytes count, and the limit is twice that of the body and 256 KiB.

Now 11 of 11 are, each below 16 MiB with a limit of 1 MiB. The kinds are in the testkit, shared with the test of the router's attempts.

--- a/packages/edge/tests/attempt.test.ts
+++ b/packages/edge/tests/attempt.test.ts
@@ -18,6 +18,7 @@
   MetricsRegistry,
   systemClock,
 } from '@dogwoodtrestle/runtime';
+import {endlessOverheads, sendEndlessly} from '@dogwoodtrestle/testkit';
 import {afterEach, describe, expect, it} from 'vitest';
 
 import {
@@ -309,55 +310,22 @@
  */
 const maxEndlessBytes = 16 * 1024 * 1024;
 
-const filler = 'x'.repeat(65_536);
-
-/** Responses that are no more than their start and the same bytes again. */
-const endlessCases: ReadonlyArray<
-  readonly [name: string, start: string, rest: string]
-> = [
-  ['a status line', 'HTTP/1.1 200 ', filler],
-  ['a header line', `${statusLine}X: `, filler],
-  ['header lines', statusLine, 'X: x\r\n'.repeat(10_000)],
-  [
-    'informational responses',
-    '',
-    'HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n'.repeat(1_000),
-  ],
-  ['a chunk extension', `${createHead('by chunks', '')}5;x=`, filler],
-  [
-    'an extension of each chunk',
-    createHead('by chunks', ''),
-    `1;x=${filler}\r\nx\r\n`,
-  ],
-  ['a chunk size', createHead('by chunks', ''), '0'.repeat(65_536)],
-  ['trailers', `${createHead('by chunks', '')}0\r\n`, `X: ${filler}\r\n`],
-  ['bytes that are no HTTP', '', filler],
-];
-
-/** Sends the same bytes until the connection is closed. */
-function sendEndlessly(socket: Socket, rest: string): void {
-  const write = () => {
-    if (socket.destroyed) return;
-    if (socket.write(rest)) setImmediate(write);
-    else socket.once('drain', write);
-  };
-  write();
-}
-
 describe('a response without end', () => {
   // Guards against a server that takes memory or processor time of all callers with
   // bytes that are no body, which the parser neither limits nor reports (issue 60).
-  it.each(endlessCases)('is given up: %s', async (_, start, rest) => {
-    let sentBytes = () => 0;
-    const target = await startServer(socket => {
-      sentBytes = () => socket.bytesWritten - socket.writableLength;
-      socket.write(start);
-      sendEndlessly(socket, rest);
-    });
-    expect(await send(target)).toMatchObject({kind: 'unknown'});
-    expect(sentBytes()).toBeLessThan(maxEndlessBytes);
-    expect(target.connections.open).toBe(0);
-  });
+  it.each(Object.entries(endlessOverheads))(
+    'is given up: %s',
+    async (_, bytes) => {
+      let sentBytes = () => 0;
+      const target = await startServer(socket => {
+        sentBytes = () => socket.bytesWritten - socket.writableLength;
+        sendEndlessly(socket, bytes);
+      });
+      expect(await send(target)).toMatchObject({kind: 'unknown'});
+      expect(sentBytes()).toBeLessThan(maxEndlessBytes);
+      expect(target.connections.open).toBe(0);
+    },
+  );
 
   it('is not one of many on a connection, each with a long head', async () => {
     const {head, content} = framings['by its length']!;
@@ -376,8 +344,7 @@
 
   it('is told from one that a server broke off', async () => {
     const target = await startServer(socket => {
-      socket.write(`${createHead('by chunks', '')}5;x=`);
-      sendEndlessly(socket, filler);
+      sendEndlessly(socket, endlessOverheads['a chunk extension']!);
     });
     const outcome = await send(target);
     expect(outcome).toMatchObject({kind: 'unknown', isEndless: true});
--- a/packages/runtime/src/openSocket.ts
+++ b/packages/runtime/src/openSocket.ts
@@ -4,8 +4,6 @@
  * The timeout has its own timer, as undici's timers have a resolution of one
  * second: a call to an instance that is switched off would wait that long.
  */
-import {type Socket} from 'node:net';
-
 import {PausableSocket} from './pausableSocket.js';
 
 /** Idle time after which TCP keep-alive probes detect dead connections. */
@@ -13,7 +11,8 @@
 
 /** Callback of undici's connectors. */
 export type ConnectCallback = (
-  ...outcome: [error: null, socket: Socket] | [error: Error, socket: null]
+  ...outcome:
+    [error: null, socket: PausableSocket] | [error: Error, socket: null]
 ) => void;
 
 /** Timeout and local address of a connection. */
--- a/packages/runtime/src/peerCallClient.ts
+++ b/packages/runtime/src/peerCallClient.ts
@@ -14,6 +14,7 @@
 } from './messageEncoding.js';
 import {openSocketInAttempts} from './openSocketInAttempts.js';
 import {maxMessageBytes, readMessage} from './readMessage.js';
+import {maxOverheadBytes, ResponseOverhead} from './responseOverhead.js';
 
 /** A call failed without a valid reply; the peer may have executed it. */
 export class PeerCallError extends Error {
@@ -177,11 +178,16 @@
       attempts: this.options.connectAttempts,
       localAddress,
     };
+    // What is body is not told to the socket, so all bytes count.
+    const maxReplyReadBytes = 2 * this.options.maxReplyBytes + maxOverheadBytes;
     const pool = new Pool(`http://${address}`, {
       connections: connectionsPerAddress,
       pipelining: 1,
       connect: (_, callback) => {
-        openSocketInAttempts(address, socketOptions, callback);
+        openSocketInAttempts(address, socketOptions, (...outcome) => {
+          outcome[1]?.limitOverhead(new ResponseOverhead(maxReplyReadBytes));
+          callback(...outcome);
+        });
       },
       headersTimeout: 0,
       bodyTimeout: 0,
--- a/packages/runtime/tests/peerCallClient.test.ts
+++ b/packages/runtime/tests/peerCallClient.test.ts
@@ -5,6 +5,11 @@
 import {once} from 'node:events';
 import {createServer} from 'node:http';
 
+import {
+  endlessBodies,
+  endlessOverheads,
+  EndlessServer,
+} from '@dogwoodtrestle/testkit';
 import {afterEach, describe, expect, it} from 'vitest';
 
 import {PeerCallClient, PeerCallServer, silentLogger} from '../src/index.js';
@@ -75,6 +80,24 @@
   });
 });
 
+describe('a reply without end', () => {
+  // Guards against a call to an address that something else listens on by now, whose
+  // bytes take processor time until the call's timeout (issue 60).
+  it.each(Object.entries({...endlessBodies, ...endlessOverheads}))(
+    'is given up: %s',
+    async (_, bytes) => {
+      const server = await EndlessServer.start(bytes);
+      closers.push(async () => server.close());
+      const client = new PeerCallClient({maxReplyBytes: 1024 * 1024});
+      closers.push(() => client.close());
+      const options = {timeoutMilliseconds: 60_000};
+      const call = client.call(server.address, 'echo', 0, options);
+      await expect(call).rejects.toThrow('echo');
+      expect(server.sentBytes).toBeLessThan(16 * 1024 * 1024);
+    },
+  );
+});
+
 describe('renewed connections', () => {
   /** Starts a server that counts its connections. */
   async function startCountingServer() {
--- a/packages/testkit/src/index.ts
+++ b/packages/testkit/src/index.ts
@@ -19,6 +19,13 @@
   exchangeBytes,
   sendThenRead,
 } from './crowd.js';
+export {
+  endlessBodies,
+  endlessOverheads,
+  type EndlessResponseBytes,
+  EndlessServer,
+  sendEndlessly,
+} from './endlessServer.js';
 export {
   Cluster,
   type ClusterOptions,
