fix(daemon): limit what a server reports of an abandoned request

Callers saw: a leading daemon that asks servers about requests whose router is gone kept all that a faulty server sent in the 2 s of the query, for each server and each attempt at once; its memory can be used up, and the requests of others end with it.

Cause: the report was read as one text without a limit.

Change: it is read with a limit of 8 MiB, as other bodies of servers are; one beyond it counts as unknown, as each report that can't be read.

Evidence: packages/daemon/tests/endlessReplies.test.ts: on the code before, both cases fail; one query took 1.5 GB of a body in chunks and 2.3 GB of one to the close. Now both are given up below 32 MiB (8 MiB and the system's buffers).

--- a/packages/daemon/src/ledgerHost/backendOutcomeClient.ts
+++ b/packages/daemon/src/ledgerHost/backendOutcomeClient.ts
@@ -13,6 +13,7 @@
 import {request as sendRequest} from 'undici';
 
 import {type Clock} from '@dogwoodtrestle/runtime';
+import {readBody} from '../requests/backendHttp.js';
 import {parseReadBack} from '../util/readBack.js';
 import {type BackendOutcome} from './abandonedRequestSettler.js';
 
@@ -61,6 +62,10 @@
 };
 
 const timeoutMilliseconds = 2000;
+
+/** Largest report, in bytes: an answer of 1 MiB, each character escaped. */
+const maximumReportBytes = 8388608;
+
 const unknown: BackendOutcome = {kind: 'unknown'};
 
 interface AttemptReport {
@@ -126,7 +131,7 @@
     const response = await sendRequest(url, {
       signal: AbortSignal.timeout(timeoutMilliseconds),
     });
-    const body = await response.body.text();
+    const body = await readBody(response.body, maximumReportBytes);
     return response.statusCode === 200 ? (JSON.parse(body) as T) : undefined;
   } catch {
     return undefined;
