fix(daemon): limit the bytes of a response to a daemon's calls

Callers saw: nothing, but the daemon read what a faulty server, or something else at an instance's address, sent without end until the call's or the caller's time was over; a reply between instances was kept as a whole.

Cause: undici limits neither status lines, informational responses, chunk extensions nor chunk sizes; replies of other instances had no limit at all.

Change: the sockets to servers are those that count what is read of a response, and calls between instances and queries of abandoned requests use them as well. All bytes count: twice the longest body and 256 KiB. A reply has 64 MiB at most.

Evidence: packages/daemon/tests/endlessReplies.test.ts. On the code before 13 of 33 cases fail: five queries of an abandoned request (0.1 to 2.2 GB read in 2 s), six calls between instances (1.8 to 5.2 GB in 4 s, of which the two bodies were kept), and two calls of a service (status line, informational responses: not over after 8 s). Now 33 of 33 pass; all 220 tests of the daemon pass.

Not covered: connections with TLS, whose bodies have limits as before.

--- a/packages/daemon/src/ledgerHost/backendOutcomeClient.ts
+++ b/packages/daemon/src/ledgerHost/backendOutcomeClient.ts
@@ -10,10 +10,11 @@
   type BackendDirectory,
 } from '@dogwoodtrestle/routing';
 import {type Target} from '@dogwoodtrestle/schema';
-import {request as sendRequest} from 'undici';
+import {Agent, request as sendRequest} from 'undici';
 
 import {type Clock} from '@dogwoodtrestle/runtime';
 import {readBody} from '../requests/backendHttp.js';
+import {createConnector} from '../requests/backendSocket.js';
 import {parseReadBack} from '../util/readBack.js';
 import {type BackendOutcome} from './abandonedRequestSettler.js';
 
@@ -66,6 +67,11 @@
 /** Largest report, in bytes: an answer of 1 MiB, each character escaped. */
 const maximumReportBytes = 8388608;
 
+/** Its connections are closed when they are idle. */
+const dispatcher = new Agent({
+  connect: createConnector({maximumBodyBytes: maximumReportBytes}),
+});
+
 const unknown: BackendOutcome = {kind: 'unknown'};
 
 interface AttemptReport {
@@ -129,6 +135,7 @@
 async function get<T>(url: string): Promise<T | undefined> {
   try {
     const response = await sendRequest(url, {
+      dispatcher,
       signal: AbortSignal.timeout(timeoutMilliseconds),
     });
     const body = await readBody(response.body, maximumReportBytes);
--- a/packages/daemon/src/peer/peerClient.ts
+++ b/packages/daemon/src/peer/peerClient.ts
@@ -9,8 +9,13 @@
 } from '@trpc/client';
 import {Agent} from 'undici';
 
-import {type Clock, systemClock} from '@dogwoodtrestle/runtime';
+import {
+  type Clock,
+  maxMessageBytes,
+  systemClock,
+} from '@dogwoodtrestle/runtime';
 import {type Metrics, silentMetrics} from '../util/metrics.js';
+import {createConnector} from '../requests/backendSocket.js';
 import {type PeerApi} from './peerApi.js';
 import {type PeerCredentials} from './peerAuthentication.js';
 import {
@@ -74,11 +79,14 @@
       connectionsPerInstance,
     } = {...defaultOptions, ...options};
     this.agent = new Agent({
-      connect: {timeout: connectTimeoutMilliseconds},
+      connect: createConnector({
+        timeoutMilliseconds: connectTimeoutMilliseconds,
+      }),
       localAddress,
       connections: connectionsPerInstance,
       keepAliveTimeout: keepAliveMilliseconds,
       pipelining: 1,
+      maxResponseSize: maxMessageBytes,
     });
     this.fetch = createPeerFetch({
       credentials,
--- a/packages/daemon/src/requests/backendSocket.ts
+++ b/packages/daemon/src/requests/backendSocket.ts
@@ -1,13 +1,16 @@
 /**
- * @fileoverview A socket to a backend server that doesn't take a reset for the end
- * of a response.
+ * @fileoverview A socket to a backend server, or to another instance, that doesn't
+ * take a reset for the end of a response, and closes where a response has no end.
  *
  * A response without a length ends with its connection. undici takes a reset for
  * such an end too, and a reset may itself look like an orderly end.
  */
-import {Socket} from 'node:net';
-
-import {isOrderlyEnd} from '@dogwoodtrestle/runtime';
+import {
+  isOrderlyEnd,
+  maxOverheadBytes,
+  PausableSocket,
+  ResponseOverhead,
+} from '@dogwoodtrestle/runtime';
 import {buildConnector, errors} from 'undici';
 
 /** Port of addresses that name none. */
@@ -16,8 +19,11 @@
 /** Idle time after which TCP keep-alive probes detect dead connections. */
 const keepAliveProbeMilliseconds = 60_000;
 
+/** Bytes of the longest body of a response, a stream of events. */
+const maximumBodyBytes = 67108864;
+
 /** A socket whose orderly end is one of the server. */
-export class BackendSocket extends Socket {
+export class BackendSocket extends PausableSocket {
   override emit(event: string | symbol, ...values: unknown[]): boolean {
     if (event === 'end' && !isOrderlyEnd(this)) {
       this.destroy(new Error('reset, or closed before the request was sent'));
@@ -37,28 +43,42 @@
   }
 }
 
-/**
- * Returns undici's connector, with these sockets for addresses without TLS.
- *
- * @param timeout Time for a connection, in milliseconds.
- */
-export function createConnector(timeout: number): buildConnector.connector {
-  const connectWithTls = buildConnector({timeout});
+/** Limits of a connection and of the responses on it. */
+export interface ConnectorOptions {
+  timeoutMilliseconds: number;
+  /** Bytes of the longest body. */
+  maximumBodyBytes: number;
+}
+
+const defaultConnectorOptions: ConnectorOptions = {
+  timeoutMilliseconds: 2000,
+  maximumBodyBytes,
+};
+
+/** Returns undici's connector, with these sockets for addresses without TLS. */
+export function createConnector(
+  changes: Partial<ConnectorOptions> = {},
+): buildConnector.connector {
+  const limits = {...defaultConnectorOptions, ...changes};
+  const connectWithTls = buildConnector({timeout: limits.timeoutMilliseconds});
   return (options, callback) => {
     if (options.protocol === 'https:') connectWithTls(options, callback);
-    else connect(options, timeout, callback);
+    else connect(options, limits, callback);
   };
 }
 
 function connect(
-  {hostname, port}: buildConnector.Options,
-  timeout: number,
+  {hostname, port, localAddress}: buildConnector.Options,
+  limits: ConnectorOptions,
   callback: buildConnector.Callback,
 ): void {
   const socket = new BackendSocket();
+  // What is body is not told to the socket, so all bytes count.
+  const maximumBytes = 2 * limits.maximumBodyBytes + maxOverheadBytes;
+  socket.limitOverhead(new ResponseOverhead(maximumBytes));
   const timer = setTimeout(() => {
     socket.destroy(new errors.ConnectTimeoutError());
-  }, timeout);
+  }, limits.timeoutMilliseconds);
   const fail = (error: Error) => {
     clearTimeout(timer);
     callback(error, null);
@@ -72,6 +92,7 @@
   socket.connect({
     host: hostname,
     port: Number(port === '' ? defaultPort : port),
+    localAddress: localAddress ?? undefined,
     noDelay: true,
     keepAlive: true,
     keepAliveInitialDelay: keepAliveProbeMilliseconds,
--- a/packages/daemon/src/requests/index.ts
+++ b/packages/daemon/src/requests/index.ts
@@ -27,9 +27,6 @@
 /** Largest number of connections to one backend server. */
 const maximumConnectionsPerBackend = 512;
 
-/** Timeout for connecting to a backend server, in milliseconds. */
-const connectTimeoutMilliseconds = 2000;
-
 /**
  * Interval at which the directory of backend servers is read, in milliseconds.
  * It is shorter than the interval of announcements.
@@ -44,7 +41,7 @@
   readonly explanations = new Explanations();
   private readonly dispatcher = new Agent({
     connections: maximumConnectionsPerBackend,
-    connect: createConnector(connectTimeoutMilliseconds),
+    connect: createConnector(),
   });
   private readonly answers: ResponseStore;
   private readonly settler: RequestSettler;
--- a/packages/daemon/tests/endlessReplies.test.ts
+++ b/packages/daemon/tests/endlessReplies.test.ts
@@ -6,10 +6,17 @@
 import {BackendDirectory} from '@dogwoodtrestle/routing';
 import {systemClock} from '@dogwoodtrestle/runtime';
 import {createParser} from '@dogwoodtrestle/schema';
-import {endlessBodies, EndlessServer} from '@dogwoodtrestle/testkit';
+import {
+  endlessBodies,
+  endlessOverheads,
+  EndlessServer,
+} from '@dogwoodtrestle/testkit';
 import {afterEach, describe, expect, it} from 'vitest';
 
 import {BackendOutcomeClient} from '../src/ledgerHost/backendOutcomeClient.js';
+import {derivePeerKey} from '../src/peer/peerAuthentication.js';
+import {PeerClient} from '../src/peer/peerClient.js';
+import {RequestFixture} from './requests/fixture.js';
 import {CleanUps} from './fixtures.js';
 
 /**
@@ -18,17 +25,22 @@
  */
 const maxSentBytes = 32 * 1024 * 1024;
 
+/** The same for a reply of another instance. */
+const maxSentReplyBytes = 192 * 1024 * 1024;
+
 const cleanUps = new CleanUps();
 
 afterEach(() => cleanUps.run());
 
+const responses = {...endlessBodies, ...endlessOverheads};
+
 async function startServer(name: string): Promise<EndlessServer> {
-  const server = await EndlessServer.start(endlessBodies[name]!);
+  const server = await EndlessServer.start(responses[name]!);
   cleanUps.add(async () => server.close());
   return server;
 }
 
-const names = Object.keys(endlessBodies);
+const names = Object.keys(responses);
 
 describe('the outcome of an abandoned request', () => {
   // Guards against a daemon that keeps what a faulty server reports without end, until
@@ -61,3 +73,47 @@
     expect(server.sentBytes).toBeLessThan(maxSentBytes);
   });
 });
+
+describe('a call of another instance', () => {
+  // Guards against a daemon that keeps a reply without end of something else that
+  // listens at an instance's address by now (issue 60).
+  it.each(names)('fails if it answers with %s', async name => {
+    const server = await startServer(name);
+    const key = derivePeerKey('shared key');
+    const client = new PeerClient({
+      credentials: {cluster: 'barley', instance: 'kamloops-1', key},
+    });
+    cleanUps.add(() => client.stop());
+    const call = client.call(server.address, 4_000, (calls, options) =>
+      calls.identity.mutate({instance: 'a', address: 'b:1'}, options),
+    );
+    await expect(call).rejects.toThrow(server.address);
+    expect(server.sentBytes).toBeLessThan(maxSentReplyBytes);
+  });
+});
+
+describe('a call to a service', () => {
+  // Guards against a daemon that reads what a faulty service sends without end until
+  // the caller's time is over (issue 60).
+  it.each(names)('fails if it answers with %s', async name => {
+    const server = await startServer(name);
+    const fixture = await RequestFixture.start();
+    cleanUps.add(() => fixture.stop());
+    const service = await fixture.startService();
+    await service.stop();
+    const {announcement} = fixture.directory.get(service.options.name)!;
+    fixture.directory.observe(
+      {
+        ...announcement,
+        url: `http://${server.address}`,
+        sequence: announcement.sequence + 1,
+      },
+      performance.now(),
+    );
+    const response = await fixture.post('/services/bookings/notes', {
+      body: '{"note": "b"}',
+    });
+    expect(response.status).toBeGreaterThanOrEqual(500);
+    expect(server.sentBytes).toBeLessThan(maxSentReplyBytes);
+  });
+});
