fix(operator-cli): limit the body of a response

Operators saw: a command that is answered without end keeps all bytes until its time limit, or until its memory is used up.

Cause: the body was read as one text without a limit.

Change: a response has 64 MiB at most; one beyond it counts as a call that failed and may have been made.

Evidence: packages/operator-cli/tests/endlessResponses.test.ts: on the code before both cases fail, 4.6 GB in chunks and 6.3 GB to the close were read in the 4 s of the call. Now both end below 192 MiB (the limit and the system's buffers).

Open: of what is around a body a command keeps nothing, but reads it until its time limit (five kinds, 0.2 to 5.2 GB in 4 s); no other requests are in its process.

--- a/packages/operator-cli/src/client/httpTransport.ts
+++ b/packages/operator-cli/src/client/httpTransport.ts
@@ -2,7 +2,7 @@
  * @fileoverview Sends calls of the operator API over HTTP, trying a list of
  * daemons in order until one responds.
  */
-import {type Dispatcher, request} from 'undici';
+import {Agent, type Dispatcher, request} from 'undici';
 
 import {
   OutcomeUnknownError,
@@ -50,6 +50,11 @@
   | {kind: 'refused'; status: number; error: ApiError}
   | {kind: 'failed'; reason: string; mayHaveRun: boolean};
 
+/** Most bytes of a response; a configuration has up to 32 MiB. */
+const maxResponseBytes = 64 * 1024 * 1024;
+
+const dispatcher = new Agent({maxResponseSize: maxResponseBytes});
+
 /** Error codes of connections that failed before a call was sent. */
 const notSentCodes = new Set(['ECONNREFUSED', 'EHOSTUNREACH', 'ENETUNREACH']);
 
@@ -107,6 +112,7 @@
   private async attempt(url: string, call: ApiCall): Promise<Attempt> {
     try {
       const response = await request(new URL(call.path, url), {
+        dispatcher,
         method: call.method,
         headers: {
           ...(this.options.key !== undefined && {
