fix(edge): log the part of a response without end as documented

Operators saw, since: the line `endless response` had the reason of the failure as its `part`, where OPERATIONS.md names `pieces`.

Change: the failure of an attempt says which part had no end, `pieces` or `overhead`, and the line has that.

Evidence: packages/edge/tests/attempt.test.ts, "is told from one that a server broke off", expects `overhead` of the failure and fails on the code before, which has none. No test reads the line itself.

--- a/packages/edge/src/attempt.ts
+++ b/packages/edge/src/attempt.ts
@@ -30,9 +30,14 @@
   | {kind: 'notExecuted'; status: number}
   /**
    * The server may have executed the request. Its connection `isClosed` if the
-   * server closed it, or reset it. A response that `isEndless` was given up.
+   * server closed it, or reset it. A response with an `endless` part was given up.
    */
-  | {kind: 'unknown'; reason: string; isClosed?: boolean; isEndless?: boolean};
+  | {
+      kind: 'unknown';
+      reason: string;
+      isClosed?: boolean;
+      endless?: 'pieces' | 'overhead';
+    };
 
 /** Receives the response; `onFailed` or `onEnd` is called last, and once. */
 export interface AttemptListener {
@@ -272,7 +277,7 @@
   private receiveData(chunk: Buffer): void {
     if (chunk.length < tinyPieceBytes && ++this.tinyPieces > maxTinyPieces) {
       const reason = 'response in tiny pieces without end';
-      this.failAndClose({kind: 'unknown', reason, isEndless: true});
+      this.failAndClose({kind: 'unknown', reason, endless: 'pieces'});
       return;
     }
     const hasPieces = this.pieces.length > 0;
@@ -415,7 +420,7 @@
     }
     const reason = error.message;
     if (error instanceof EndlessResponse) {
-      this.failAndClose({kind: 'unknown', reason, isEndless: true});
+      this.failAndClose({kind: 'unknown', reason, endless: 'overhead'});
       return;
     }
     if (!this.isSent) {
--- a/packages/edge/src/requestHandler.ts
+++ b/packages/edge/src/requestHandler.ts
@@ -264,12 +264,12 @@
           progress.startedAt,
         );
         this.guard.end(progress, failure.isClosed === true ? 'broke' : 'other');
-        if (failure.isEndless === true) {
+        if (failure.endless !== undefined) {
           recordEndlessResponse(
             this.context,
             this.input,
             progress.server,
-            failure.reason,
+            failure.endless,
           );
         }
         this.detach(progress, 'failure');
--- a/packages/edge/tests/attempt.test.ts
+++ b/packages/edge/tests/attempt.test.ts
@@ -347,7 +347,7 @@
       sendEndlessly(socket, endlessOverheads['a chunk extension']!);
     });
     const outcome = await send(target);
-    expect(outcome).toMatchObject({kind: 'unknown', isEndless: true});
+    expect(outcome).toMatchObject({kind: 'unknown', endless: 'overhead'});
     expect(outcome).not.toHaveProperty('isClosed');
   });
 });
