--- a/packages/edge/src/attempt.ts
+++ b/packages/edge/src/attempt.ts
@@ -8,6 +8,7 @@
 import {
   ByteAccumulator,
   type Clock,
+  EndlessResponse,
   isOrderlyEnd,
 } from '@dogwoodtrestle/runtime';
 
@@ -30,9 +31,14 @@
   | {kind: 'notExecuted'; status: number}
   /**
    * The server may have executed the request. Its connection `isClosed` if the
-   * server closed it, or reset it. A response that `isEndless` was given up.
+   * server closed it, or reset it. A response with an `endless` part was given up.
    */
-  | {kind: 'unknown'; reason: string; isClosed?: boolean; isEndless?: boolean};
+  | {
+      kind: 'unknown';
+      reason: string;
+      isClosed?: boolean;
+      endless?: 'pieces' | 'overhead';
+    };
 
 /** Receives the response; `onFailed` or `onEnd` is called last, and once. */
 export interface AttemptListener {
@@ -245,6 +251,7 @@
           else this.receiveLateHead(status, rawHeaders);
         },
         onResponseData: (_, chunk) => {
+          this.connection.socket?.recordBody(chunk.length);
           if (this.isOver) return;
           if (this.refusal !== undefined) {
             this.receiveRefusalBody(this.refusal, chunk);
@@ -281,7 +288,7 @@
   private receiveData(chunk: Buffer): void {
     if (chunk.length < tinyPieceBytes && ++this.tinyPieces > maxTinyPieces) {
       const reason = 'response in tiny pieces without end';
-      this.failAndClose({kind: 'unknown', reason, isEndless: true});
+      this.failAndClose({kind: 'unknown', reason, endless: 'pieces'});
       return;
     }
     const hasPieces = this.pieces.length > 0;
@@ -436,6 +443,10 @@
       return;
     }
     const reason = error.message;
+    if (error instanceof EndlessResponse) {
+      this.failAndClose({kind: 'unknown', reason, endless: 'overhead'});
+      return;
+    }
     if (!this.isSent) {
       const isRefused = (error as NodeJS.ErrnoException).code === refusedCode;
       this.input.onSignal({kind: 'unreachable', isRefused});
--- a/packages/edge/tests/attempt.test.ts
+++ b/packages/edge/tests/attempt.test.ts
@@ -14,9 +14,11 @@
 } from '@dogwoodtrestle/fleet';
 import {
   AdaptiveTimeout,
+  maxOverheadBytes,
   MetricsRegistry,
   systemClock,
 } from '@dogwoodtrestle/runtime';
+import {endlessOverheads, sendEndlessly} from '@dogwoodtrestle/testkit';
 import {afterEach, describe, expect, it} from 'vitest';
 
 import {
@@ -302,6 +304,54 @@
   });
 });
 
+/**
+ * Bytes that a server can send before its connection is closed: those that are
+ * allowed, and what the system's buffers take.
+ */
+const maxEndlessBytes = 16 * 1024 * 1024;
+
+describe('a response without end', () => {
+  // Guards against a server that takes memory or processor time of all callers with
+  // bytes that are no body, which the parser neither limits nor reports (issue 60).
+  it.each(Object.entries(endlessOverheads))(
+    'is given up: %s',
+    async (_, bytes) => {
+      let sentBytes = () => 0;
+      const target = await startServer(socket => {
+        sentBytes = () => socket.bytesWritten - socket.writableLength;
+        sendEndlessly(socket, bytes);
+      });
+      expect(await send(target)).toMatchObject({kind: 'unknown'});
+      expect(sentBytes()).toBeLessThan(maxEndlessBytes);
+      expect(target.connections.open).toBe(0);
+    },
+  );
+
+  it('is not one of many on a connection, each with a long head', async () => {
+    const {head, content} = framings['by its length']!;
+    const sockets = new Set<Socket>();
+    const target = await startServer(socket => {
+      sockets.add(socket);
+      const long = `X: ${'x'.repeat(16_000)}\r\n`;
+      socket.write(`${statusLine}${long}${head}\r\n${content}`);
+    });
+    const count = Math.ceil((2 * maxOverheadBytes) / 16_000);
+    for (let sent = 0; sent < count; sent++) {
+      expect(await send(target)).toEqual({body});
+    }
+    expect(sockets.size).toBe(1);
+  });
+
+  it('is told from one that a server broke off', async () => {
+    const target = await startServer(socket => {
+      sendEndlessly(socket, endlessOverheads['a chunk extension']!);
+    });
+    const outcome = await send(target);
+    expect(outcome).toMatchObject({kind: 'unknown', endless: 'overhead'});
+    expect(outcome).not.toHaveProperty('isClosed');
+  });
+});
+
 describe('a response to a request that the server has not taken', () => {
   it('is complete, and its connection with the unsent bytes is closed', async () => {
     const {head, content} = framings['by its length']!;
--- a/packages/runtime/src/index.ts
+++ b/packages/runtime/src/index.ts
@@ -84,6 +84,12 @@
 } from './parsingTurns.js';
 export {limitRequestsAhead, maxOpenRequests} from './requestsAhead.js';
 export {followRunningRequests} from './runningRequests.js';
+export {
+  EndlessResponse,
+  maxOverheadBytes,
+  ResponseOverhead,
+} from './responseOverhead.js';
+export {maxMessageBytes} from './readMessage.js';
 export {settledWithin} from './settledWithin.js';
 export {PeriodicTask, type PeriodicTaskOptions} from './periodicTask.js';
 export {registerMemoryGauges} from './processMemory.js';
