fix(runtime): take no reply for that of another call

What callers saw: nothing yet; a process of the fleet that sent a reply twice on a kept connection had it taken for the reply to the next call.

Cause: replies had no mark of their call. undici closes a connection that gets bytes while it is idle, but not one whose next call is already sent.

Change: each call has an id, and its reply returns it. A reply with another id fails its call, and later calls to that address open connections of their own. A missing id is accepted, as processes of earlier versions don't return it.

Evidence: packages/runtime/tests/peerCallClient.test.ts, 'a second reply of a peer': before, 2 of 3 cases failed (calls 0 to 3 got 0, 0, 0, 0 and 0, 0, 2, 2); after, 3 of 3 passed, packages/runtime 57 passed. Ruled out: a second reply with the first or on an idle connection, which closes it (passed before as well).

--- a/packages/runtime/src/peerCallClient.ts
+++ b/packages/runtime/src/peerCallClient.ts
@@ -3,10 +3,12 @@
  * HTTP.
  *
  * Every call has a timeout. A call that exceeds it closes its connection, so
- * an unresponsive connection is not reused.
+ * an unresponsive connection is not reused. Every call has an id, which its reply
+ * has as well: a reply that a peer sends once more is that of no other call.
  */
 import {Pool} from 'undici';
 
+import {callIdHeader} from './callId.js';
 import {
   compressedEncoding,
   decodeMessage,
@@ -76,6 +78,7 @@
   private readonly peers = new Map<string, PeerConnections>();
   /** Pools that only end their calls in progress. */
   private readonly retiredPools = new Set<Pool>();
+  private calls = 0;
 
   constructor(options: Partial<PeerCallClientOptions> = {}) {
     this.options = {...defaultOptions, ...options};
@@ -90,7 +93,7 @@
    * Calls a method at an address, `host:port`, and returns its JSON reply.
    *
    * @throws PeerCallError without a reply in time, for a status other than 200,
-   *     and for a reply that isn't JSON.
+   *     and for a reply that isn't JSON or is that of another call.
    */
   async call<T>(
     address: string,
@@ -104,6 +107,7 @@
     const {body, isCompressed} = encodeMessage(message, {
       isCompressible: peer.readsCompressed,
     });
+    const callId = (++this.calls).toString(36);
     const encoding = isCompressed && {'content-encoding': compressedEncoding};
     try {
       const response = await peer.pool.request({
@@ -112,6 +116,7 @@
         headers: {
           'content-type': 'application/json',
           'accept-encoding': compressedEncoding,
+          [callIdHeader]: callId,
           ...encoding,
         },
         body,
@@ -124,6 +129,11 @@
         maxReplyBytes,
       );
       const {statusCode, headers} = response;
+      // Processes of earlier versions don't return the id.
+      if ((headers[callIdHeader] ?? callId) !== callId) {
+        this.renew(address);
+        throw new Error('reply to another call');
+      }
       if (statusCode !== 200) {
         const text = reply.toString('utf8', 0, maxErrorBytes);
         throw new Error(`status ${statusCode}: ${text}`);
--- a/packages/runtime/src/peerCallServer.ts
+++ b/packages/runtime/src/peerCallServer.ts
@@ -11,6 +11,7 @@
 
 import {type BodyFailure, readBody} from './bodyReader.js';
 import {ByteAccount} from './byteAccount.js';
+import {callIdHeader} from './callId.js';
 import {CallContext, type ReplyRecord} from './callContext.js';
 import {systemClock} from './clock.js';
 import {ConnectionLimit, logClosedConnections} from './connectionLimit.js';
@@ -207,14 +208,28 @@
       const result = await handler(message, context);
       bytes = reply(response, 200, result, {
         isCompressible: headers['accept-encoding'] === compressedEncoding,
+        callId: callIdOf(request),
       });
     } catch (error) {
       this.options.logger.debug({err: error, call: method}, 'call failed');
-      reply(response, 500, {error: String(error)});
+      const callId = callIdOf(request);
+      reply(response, 500, {error: String(error)}, {...uncompressed, callId});
     }
   }
 }
 
+/** Options of a reply. */
+interface ReplyOptions extends EncodingOptions {
+  /** Id of the call; missing from those of earlier versions. */
+  callId?: string;
+}
+
+const uncompressed: EncodingOptions = {isCompressible: false};
+
+function callIdOf({headers}: IncomingMessage): string | undefined {
+  return headers[callIdHeader]?.toString();
+}
+
 function methodOf({url = ''}: IncomingMessage): string {
   return url.slice(1);
 }
@@ -227,7 +242,7 @@
   error: string,
 ): void {
   if (response.destroyed) return;
-  const {body} = encodeMessage({error}, {isCompressible: false});
+  const {body} = encodeMessage({error}, uncompressed);
   response.writeHead(status, {
     'content-type': 'application/json',
     'content-length': body.length,
@@ -242,7 +257,7 @@
   response: ServerResponse,
   status: number,
   message: unknown,
-  options: EncodingOptions = {isCompressible: false},
+  {callId, ...options}: ReplyOptions,
 ): number {
   if (response.destroyed) return 0;
   const {body, isCompressed} = encodeMessage(message, options);
@@ -250,6 +265,7 @@
     'content-type': 'application/json',
     'content-length': body.length,
     'accept-encoding': compressedEncoding,
+    ...(callId !== undefined && {[callIdHeader]: callId}),
     ...(isCompressed && {'content-encoding': compressedEncoding}),
   });
   response.end(body);
--- a/packages/runtime/tests/peerCallClient.test.ts
+++ b/packages/runtime/tests/peerCallClient.test.ts
@@ -1,9 +1,10 @@
 /**
  * @fileoverview Tests the eviction of idle connection pools when a router calls
- * more addresses than it keeps connections to, and their renewal.
+ * more addresses than it keeps connections to, their renewal, and second replies.
  */
 import {once} from 'node:events';
 import {createServer} from 'node:http';
+import {createServer as createSocketServer, type Socket} from 'node:net';
 
 import {afterEach, describe, expect, it} from 'vitest';
 
@@ -125,3 +126,59 @@
     await expect.poll(() => counts.open).toBe(0);
   });
 });
+
+/** How a peer sends the replies to the calls on one connection, the first twice. */
+const repeaters: Record<
+  string,
+  (socket: Socket, replies: readonly string[]) => void
+> = {
+  'in place of the next reply': (socket, [first = '']) => socket.write(first),
+  'before the next reply': (socket, [first = '', next]) =>
+    socket.write(next === undefined ? first : first + next),
+  'with the first reply': (socket, [first = '', next]) =>
+    socket.write(next ?? first + first),
+};
+
+/** Starts a peer that echoes messages, and sends its first reply twice. */
+async function startRepeater(moment: string): Promise<string> {
+  const server = createSocketServer(socket => {
+    const replies: string[] = [];
+    socket.on('error', () => undefined);
+    socket.on('data', data => {
+      const [head = '', message = ''] = data.toString().split('\r\n\r\n');
+      const id = /^x-call-id: .*$/im.exec(head)?.[0];
+      replies.push(
+        `HTTP/1.1 200 OK\r\n${id === undefined ? '' : `${id}\r\n`}` +
+          `content-length: ${message.length}\r\n\r\n${message}`,
+      );
+      repeaters[moment]!(socket, replies);
+    });
+  });
+  server.listen(0, '127.0.0.1');
+  await once(server, 'listening');
+  closers.push(async () => void server.close());
+  const {port} = server.address() as {port: number};
+  return `127.0.0.1:${port}`;
+}
+
+describe('a second reply of a peer', () => {
+  // Guards against the reply of another call, which the peer sends once more on a
+  // kept connection (issue 60).
+  it.each(Object.keys(repeaters))(
+    '%s is not taken for that of the next call',
+    async moment => {
+      const address = await startRepeater(moment);
+      const client = new PeerCallClient({connectionsPerAddress: 1});
+      closers.push(() => client.close());
+      const options = {timeoutMilliseconds: 2_000};
+      const replies: unknown[] = [];
+      for (let call = 0; call < 4; call++) {
+        const reply = client.call(address, 'echo', call, options);
+        replies.push(await reply.catch(() => 'failed'));
+        expect([call, 'failed']).toContain(replies.at(-1));
+      }
+      // Each second call at most fails; the next one has its own connection.
+      expect(replies).toEqual(expect.arrayContaining([0, 2]));
+    },
+  );
+});
