fix(daemon): take no error of an engine for that of another attempt

What callers saw: a request was refused as invalid, with the text of an error that the engine had sent for another caller's request, when the engine sent that error once more on a kept connection.

Cause: only responses with status 200 had their attempt id checked.

Change: the id is checked before the status. An error without an id can't be told from another's: it counts as a failure of the engine, and its text goes nowhere.

Evidence: packages/daemon/tests/requests/secondResponses.test.ts: before, 1 of 4 cases failed ('of a model that rejects a request': the caller of 'next' got 'the prompt of first'); after, 4 of 4 passed. Ruled out: responses with status 200, of streams and of services, whose ids were checked (passed before).

--- a/packages/daemon/src/requests/modelClient.ts
+++ b/packages/daemon/src/requests/modelClient.ts
@@ -167,8 +167,15 @@
       body: JSON.stringify(call.body),
       signal: call.signal,
     });
-    if (response.statusCode !== 200) {
-      const {statusCode} = response;
+    const {statusCode} = response;
+    // An error without an id may be that of another call, once more.
+    const isAnonymous = response.headers['x-attempt-id'] === undefined;
+    if (statusCode !== 200 && isAnonymous) {
+      discard(response.body);
+      throw attemptError('status', {sent: true, status: statusCode});
+    }
+    this.checkAttemptId(response, call.attemptId);
+    if (statusCode !== 200) {
       const body = await readBody(response.body, maximumAnswerBytes).catch(
         () => '',
       );
@@ -180,7 +187,6 @@
         body,
       });
     }
-    this.checkAttemptId(response, call.attemptId);
     return response;
   }
 
--- /dev/null
+++ b/packages/daemon/tests/requests/secondResponses.test.ts
@@ -0,0 +1,178 @@
+/**
+ * @fileoverview Model engines and services that send an earlier response once more,
+ * in place of the response to the next call on its connection.
+ */
+import {createServer, type Socket} from 'node:net';
+import {setTimeout as sleep} from 'node:timers/promises';
+
+import {type BackendEntry} from '@dogwoodtrestle/routing';
+import {createParser} from '@dogwoodtrestle/schema';
+import {Agent} from 'undici';
+import {afterEach, describe, expect, it} from 'vitest';
+
+import {createConnector} from '../../src/requests/backendSocket.js';
+import {ModelClient, type ModelCall} from '../../src/requests/modelClient.js';
+import {ServiceClient} from '../../src/requests/serviceClient.js';
+import {CleanUps} from '../fixtures.js';
+
+const cleanUps = new CleanUps();
+
+afterEach(() => cleanUps.run());
+
+/** The first call, whose response is sent again, and the next one. */
+const ids = ['first', 'next'] as const;
+
+/** Time after which a connection takes the next call. */
+const idleMilliseconds = 10;
+
+type Id = (typeof ids)[number];
+
+/** Creates the response of a server to the call of an attempt. */
+type Responder = (id: Id) => {status: string; body: string};
+
+/** Starts a server that answers all calls on a connection as it did the first. */
+async function startRepeater(respond: Responder): Promise<BackendEntry> {
+  const sockets = new Set<Socket>();
+  const listener = createServer(socket => {
+    sockets.add(socket);
+    let response: string | undefined;
+    socket.on('error', () => undefined);
+    socket.on('data', data => {
+      const call = data.toString();
+      const {status, body} = respond(call.includes('first') ? 'first' : 'next');
+      const id = /^x-attempt-id: .*\r\n/im.exec(call)?.[0] ?? '';
+      response ??=
+        `HTTP/1.1 ${status}\r\n${id}content-type: application/json\r\n` +
+        `content-length: ${body.length}\r\n\r\n${body}`;
+      socket.write(response);
+    });
+  });
+  await new Promise<void>(resolve => listener.listen(0, '127.0.0.1', resolve));
+  cleanUps.add(async () => {
+    for (const socket of sockets) socket.destroy();
+    listener.close();
+  });
+  const {port} = listener.address() as {port: number};
+  const announcement = createParser('Announcement')({
+    name: 's-1',
+    incarnation: 1,
+    sequence: 1,
+    state: 'serving',
+    url: `http://127.0.0.1:${port}`,
+    failureDomain: 'd',
+    kind: 'model',
+    models: [{name: 'summary'}],
+    service: {name: 'booking', readBackPath: '/read/{attempt}'},
+    features: {attemptReport: true},
+  });
+  return {announcement, observedAt: 0};
+}
+
+/** Clients with one connection to each server. */
+function createClients() {
+  const dispatcher = new Agent({
+    connections: 1,
+    connect: createConnector(2_000),
+  });
+  cleanUps.add(() => dispatcher.destroy());
+  const options = {
+    dispatcher,
+    idleMilliseconds: 2_000,
+    onAttemptMismatch: () => undefined,
+  };
+  return {
+    models: new ModelClient(options),
+    services: new ServiceClient(options),
+  };
+}
+
+type Clients = ReturnType<typeof createClients>;
+
+/** Makes the call of an attempt, and returns what its caller learns. */
+type Caller = (
+  clients: Clients,
+  backend: BackendEntry,
+  id: Id,
+) => Promise<unknown>;
+
+function modelCallOf(backend: BackendEntry, attemptId: Id): ModelCall {
+  const {signal} = new AbortController();
+  const traceparent = '';
+  return {
+    backend,
+    attemptId,
+    body: {},
+    priority: 'normal',
+    traceparent,
+    signal,
+  };
+}
+
+async function collect(chunks: AsyncIterable<unknown>): Promise<unknown[]> {
+  const all: unknown[] = [];
+  for await (const chunk of chunks) all.push(chunk);
+  return all;
+}
+
+const completion: Responder = id => ({
+  status: '200 OK',
+  body: JSON.stringify({id, of: id}),
+});
+
+const complete: Caller = ({models}, backend, id) =>
+  models.complete(modelCallOf(backend, id));
+
+const cases: Record<string, [Responder, Caller]> = {
+  'of a model': [completion, complete],
+  'of a model that rejects a request': [
+    id => ({status: '400 Bad Request', body: `the prompt of ${id}`}),
+    complete,
+  ],
+  'of a stream': [
+    id => ({
+      status: '200 OK',
+      body: `data: ${JSON.stringify({id, of: id})}\n\ndata: [DONE]\n\n`,
+    }),
+    ({models}, backend, id) => collect(models.stream(modelCallOf(backend, id))),
+  ],
+  'of a service': [
+    completion,
+    ({services}, backend, id) =>
+      services.call({
+        ...modelCallOf(backend, id),
+        method: 'POST',
+        path: '/',
+        body: Buffer.from('b'),
+      }),
+  ],
+};
+
+/** Returns what the callers of both attempts learn. */
+async function callBoth(
+  respond: Responder,
+  call: (backend: BackendEntry, id: Id) => Promise<unknown>,
+): Promise<string[]> {
+  const backend = await startRepeater(respond);
+  const learned: string[] = [];
+  for (const id of ids) {
+    const outcome = await call(backend, id).catch(
+      ({failure, body}: {failure: string; body?: string}) => ({failure, body}),
+    );
+    learned.push(JSON.stringify(outcome));
+    await sleep(idleMilliseconds);
+  }
+  return learned;
+}
+
+describe('an earlier response that is sent again', () => {
+  // Guards against callers that get the text of an error of another attempt (issue 60).
+  it.each(Object.keys(cases))('%s reaches no other caller', async name => {
+    const clients = createClients();
+    const [respond, caller] = cases[name]!;
+    const [first, next] = await callBoth(respond, (backend, id) =>
+      caller(clients, backend, id),
+    );
+    expect(first).toContain('first');
+    expect(next).not.toContain('first');
+  });
+});
