fix(daemon): read responses without an id on connections of their own

What callers saw: a bill for the usage of another attempt, or the outcome of another caller's call, when a server had sent an earlier response once more on a kept connection. An order counted as taken by the response to an earlier order.

Cause: reports of attempts, read-backs and responses to orders have no id of their call, and were read on kept connections.

Change: these calls have a connection each. They follow failures, cancellations and orders, so they are few.

--- a/packages/daemon/src/ledgerHost/backendOutcomeClient.ts
+++ b/packages/daemon/src/ledgerHost/backendOutcomeClient.ts
@@ -14,6 +14,7 @@
 
 import {type Clock} from '@dogwoodtrestle/runtime';
 import {parseReadBack} from '../util/readBack.js';
+import {createUnkeptAgent} from '../util/unkeptAgent.js';
 import {type BackendOutcome} from './abandonedRequestSettler.js';
 
 /** Options of the client. */
@@ -121,9 +122,13 @@
   );
 }
 
+/** Reports don't tell of which attempt they are. */
+const dispatcher = createUnkeptAgent();
+
 async function get<T>(url: string): Promise<T | undefined> {
   try {
     const response = await sendRequest(url, {
+      dispatcher,
       signal: AbortSignal.timeout(timeoutMilliseconds),
     });
     const body = await response.body.text();
--- a/packages/daemon/src/ledgerHost/orderIssuer.ts
+++ b/packages/daemon/src/ledgerHost/orderIssuer.ts
@@ -22,6 +22,7 @@
 import {type Clock, systemClock} from '@dogwoodtrestle/runtime';
 import {type Logger, silentLogger} from '@dogwoodtrestle/runtime';
 import {type Metrics, silentMetrics} from '../util/metrics.js';
+import {createUnkeptAgent} from '../util/unkeptAgent.js';
 import {PeriodicTask} from '@dogwoodtrestle/runtime';
 
 /** Options of the issuer. */
@@ -166,8 +167,13 @@
   }
 }
 
-async function postOrder(url: string, body: object): Promise<number> {
+/** Responses don't tell to which order they belong. */
+const dispatcher = createUnkeptAgent();
+
+/** Sends an order; resolves with the HTTP status code. */
+export async function postOrder(url: string, body: object): Promise<number> {
   const response = await sendRequest(`${url}/v1/orders`, {
+    dispatcher,
     method: 'POST',
     headers: {'content-type': 'application/json'},
     body: JSON.stringify(body),
--- a/packages/daemon/src/requests/index.ts
+++ b/packages/daemon/src/requests/index.ts
@@ -7,6 +7,7 @@
 import {Agent} from 'undici';
 
 import {pause} from '../util/pause.js';
+import {createUnkeptAgent} from '../util/unkeptAgent.js';
 import {AdmissionGate} from './admissionGate.js';
 import {ResponseStore} from './responseStore.js';
 import {createConnector} from './backendSocket.js';
@@ -39,13 +40,16 @@
 /** Interval at which draining checks for running requests, in milliseconds. */
 const drainPollIntervalMilliseconds = 20;
 
+const connectionOptions: Agent.Options = {
+  connections: maximumConnectionsPerBackend,
+  connect: createConnector(connectTimeoutMilliseconds),
+};
+
 /** Serves callers on one instance. */
 export class RequestPath {
   readonly explanations = new Explanations();
-  private readonly dispatcher = new Agent({
-    connections: maximumConnectionsPerBackend,
-    connect: createConnector(connectTimeoutMilliseconds),
-  });
+  private readonly dispatcher = new Agent(connectionOptions);
+  private readonly unkept = createUnkeptAgent(connectionOptions);
   private readonly answers: ResponseStore;
   private readonly settler: RequestSettler;
   private readonly selector: BackendSelector;
@@ -59,6 +63,7 @@
       dependencies.settings.requests;
     const clientOptions = {
       dispatcher: this.dispatcher,
+      unkept: this.unkept,
       idleMilliseconds: idleStreamMilliseconds,
       onAttemptMismatch: () =>
         dependencies.metrics.increment('attempts.crossed'),
@@ -166,5 +171,6 @@
   async close(): Promise<void> {
     clearInterval(this.refreshTimer);
     await this.dispatcher.destroy();
+    await this.unkept.destroy();
   }
 }
--- a/packages/daemon/src/requests/modelClient.ts
+++ b/packages/daemon/src/requests/modelClient.ts
@@ -52,6 +52,8 @@
 /** Options of `ModelClient`. */
 export interface ModelClientOptions {
   dispatcher: Dispatcher;
+  /** Dispatcher whose connections carry one call each. */
+  unkept: Dispatcher;
   /** Timeout for the response head and between two parts of a body. */
   idleMilliseconds: number;
   /** Called for each response or chunk with another attempt's ID. */
@@ -121,11 +123,14 @@
     attemptId: string,
   ): Promise<{state: string; usage?: EngineUsage} | undefined> {
     try {
-      const response = await this.request(backend, {
+      const call = {
         path: `/v1/attempts/${encodeURIComponent(attemptId)}`,
         method: 'GET',
         signal: AbortSignal.timeout(attemptCallTimeoutMilliseconds),
-      });
+      } as const;
+      // Reports don't tell of which attempt they are.
+      const {unkept} = this.options;
+      const response = await this.request(backend, call, unkept);
       if (response.statusCode !== 200) {
         await response.body.dump();
         return undefined;
@@ -203,10 +208,11 @@
   private async request(
     backend: BackendEntry,
     options: Omit<Dispatcher.RequestOptions, 'origin'>,
+    dispatcher = this.options.dispatcher,
   ): Promise<Dispatcher.ResponseData> {
     const {origin, base} = addressOf(backend);
     try {
-      return await this.options.dispatcher.request({
+      return await dispatcher.request({
         ...options,
         origin,
         path: `${base}${options.path}`,
--- a/packages/daemon/src/requests/serviceClient.ts
+++ b/packages/daemon/src/requests/serviceClient.ts
@@ -33,6 +33,8 @@
 /** Options of `ServiceClient`. */
 export interface ServiceClientOptions {
   dispatcher: Dispatcher;
+  /** Dispatcher whose connections carry one call each. */
+  unkept: Dispatcher;
   /** Timeout for the response head and between two parts of a body. */
   idleMilliseconds: number;
   /** Called for each response with another attempt's ID. */
@@ -98,7 +100,8 @@
     if (template === undefined) return {outcome: 'unknown'};
     const {origin, base} = addressOf(backend);
     try {
-      const response = await this.options.dispatcher.request({
+      // Outcomes don't tell of which attempt they are.
+      const response = await this.options.unkept.request({
         origin,
         path: `${base}${template.replace('{attempt}', encodeURIComponent(attemptId))}`,
         method: 'GET',
--- a/packages/daemon/tests/requests/secondResponses.test.ts
+++ b/packages/daemon/tests/requests/secondResponses.test.ts
@@ -10,9 +10,12 @@
 import {Agent} from 'undici';
 import {afterEach, describe, expect, it} from 'vitest';
 
+import {BackendOutcomeClient} from '../../src/ledgerHost/backendOutcomeClient.js';
+import {postOrder} from '../../src/ledgerHost/orderIssuer.js';
 import {createConnector} from '../../src/requests/backendSocket.js';
 import {ModelClient, type ModelCall} from '../../src/requests/modelClient.js';
 import {ServiceClient} from '../../src/requests/serviceClient.js';
+import {createUnkeptAgent} from '../../src/util/unkeptAgent.js';
 import {CleanUps} from '../fixtures.js';
 
 const cleanUps = new CleanUps();
@@ -74,9 +77,12 @@
     connections: 1,
     connect: createConnector(2_000),
   });
+  const unkept = createUnkeptAgent();
   cleanUps.add(() => dispatcher.destroy());
+  cleanUps.add(() => unkept.destroy());
   const options = {
     dispatcher,
+    unkept,
     idleMilliseconds: 2_000,
     onAttemptMismatch: () => undefined,
   };
@@ -114,6 +120,11 @@
   return all;
 }
 
+const usageOf = (id: Id) => ({
+  prompt_tokens: id === 'first' ? 900 : 1,
+  completion_tokens: 0,
+});
+
 const completion: Responder = id => ({
   status: '200 OK',
   body: JSON.stringify({id, of: id}),
@@ -135,6 +146,13 @@
     }),
     ({models}, backend, id) => collect(models.stream(modelCallOf(backend, id))),
   ],
+  'that reports an attempt': [
+    id => ({
+      status: '200 OK',
+      body: JSON.stringify({state: 'finished', of: id, usage: usageOf(id)}),
+    }),
+    ({models}, backend, id) => models.report(backend, id),
+  ],
   'of a service': [
     completion,
     ({services}, backend, id) =>
@@ -145,6 +163,13 @@
         body: Buffer.from('b'),
       }),
   ],
+  'that reads a call back': [
+    id => ({
+      status: '200 OK',
+      body: JSON.stringify({outcome: 'ran', body: `of ${id}`}),
+    }),
+    ({services}, backend, id) => services.readBack(backend, id),
+  ],
 };
 
 /** Returns what the callers of both attempts learn. */
@@ -165,7 +190,8 @@
 }
 
 describe('an earlier response that is sent again', () => {
-  // Guards against callers that get the text of an error of another attempt (issue 60).
+  // Guards against callers that get, or are billed for, what a server sent for
+  // another attempt (issue 60).
   it.each(Object.keys(cases))('%s reaches no other caller', async name => {
     const clients = createClients();
     const [respond, caller] = cases[name]!;
@@ -175,4 +201,38 @@
     expect(first).toContain('first');
     expect(next).not.toContain('first');
   });
+
+  // Guards against bills for the usage of another attempt (issue 60).
+  it('of a model settles no other abandoned request', async () => {
+    const [first, next] = await callBoth(
+      id => ({
+        status: '200 OK',
+        body: JSON.stringify({state: 'finished', usage: usageOf(id)}),
+      }),
+      (entry, id) =>
+        new BackendOutcomeClient({
+          directory: {
+            entries: () => [{entry, state: 'serving', ageMilliseconds: 0}],
+          },
+          attemptIds: () => [id],
+          clock: {now: () => 0, wallNow: () => 0, setTimer: () => () => {}},
+        }).fetchOutcome({
+          target: {kind: 'model', name: 'summary'},
+          inputPrice: 1,
+          outputPrice: 1,
+        } as never),
+    );
+    expect(first).toContain('"cost":900');
+    expect(next).toContain('"cost":1,');
+  });
+
+  // Guards against an order that counts as taken by the response to an earlier one
+  // (issue 60).
+  it('to an order is that to no other order', async () => {
+    const [first, next] = await callBoth(
+      id => ({status: id === 'first' ? '200 OK' : '409 Conflict', body: '{}'}),
+      ({announcement}, order) => postOrder(announcement.url, {order}),
+    );
+    expect([first, next]).toEqual(['200', '409']);
+  });
 });
