feat(edge): count and log bytes that no request waited for

A second response on a kept connection left no trace: undici closes an idle connection for it, and one in place of the next response failed that request with 'response to another request' in its line only.

dogwoodtrestle_unsolicited_responses_total counts them by service and place; a line names the server, at most once a second. No decision reads them.

The fixtures of attempt.test.ts move to tests/support/attempts.ts, unchanged but for what the new test needs (a response to another request; where bytes came).

--- a/packages/edge/src/attempt.ts
+++ b/packages/edge/src/attempt.ts
@@ -10,6 +10,7 @@
   type Clock,
   isOrderlyEnd,
 } from '@dogwoodtrestle/runtime';
+import {errors} from 'undici';
 
 import {type EventCoalescer} from './eventCoalescer.js';
 import {type ServerConnection} from './serverConnections.js';
@@ -262,6 +263,7 @@
 
   private beginSending(): void {
     this.isSent ||= this.input.mayBeSent(this.connection);
+    this.connection.isAwaiting = this.isSent;
     if (this.isSent) return;
     this.failAndClose({kind: 'notSent', reason: 'server is limited'});
   }
@@ -301,6 +303,7 @@
     const isForeign =
       head.attemptId !== undefined && head.attemptId !== request.attemptId;
     if (isForeign) {
+      server.connections.recordUnsolicited('response');
       this.failAndClose({
         kind: 'unknown',
         reason: 'response to another request',
@@ -411,6 +414,10 @@
       this.failAndClose(this.refusal);
       return;
     }
+    const isUnreadable = error instanceof errors.HTTPParserError;
+    if (this.isSent && this.isReused && isUnreadable) {
+      this.input.server.connections.recordUnsolicited('response');
+    }
     const reason = error.message;
     if (!this.isSent) {
       const isRefused = (error as NodeJS.ErrnoException).code === refusedCode;
--- a/packages/edge/src/serverConnections.ts
+++ b/packages/edge/src/serverConnections.ts
@@ -10,7 +10,9 @@
   openSocket,
   type PausableSocket,
 } from '@dogwoodtrestle/runtime';
-import {Client} from 'undici';
+import {Client, errors} from 'undici';
+
+import {type UnsolicitedPlace} from './unsolicitedBytes.js';
 
 /** Options of the connections to one server. */
 export interface ServerConnectionsOptions {
@@ -23,6 +25,8 @@
   onConnect: () => void;
   /** Called when a request no longer uses a connection. */
   onFree?: () => void;
+  /** Called when the server sent bytes that no request waited for. */
+  onUnsolicited?: (place: UnsolicitedPlace) => void;
   /** Which connections lead to the known process; without it all do. */
   proof?: ProcessProof;
 }
@@ -59,6 +63,8 @@
   isEstablished: boolean;
   /** When the peer accepted its current socket, in monotonic milliseconds. */
   openedAt: number;
+  /** Whether a request was sent on it whose response isn't complete. */
+  isAwaiting: boolean;
   /** Requests that it was acquired for. */
   requests: number;
 }
@@ -146,6 +152,7 @@
 
   /** Returns a connection to the pool after a complete response. */
   release(connection: ServerConnection): void {
+    connection.isAwaiting = false;
     connection.socket?.offer();
     const isExcess = this.open > this.limit;
     const {isClosed, wasReset} = connection;
@@ -157,6 +164,11 @@
     }
   }
 
+  /** Records bytes that no request waited for. */
+  recordUnsolicited(place: UnsolicitedPlace): void {
+    this.options.onUnsolicited?.(place);
+  }
+
   /** Closes a connection whose state is uncertain. */
   drop(connection: ServerConnection): void {
     this.markClosed(connection);
@@ -203,10 +215,15 @@
       isHalfClosed: false,
       isEstablished: false,
       openedAt: Infinity,
+      isAwaiting: false,
       requests: 0,
     };
-    connection.client.on('disconnect', (...[, , {code}]) => {
+    connection.client.on('disconnect', (...[, , error]) => {
+      const {code} = error;
       this.markClosed(connection);
+      if (hasUnsolicitedBytes(connection, error)) {
+        this.recordUnsolicited('idle');
+      }
       const isByPeer = peerCodes.has(code) && !connection.isHalfClosed;
       if (isByPeer && this.established === 0) this.recordEnd();
     });
@@ -274,3 +291,15 @@
 function holdsUnsentBytes({socket}: ServerConnection): boolean {
   return socket !== undefined && socket.writableLength > 0;
 }
+
+/** Whether the client closed a connection for bytes that no request waited for. */
+function hasUnsolicitedBytes(
+  {isAwaiting, socket}: ServerConnection,
+  error: NodeJS.ErrnoException,
+): boolean {
+  if (isAwaiting) return false;
+  // The code is also that of a connection that the peer has ended.
+  const isUnexpected =
+    error.code === 'UND_ERR_SOCKET' && socket?.readableEnded === false;
+  return isUnexpected || error instanceof errors.HTTPParserError;
+}
--- a/packages/edge/src/serverParts.ts
+++ b/packages/edge/src/serverParts.ts
@@ -14,6 +14,7 @@
 import {ServerPaces} from './serverPaces.js';
 import {ServerPool} from './serverPool.js';
 import {ServerSpeeds} from './serverSpeeds.js';
+import {UnsolicitedBytes} from './unsolicitedBytes.js';
 import {type WatchTopic} from './watchTopic.js';
 
 /** Components that hold the state of the backend servers. */
@@ -55,6 +56,7 @@
     maxConnectTimeoutMilliseconds: options.maxConnectTimeoutMilliseconds,
     suspectAfterMilliseconds: options.suspectAfterMilliseconds,
     onConnect: () => openedConnections.add(),
+    unsolicitedBytes: new UnsolicitedBytes({clock, logger, metrics}),
     paces,
     coldTerms: (service, server) => coldLimits.terms(service, server),
     viewAgeMilliseconds: () => control().viewAgeMilliseconds,
--- a/packages/edge/src/serverPool.ts
+++ b/packages/edge/src/serverPool.ts
@@ -27,6 +27,7 @@
 import {PooledServer} from './pooledServer.js';
 import {ServerConnections} from './serverConnections.js';
 import {type ServerPaces} from './serverPaces.js';
+import {type UnsolicitedBytes} from './unsolicitedBytes.js';
 
 export {PooledServer} from './pooledServer.js';
 
@@ -65,6 +66,8 @@
   paces?: ServerPaces;
   /** Called when a server turns cold or warm, with its cold period before. */
   onColdPeriod?: (server: PooledServer, previous: ColdView | undefined) => void;
+  /** Records bytes that no request waited for; without it nothing does. */
+  unsolicitedBytes?: UnsolicitedBytes;
   /** Called when a request no longer uses a connection to a service's server. */
   onFree?: (service: string) => void;
 }
@@ -393,14 +396,20 @@
   }
 
   private add(record: BackendServerRecord): void {
-    const {clock, maxConnectTimeoutMilliseconds, onConnect, onFree} =
-      this.options;
+    const {
+      clock,
+      maxConnectTimeoutMilliseconds,
+      onConnect,
+      onFree,
+      unsolicitedBytes,
+    } = this.options;
     const connections = new ServerConnections(record.address, {
       clock,
       connectTimeout: this.connectTimeout,
       maxConnectTimeoutMilliseconds,
       onConnect,
       onFree: () => onFree?.(record.service),
+      onUnsolicited: place => unsolicitedBytes?.record(record, place),
       proof: this.createProof(record),
     });
     const isUnproven = (now: number) => connections.isUnproven(now);
--- a/packages/edge/tests/attempt.test.ts
+++ b/packages/edge/tests/attempt.test.ts
@@ -2,177 +2,23 @@
  * @fileoverview How an attempt ends where its server closes the connection, with
  * real sockets on loopback.
  */
-import {createServer, type Server, type Socket} from 'node:net';
+import {type Socket} from 'node:net';
 import {setImmediate as nextTurn} from 'node:timers/promises';
 
-import {
-  ColdLimit,
-  coldLimitPolicy,
-  defaultColdLimitBounds,
-  RequestLimit,
-  ServerLimit,
-} from '@dogwoodtrestle/fleet';
-import {
-  AdaptiveTimeout,
-  MetricsRegistry,
-  systemClock,
-} from '@dogwoodtrestle/runtime';
-import {afterEach, describe, expect, it} from 'vitest';
+import {MetricsRegistry, systemClock} from '@dogwoodtrestle/runtime';
+import {describe, expect, it} from 'vitest';
 
-import {
-  Attempt,
-  type AttemptFailure,
-  type AttemptOptions,
-  type AttemptListener,
-} from '../src/attempt.js';
+import {type Attempt} from '../src/attempt.js';
 import {EventCoalescer} from '../src/eventCoalescer.js';
-import {ServerConnections} from '../src/serverConnections.js';
-import {PooledServer} from '../src/serverPool.js';
 import {
-  type CallerRequest,
-  emptyResponseHead,
-  type WireCodec,
-} from '../src/wireCodec.js';
-
-/** Time within which a connection to loopback is made. */
-const connectMilliseconds = 5_000;
-
-const body = 'whole';
-
-const request: CallerRequest = {
-  attemptId: 'a-1',
-  method: 'GET',
-  target: '/',
-  path: '/',
-  host: 'a.example',
-  headers: [],
-};
-
-const codec: WireCodec = {
-  decodeRequest: () => request,
-  encodeRequest: () => [],
-  decodeResponse: () => ({
-    ...emptyResponseHead,
-    attemptId: request.attemptId,
-    isSigned: true,
-  }),
-};
-
-let server: Server | undefined;
-let pooled: PooledServer | undefined;
-
-afterEach(() => {
-  pooled?.connections.close();
-  server?.close();
-  server = undefined;
-});
-
-/** Starts a server that answers each request by a behaviour. */
-async function startServer(
-  answer: (socket: Socket) => void,
-): Promise<PooledServer> {
-  const listening = createServer(socket => {
-    socket.on('error', () => undefined);
-    socket.on('data', () => answer(socket));
-  });
-  server = listening;
-  await new Promise<void>(resolve => listening.listen(0, '127.0.0.1', resolve));
-  const {port} = listening.address() as {port: number};
-  const address = `127.0.0.1:${port}`;
-  const connections = new ServerConnections(address, {
-    clock: systemClock,
-    connectTimeout: new AdaptiveTimeout({
-      minMilliseconds: connectMilliseconds,
-      maxMilliseconds: connectMilliseconds,
-    }),
-    maxConnectTimeoutMilliseconds: connectMilliseconds,
-    onConnect: () => undefined,
-  });
-  const record = {
-    id: 's-1',
-    startedAt: 0,
-    sequence: 1,
-    service: 'plain',
-    address,
-    state: 'ready',
-    slots: 8,
-  } as const;
-  const wallNow = () => systemClock.wallNow();
-  const policy = coldLimitPolicy(defaultColdLimitBounds);
-  const options = {terms: () => undefined, policy, wallNow};
-  const cold = new ColdLimit(options, systemClock.now());
-  const limit = new ServerLimit(new RequestLimit(wallNow), cold);
-  pooled = new PooledServer(record, connections, limit);
-  return pooled;
-}
-
-/** How an attempt ended: the body of a complete response, or the failure. */
-type Outcome = {body: string} | AttemptFailure;
-
-/** Options of an attempt of these tests. */
-interface SendOptions {
-  mayBeSent?: () => boolean;
-  onSignal?: AttemptOptions['onSignal'];
-  /** Called in the turn of the event loop in which the attempt ends. */
-  onEnd?: () => void;
-  /** Takes a chunk; returns false to pause the attempt. */
-  onData?: (chunk: Buffer, attempt: Attempt) => boolean;
-  /** Body of the request; empty by default. */
-  sent?: Buffer;
-}
-
-/** Sends one attempt and returns how it ended. */
-async function send(
-  target: PooledServer,
-  {
-    onEnd,
-    onData,
-    mayBeSent = () => true,
-    onSignal = () => undefined,
-    sent = Buffer.alloc(0),
-  }: SendOptions = {},
-): Promise<Outcome> {
-  return new Promise(resolve => {
-    const chunks: Buffer[] = [];
-    const listener: AttemptListener = {
-      onHead: () => undefined,
-      onData: chunk => {
-        chunks.push(chunk);
-        return onData?.(chunk, attempt) ?? true;
-      },
-      onEnd: () => {
-        onEnd?.();
-        resolve({body: Buffer.concat(chunks).toString()});
-      },
-      onFailed: resolve,
-    };
-    const attempt = new Attempt(
-      {
-        request,
-        body: sent,
-        headers: ['host', request.host],
-        server: target,
-        codec,
-        clock: systemClock,
-        mayBeSent,
-        onSignal,
-        onLimit: () => undefined,
-      },
-      listener,
-    );
-  });
-}
-
-/** Responses that differ in how the end of the body is marked. */
-const framings: Record<string, {head: string; content: string}> = {
-  'by its length': {head: `Content-Length: ${body.length}\r\n`, content: body},
-  'by chunks': {
-    head: 'Transfer-Encoding: chunked\r\n',
-    content: `5\r\n${body}\r\n0\r\n\r\n`,
-  },
-};
-
-const statusLine = 'HTTP/1.1 200 OK\r\n';
+  body,
+  framings,
+  type Outcome,
+  send,
+  server,
+  startServer,
+  statusLine,
+} from './support/attempts.js';
 
 /** Time for which a caller takes no more bytes. */
 const pauseMilliseconds = 100;
--- /dev/null
+++ b/packages/edge/tests/unsolicitedBytes.test.ts
@@ -0,0 +1,114 @@
+/**
+ * @fileoverview Servers that send a response once more, with real sockets on
+ * loopback.
+ */
+import {type Socket} from 'node:net';
+import {setTimeout as sleep} from 'node:timers/promises';
+
+import {describe, expect, it} from 'vitest';
+
+import {type PooledServer} from '../src/serverPool.js';
+import {type UnsolicitedPlace} from '../src/unsolicitedBytes.js';
+import {
+  body,
+  foreignHeader,
+  framings,
+  type Outcome,
+  send,
+  startServer,
+  statusLine,
+  unsolicited,
+} from './support/attempts.js';
+
+const complete = `${statusLine}${framings['by its length']!.head}\r\n${body}`;
+const foreign = complete.replace('\r\n', `\r\n${foreignHeader}: 1\r\n`);
+
+/** Time for which a connection is idle between two requests. */
+const idleMilliseconds = 20;
+
+/** What a server does after its first response, and at the next request. */
+const repeaters: Record<
+  string,
+  {
+    /** What it sends with the first response. */
+    extra?: string;
+    whileIdle?: (socket: Socket) => void;
+    next?: string;
+    places: UnsolicitedPlace[];
+  }
+> = {
+  'a second response with the first': {extra: foreign, places: ['idle']},
+  'a second response on an idle connection': {
+    whileIdle: socket => socket.write(foreign),
+    places: ['idle'],
+  },
+  'a part of one on an idle connection': {
+    whileIdle: socket => socket.write(foreign.slice(0, 20)),
+    places: ['idle'],
+  },
+  'no HTTP on an idle connection': {
+    whileIdle: socket => socket.write('body without a head'),
+    places: ['idle'],
+  },
+  'a second response in place of the next': {
+    next: foreign,
+    places: ['response'],
+  },
+  'a second response before the next': {
+    next: foreign + complete,
+    places: ['response'],
+  },
+  'the rest of one in place of the next': {
+    next: `rest${complete}`,
+    places: ['response'],
+  },
+  'no more than its responses': {places: []},
+  'a close of an idle connection': {
+    whileIdle: socket => socket.end(),
+    places: [],
+  },
+  'a reset of an idle connection': {
+    whileIdle: socket => socket.resetAndDestroy(),
+    places: [],
+  },
+};
+
+/** Starts a server that does so on its first connection, and answers on others. */
+function startRepeater(name: string): Promise<PooledServer> {
+  const {extra = '', whileIdle, next = complete} = repeaters[name]!;
+  let first: Socket | undefined;
+  return startServer(socket => {
+    if (first !== undefined) {
+      socket.write(first === socket ? next : complete);
+      return;
+    }
+    first = socket;
+    socket.write(complete + extra);
+    setTimeout(() => whileIdle?.(socket), idleMilliseconds / 4);
+  });
+}
+
+/** Sends attempts one after another, with pauses; returns how they ended. */
+async function sendAll(
+  target: PooledServer,
+  count: number,
+): Promise<Outcome[]> {
+  const outcomes: Outcome[] = [];
+  for (let turn = 0; turn < count; turn++) {
+    outcomes.push(await send(target));
+    await sleep(idleMilliseconds);
+  }
+  return outcomes;
+}
+
+describe('a server that sends bytes nobody waited for', () => {
+  // Guards against second responses of a server that nobody can see (issue 60).
+  it.each(Object.keys(repeaters))('is recorded: %s', async name => {
+    const target = await startRepeater(name);
+    const outcomes = await sendAll(target, 3);
+    expect(unsolicited).toEqual(repeaters[name]!.places);
+    const failures = outcomes.filter(outcome => !('body' in outcome));
+    const {length} = unsolicited.filter(place => place === 'response');
+    expect(failures).toHaveLength(length);
+  });
+});
