fix(edge): take no refusal of an earlier request for that of a cancelled one

What callers saw: a request that stalled was cancelled and sent to another server, or refused as not executed, though the first one went on with it (TWICE, REFUSED), when that server sent the refusal of an earlier request once more.

Cause: a refusal after the cancellation counted as certain if it had any attempt id; a response in time has had its id compared.

Change: the id has to be that of the request. Else it may have run.

Evidence: packages/edge/tests/unsolicitedBytes.test.ts, 'what a server sends before it closes, after its request was cancelled': before, 1 of 3 cases failed ('a refusal of an earlier request': not executed; 2 of 2 runs); after, 3 of 3 passed.

--- a/packages/edge/src/attempt.ts
+++ b/packages/edge/src/attempt.ts
@@ -295,15 +295,11 @@
   }
 
   private receiveHead(status: number, rawHeaders: string[]): void {
-    const {codec, request, server, clock} = this.input;
+    const {codec, server, clock} = this.input;
     server.lastByteAt = clock.now();
     const head = codec.decodeResponse(rawHeaders);
     this.reportSignals(status, head);
-    // Another instance refuses a request without the request's attempt id.
-    const isForeign =
-      head.attemptId !== undefined && head.attemptId !== request.attemptId;
-    if (isForeign) {
-      server.connections.recordUnsolicited('response');
+    if (this.isForeign(head)) {
       this.failAndClose({
         kind: 'unknown',
         reason: 'response to another request',
@@ -353,11 +349,23 @@
   private receiveLateHead(status: number, rawHeaders: string[]): void {
     const head = this.input.codec.decodeResponse(rawHeaders);
     this.reportSignals(status, head);
-    const isCertain = head.attemptId !== undefined || !this.isReused;
+    const isForeign = this.isForeign(head);
+    const isCertain =
+      !isForeign && (head.attemptId !== undefined || !this.isReused);
     const isRefusal = status === 421 || head.isNotExecuted;
     this.onResult?.(!isRefusal || !isCertain);
   }
 
+  /** Whether a response is to another request; records it then. */
+  private isForeign({attemptId}: ResponseHead): boolean {
+    const {request, server} = this.input;
+    // Another instance refuses a request without the request's attempt id.
+    const isOwn = attemptId === request.attemptId;
+    if (attemptId === undefined || isOwn) return false;
+    server.connections.recordUnsolicited('response');
+    return true;
+  }
+
   private reportSignals(status: number, head: ResponseHead): void {
     // 421 comes from another server that has taken over the address.
     if (status === 421) return;
--- a/packages/edge/tests/support/attempts.ts
+++ b/packages/edge/tests/support/attempts.ts
@@ -2,7 +2,12 @@
  * @fileoverview Attempts at a server that a test plays, with real sockets on
  * loopback.
  */
-import {createServer, type Server, type Socket} from 'node:net';
+import {
+  createServer,
+  type Server,
+  type ServerOpts,
+  type Socket,
+} from 'node:net';
 
 import {
   ColdLimit,
@@ -38,6 +43,9 @@
 /** Name of a header of responses to an earlier request. */
 export const foreignHeader = 'Foreign';
 
+/** Name of a header of refusals. */
+export const refusalHeader = 'Refused';
+
 const request: CallerRequest = {
   attemptId: 'a-1',
   method: 'GET',
@@ -53,6 +61,7 @@
   decodeResponse: headers => ({
     ...emptyResponseHead,
     attemptId: headers.includes(foreignHeader) ? 'a-0' : request.attemptId,
+    isNotExecuted: headers.includes(refusalHeader),
     isSigned: true,
   }),
 };
@@ -72,8 +81,9 @@
 /** Starts a server that answers each request by a behaviour. */
 export async function startServer(
   answer: (socket: Socket) => void,
+  serverOptions: ServerOpts = {},
 ): Promise<PooledServer> {
-  const listening = createServer(socket => {
+  const listening = createServer(serverOptions, socket => {
     socket.on('error', () => undefined);
     socket.on('data', () => answer(socket));
   });
@@ -118,6 +128,8 @@
   onSignal?: AttemptOptions['onSignal'];
   /** Called in the turn of the event loop in which the attempt ends. */
   onEnd?: () => void;
+  /** Called with the attempt once it has begun. */
+  onBegin?: (attempt: Attempt) => void;
   /** Takes a chunk; returns false to pause the attempt. */
   onData?: (chunk: Buffer, attempt: Attempt) => boolean;
   /** Body of the request; empty by default. */
@@ -130,6 +142,7 @@
   {
     onEnd,
     onData,
+    onBegin,
     mayBeSent = () => true,
     onSignal = () => undefined,
     sent = Buffer.alloc(0),
@@ -163,6 +176,7 @@
       },
       listener,
     );
+    onBegin?.(attempt);
   });
 }
 
--- a/packages/edge/tests/unsolicitedBytes.test.ts
+++ b/packages/edge/tests/unsolicitedBytes.test.ts
@@ -5,8 +5,10 @@
 import {type Socket} from 'node:net';
 import {setTimeout as sleep} from 'node:timers/promises';
 
+import {systemClock} from '@dogwoodtrestle/runtime';
 import {describe, expect, it} from 'vitest';
 
+import {type Attempt} from '../src/attempt.js';
 import {type PooledServer} from '../src/serverPool.js';
 import {type UnsolicitedPlace} from '../src/unsolicitedBytes.js';
 import {
@@ -14,6 +16,7 @@
   foreignHeader,
   framings,
   type Outcome,
+  refusalHeader,
   send,
   startServer,
   statusLine,
@@ -112,3 +115,45 @@
     expect(failures).toHaveLength(length);
   });
 });
+
+const refusal =
+  'HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n' + `${refusalHeader}: 1\r\n`;
+
+/** What comes after a cancellation, and whether the request may have run then. */
+const lateBytes: Record<string, {text: string; hasRun: boolean}> = {
+  'a refusal': {text: `${refusal}\r\n`, hasRun: false},
+  'a refusal of an earlier request': {
+    text: `${refusal}${foreignHeader}: 1\r\n\r\n`,
+    hasRun: true,
+  },
+  'a close': {text: '', hasRun: false},
+};
+
+describe('what a server sends before it closes, after its request was cancelled', () => {
+  // Guards against running a request twice, as the refusal of an earlier one is
+  // taken for a proof that it hasn't run (issue 60).
+  it.each(Object.keys(lateBytes))(
+    'tells whether it may have run: %s',
+    async name => {
+      const {text, hasRun} = lateBytes[name]!;
+      let requests = 0;
+      const answer = (socket: Socket) => {
+        if (++requests === 1) socket.write(complete);
+        else socket.on('end', () => socket.end(text));
+      };
+      const target = await startServer(answer, {allowHalfOpen: true});
+      expect(await send(target)).toEqual({body});
+      await sleep(idleMilliseconds);
+      const known = await new Promise(resolve => {
+        const timeout = {clock: systemClock, milliseconds: 1_000};
+        const onBegin = (attempt: Attempt) =>
+          setTimeout(
+            () => attempt.cancel(timeout, resolve),
+            idleMilliseconds / 2,
+          );
+        void send(target, {onBegin});
+      });
+      expect(known).toBe(hasRun);
+    },
+  );
+});
