fix(edge): take a part of a response for no proof that a request hasn't run

What callers saw: as with the refusal of an earlier request: a request that was cancelled was sent to another server, or refused as not executed, though its server had run it (TWICE, REFUSED) and closed the connection within the head of the response.

Cause: a connection that ends without a response after the cancellation counted as proof. A part of a head is no response; nor is an interim one, for which undici closes the connection itself.

Change: only an end without a byte is a proof.

--- a/packages/edge/src/attempt.ts
+++ b/packages/edge/src/attempt.ts
@@ -122,6 +122,8 @@
 export class Attempt {
   private readonly connection: ServerConnection;
   private isSent = false;
+  /** Bytes that its connection had received before it was sent. */
+  private bytesBefore = 0;
   private isOver = false;
   private head?: ResponseHead;
   private readonly pieces = new ByteAccumulator();
@@ -154,6 +156,10 @@
     return this.connection.requests > 1;
   }
 
+  private get bytesRead(): number {
+    return this.connection.socket?.bytesRead ?? 0;
+  }
+
   /** Resumes reading after `onData` returned false. */
   resume(): void {
     this.waitsForCaller = false;
@@ -185,8 +191,8 @@
 
   /**
    * Cancels the request. Half-closes the connection at once: a server that
-   * then closes it without a response has not executed the request, since it
-   * would have responded first.
+   * then closes it without a byte has not executed the request, since it would
+   * have responded first.
    *
    * @param onKnown Called once with whether the server may have executed the
    *     request; with true after `milliseconds` without a result.
@@ -264,6 +270,7 @@
   private beginSending(): void {
     this.isSent ||= this.input.mayBeSent(this.connection);
     this.connection.isAwaiting = this.isSent;
+    this.bytesBefore = this.bytesRead;
     if (this.isSent) return;
     this.failAndClose({kind: 'notSent', reason: 'server is limited'});
   }
@@ -415,7 +422,9 @@
     this.passOnPieces();
     if (this.isOver) return;
     if (this.onResult !== undefined) {
-      this.onResult(this.isSent && this.connection.wasReset);
+      const isAnswered = this.bytesRead > this.bytesBefore;
+      const {wasReset} = this.connection;
+      this.onResult(this.isSent && (wasReset || isAnswered));
       return;
     }
     if (this.refusal !== undefined) {
--- a/packages/edge/tests/unsolicitedBytes.test.ts
+++ b/packages/edge/tests/unsolicitedBytes.test.ts
@@ -127,11 +127,13 @@
     hasRun: true,
   },
   'a close': {text: '', hasRun: false},
+  'a part of a response': {text: complete.slice(0, 20), hasRun: true},
+  'an interim response': {text: 'HTTP/1.1 100 Continue\r\n\r\n', hasRun: true},
 };
 
 describe('what a server sends before it closes, after its request was cancelled', () => {
-  // Guards against running a request twice, as the refusal of an earlier one is
-  // taken for a proof that it hasn't run (issue 60).
+  // Guards against running a request twice, as the refusal of an earlier one, or no
+  // more than a part of a response, is taken for a proof that it hasn't run (issue 60).
   it.each(Object.keys(lateBytes))(
     'tells whether it may have run: %s',
     async name => {
