fix(edge): take a second response for no end of the server's process

What callers saw: at a router out of touch, a warm server whose service has a limit for cold ones was doubted, and its requests limited, after it had sent a response twice.

Cause: undici closes an idle connection that gets bytes with the error that it also uses for one that the peer has ended; if it was the last one, that counted as an end of the process.

Change: bytes that no request waited for don't count as an end.

Evidence: packages/edge/tests/unsolicitedBytes.test.ts, 'has not ended': before, 4 of 10 cases failed (bytes on the last, idle connection); after, 10 of 10 passed, as did attempt.test.ts. Only the record of the end is tested; the limit that follows is not.

--- a/packages/edge/src/serverConnections.ts
+++ b/packages/edge/src/serverConnections.ts
@@ -227,6 +227,7 @@
       this.markClosed(connection);
       if (hasUnsolicitedBytes(connection, error)) {
         this.recordUnsolicited('idle');
+        return;
       }
       const isByPeer = peerCodes.has(code) && !connection.isHalfClosed;
       if (isByPeer && this.established === 0) this.recordEnd();
--- a/packages/edge/tests/support/attempts.ts
+++ b/packages/edge/tests/support/attempts.ts
@@ -13,11 +13,12 @@
   ColdLimit,
   coldLimitPolicy,
   defaultColdLimitBounds,
+  ProcessProof,
   RequestLimit,
   ServerLimit,
 } from '@dogwoodtrestle/fleet';
 import {AdaptiveTimeout, systemClock} from '@dogwoodtrestle/runtime';
-import {afterEach} from 'vitest';
+import {afterEach, vi} from 'vitest';
 
 import {
   Attempt,
@@ -68,6 +69,15 @@
 
 export let server: Server | undefined;
 let pooled: PooledServer | undefined;
+/** Proof of the server, which needs none. */
+const proof = new ProcessProof({
+  isLimited: () => false,
+  viewAgeMilliseconds: () => 0,
+  isListed: () => true,
+  isServiceProven: () => false,
+});
+/** Records that the server's process has ended. */
+export const recordEnd = vi.spyOn(proof, 'recordEnd');
 /** Where the server sent bytes that no request waited for. */
 export const unsolicited: UnsolicitedPlace[] = [];
 
@@ -76,6 +86,7 @@
   server?.close();
   server = undefined;
   unsolicited.length = 0;
+  recordEnd.mockClear();
 });
 
 /** Starts a server that answers each request by a behaviour. */
@@ -99,6 +110,7 @@
     }),
     maxConnectTimeoutMilliseconds: connectMilliseconds,
     onConnect: () => undefined,
+    proof,
     onUnsolicited: place => unsolicited.push(place),
   });
   const record = {
--- a/packages/edge/tests/unsolicitedBytes.test.ts
+++ b/packages/edge/tests/unsolicitedBytes.test.ts
@@ -16,6 +16,7 @@
   foreignHeader,
   framings,
   type Outcome,
+  recordEnd,
   refusalHeader,
   send,
   startServer,
@@ -122,6 +123,15 @@
     expect(failures).toHaveLength(length);
   });
 
+  // Guards against a server that is taken for one that may have started again, as a
+  // second response closed its last connection (issue 60).
+  it.each(Object.keys(repeaters))('has not ended: %s', async name => {
+    const target = await startRepeater(name, 1);
+    await sendAll(target, 2);
+    const hasEnded = /^a (close|reset) /.test(name);
+    expect(recordEnd).toHaveBeenCalledTimes(hasEnded ? 1 : 0);
+  });
+
   // Guards against failing half of the requests to a server that sends each response
   // twice, as its connections are used again (issue 60).
   it.each(Object.keys(repeaters))('does so once: %s', async name => {
