fix(edge): pass on no second response within a body that only the close ends

What callers saw: a complete 200 whose body held a second response, head and all, behind the server's own body; on a kept connection one to another caller's request (MIXED: a body that isn't the server's, to the close).

Cause: where only the close ends a body, HTTP takes all that the server sends for it. Only the heads of responses had their attempt id looked at.

Change: such a body is looked through for the head of a response with an attempt id. With one in it, the attempt fails: its request may have run, and what has been passed on is cut. The search is packages/runtime/src/embeddedHead.ts. Bodies with a length and in chunks aren't searched.

Weighed: ending the body where the second head begins. A late response may come in the midst of the body, which would then look complete. What this gives up: a body without a length that itself holds such a head in full isn't served.

Not covered: a second response that is cut before its attempt id; a part of its head that came in an earlier read than the id has been passed on by then, of a response that is cut.

--- a/packages/edge/src/attempt.ts
+++ b/packages/edge/src/attempt.ts
@@ -8,6 +8,7 @@
 import {
   ByteAccumulator,
   type Clock,
+  EmbeddedHeadFinder,
   isOrderlyEnd,
 } from '@dogwoodtrestle/runtime';
 import {errors} from 'undici';
@@ -126,6 +127,8 @@
   private bytesBefore = 0;
   private isOver = false;
   private head?: ResponseHead;
+  /** Of a body that only the close ends. */
+  private headFinder?: EmbeddedHeadFinder;
   private readonly pieces = new ByteAccumulator();
   private tinyPieces = 0;
   /** Whether the caller has yet to read what was passed on. */
@@ -252,7 +255,8 @@
             return;
           }
           this.recordByte();
-          this.receiveData(chunk);
+          if (this.headFinder?.push(chunk) === true) this.failAsMixed();
+          else this.receiveData(chunk);
         },
         onResponseEnd: () => this.end(),
         onResponseError: (_, error) => this.fail(error),
@@ -342,10 +346,22 @@
       return;
     }
     this.head = head;
+    if (head.isUnframed) {
+      this.headFinder = new EmbeddedHeadFinder(
+        headers => codec.decodeResponse(headers).attemptId !== undefined,
+      );
+    }
     server.connections.recordByte(this.connection, server.lastByteAt);
     this.listener.onHead(status, head);
   }
 
+  /** Ends the attempt, as a second response is in the body of the first. */
+  private failAsMixed(): void {
+    this.input.server.connections.recordUnsolicited('response');
+    const reason = 'second response in the body';
+    this.failAndClose({kind: 'unknown', reason});
+  }
+
   /** Closes the connection where the body of a refusal is too long. */
   private receiveRefusalBody(refusal: AttemptFailure, chunk: Buffer): void {
     this.refusalBytes += chunk.length;
--- a/packages/runtime/src/index.ts
+++ b/packages/runtime/src/index.ts
@@ -29,6 +29,7 @@
   type DiscardOptions,
   discardRest,
 } from './discardRest.js';
+export {EmbeddedHeadFinder, type HeadTest} from './embeddedHead.js';
 export {EventLoopDelay} from './eventLoopDelay.js';
 export {
   type ClientLimit,
