fix(daemon): take no second response for a part of a service's body

What callers saw: the body of a service's response without a length held a second response behind it, as complete and stored with the bill.

Cause and change: as at the routers of a fleet; such a body is looked through for the head of a response with an attempt id, and the call then fails as crossed. Responses of engines are JSON or events of their attempt, which hold no such bytes.

Evidence: packages/daemon/tests/requests/secondResponses.test.ts, 'is no part of a body that only the close ends': failed before (status 200), passed after; packages/daemon 196 passed.

--- a/packages/daemon/src/requests/backendHttp.ts
+++ b/packages/daemon/src/requests/backendHttp.ts
@@ -2,6 +2,7 @@
  * @fileoverview HTTP helpers for calls to backend servers.
  */
 import {type BackendEntry} from '@dogwoodtrestle/routing';
+import {type EmbeddedHeadFinder} from '@dogwoodtrestle/runtime';
 import {type Dispatcher} from 'undici';
 
 import {attemptError, toAttemptError} from './attemptError.js';
@@ -22,11 +23,14 @@
 /**
  * Reads the whole body of a response as UTF-8 text.
  *
- * @throws AttemptError if the body is truncated or larger than `maximumBytes`.
+ * @param finder Looks for a second response in the body.
+ * @throws AttemptError if the body is truncated, is larger than `maximumBytes` or
+ *     holds a second response.
  */
 export async function readBody(
   body: Dispatcher.ResponseData['body'],
   maximumBytes: number,
+  finder?: EmbeddedHeadFinder,
 ): Promise<string> {
   const pieces: Buffer[] = [];
   let size = 0;
@@ -34,6 +38,9 @@
     for await (const piece of body) {
       size += (piece as Buffer).length;
       if (size > maximumBytes) throw attemptError('badPayload', {sent: true});
+      if (finder?.push(piece as Buffer) === true) {
+        throw attemptError('crossed', {sent: true});
+      }
       pieces.push(piece as Buffer);
     }
   } catch (error) {
--- a/packages/daemon/src/requests/serviceClient.ts
+++ b/packages/daemon/src/requests/serviceClient.ts
@@ -4,6 +4,7 @@
  */
 import {type BackendEntry} from '@dogwoodtrestle/routing';
 import {type CallPattern, type StoredAnswer} from '@dogwoodtrestle/schema';
+import {EmbeddedHeadFinder} from '@dogwoodtrestle/runtime';
 import {type Dispatcher} from 'undici';
 
 import {parseReadBack, type ReadBack} from '../util/readBack.js';
@@ -90,7 +91,11 @@
       contentType: String(
         response.headers['content-type'] ?? 'application/octet-stream',
       ),
-      body: await readBody(response.body, maximumAnswerBytes),
+      body: await readBody(
+        response.body,
+        maximumAnswerBytes,
+        isUnframed(response) ? new EmbeddedHeadFinder(hasAttemptId) : undefined,
+      ),
     };
   }
 
@@ -116,6 +121,20 @@
   }
 }
 
+/** Whether only the close ends the body of a response. */
+function isUnframed({headers}: Dispatcher.ResponseData): boolean {
+  return (
+    headers['content-length'] === undefined &&
+    headers['transfer-encoding'] === undefined
+  );
+}
+
+function hasAttemptId(rawHeaders: string[]): boolean {
+  return rawHeaders.some(
+    (name, index) => index % 2 === 0 && name.toLowerCase() === 'x-attempt-id',
+  );
+}
+
 /** Whether a call matches one of a service's patterns of non-idempotent calls. */
 export function isNonIdempotent(
   patterns: readonly CallPattern[],
--- a/packages/daemon/tests/requests/secondResponses.test.ts
+++ b/packages/daemon/tests/requests/secondResponses.test.ts
@@ -33,8 +33,17 @@
 /** Creates the response of a server to the call of an attempt. */
 type Responder = (id: Id) => {status: string; body: string};
 
+/** Options of a server. */
+interface RepeaterOptions {
+  /** Whether only the close ends a response, which then comes twice at once. */
+  isUnframed?: boolean;
+}
+
 /** Starts a server that answers all calls on a connection as it did the first. */
-async function startRepeater(respond: Responder): Promise<BackendEntry> {
+async function startRepeater(
+  respond: Responder,
+  {isUnframed = false}: RepeaterOptions = {},
+): Promise<BackendEntry> {
   const sockets = new Set<Socket>();
   const listener = createServer(socket => {
     sockets.add(socket);
@@ -44,10 +53,12 @@
       const call = data.toString();
       const {status, body} = respond(call.includes('first') ? 'first' : 'next');
       const id = /^x-attempt-id: .*\r\n/im.exec(call)?.[0] ?? '';
+      const length = isUnframed ? '' : `content-length: ${body.length}\r\n`;
       response ??=
         `HTTP/1.1 ${status}\r\n${id}content-type: application/json\r\n` +
-        `content-length: ${body.length}\r\n\r\n${body}`;
-      socket.write(response);
+        `${length}\r\n${body}`;
+      if (isUnframed) socket.end(response + response);
+      else socket.write(response);
     });
   });
   await new Promise<void>(resolve => listener.listen(0, '127.0.0.1', resolve));
@@ -133,6 +144,18 @@
 const complete: Caller = ({models}, backend, id) =>
   models.complete(modelCallOf(backend, id));
 
+const callService = (
+  {services}: Pick<Clients, 'services'>,
+  backend: BackendEntry,
+  id: Id,
+) =>
+  services.call({
+    ...modelCallOf(backend, id),
+    method: 'POST',
+    path: '/',
+    body: Buffer.from('b'),
+  });
+
 const cases: Record<string, [Responder, Caller]> = {
   'of a model': [completion, complete],
   'of a model that rejects a request': [
@@ -153,16 +176,7 @@
     }),
     ({models}, backend, id) => models.report(backend, id),
   ],
-  'of a service': [
-    completion,
-    ({services}, backend, id) =>
-      services.call({
-        ...modelCallOf(backend, id),
-        method: 'POST',
-        path: '/',
-        body: Buffer.from('b'),
-      }),
-  ],
+  'of a service': [completion, callService],
   'that reads a call back': [
     id => ({
       status: '200 OK',
@@ -235,4 +249,15 @@
     );
     expect([first, next]).toEqual(['200', '409']);
   });
+
+  // Guards against a body that holds another response behind the service's own
+  // (issue 60).
+  it('is no part of a body that only the close ends', async () => {
+    const backend = await startRepeater(completion, {
+      isUnframed: true,
+    });
+    const {services} = createClients();
+    const call = callService({services}, backend, 'first');
+    await expect(call).rejects.toMatchObject({failure: 'crossed'});
+  });
 });
