fix(daemon): take no reply of an instance for that of another call

What callers saw: nothing yet; an instance that sent a reply twice on a kept connection had it taken for the reply to the next call, of the consensus as well.

Cause and change: as with the calls of a fleet's processes: each call has an id, its reply returns it, and a reply with another one fails its call. A missing id is accepted, as instances of earlier versions don't return it.

Evidence: packages/daemon/tests/peer.test.ts, 'a reply that an instance sends once more': before, 2 of 2 cases failed (the second call got the first reply; no id); the second case was changed to a signed call after that and then passed. After, 10 of 10 in the file.

--- a/packages/daemon/src/peer/peerServer.ts
+++ b/packages/daemon/src/peer/peerServer.ts
@@ -7,7 +7,7 @@
 } from '@trpc/server/adapters/fastify';
 import {fastify, type FastifyInstance, type FastifyRequest} from 'fastify';
 
-import {type Clock, systemClock} from '@dogwoodtrestle/runtime';
+import {callIdHeader, type Clock, systemClock} from '@dogwoodtrestle/runtime';
 import {type Logger, silentLogger} from '@dogwoodtrestle/runtime';
 import {type Metrics, silentMetrics} from '../util/metrics.js';
 import {limitBodies, recordLimitsOf} from '../bodyLimits.js';
@@ -64,6 +64,7 @@
       maxTotalBytes: maximumTotalBytes,
       onLimit: recordLimitsOf('instances', this.options),
     });
+    this.addCallIds();
     this.addAuthentication();
     this.addApi();
   }
@@ -85,6 +86,14 @@
     await this.server.close();
   }
 
+  /** Returns the id of a call with its reply. */
+  private addCallIds(): void {
+    this.server.addHook('onRequest', async ({headers}, reply) => {
+      const callId = headers[callIdHeader];
+      if (callId !== undefined) reply.header(callIdHeader, callId);
+    });
+  }
+
   private addAuthentication(): void {
     const {credentials, clock, logger, metrics} = this.options;
     this.server.addHook('preHandler', async (request, reply) => {
--- a/packages/daemon/src/peer/peerTransport.ts
+++ b/packages/daemon/src/peer/peerTransport.ts
@@ -3,7 +3,7 @@
  */
 import {type Dispatcher, request as sendRequest} from 'undici';
 
-import {type Clock} from '@dogwoodtrestle/runtime';
+import {callIdHeader, type Clock} from '@dogwoodtrestle/runtime';
 import {type Metrics} from '../util/metrics.js';
 import {
   peerHeader,
@@ -37,13 +37,16 @@
  * Creates a `fetch` function for tRPC's HTTP link that signs and counts calls.
  *
  * It uses undici's `request`, which has less overhead than undici's `fetch`. It
- * rejects with PeerRejectedError if the response has status 401.
+ * rejects with PeerRejectedError if the response has status 401, and with another
+ * error if it is that to another call.
  */
 export function createPeerFetch(
   options: PeerTransportOptions,
 ): (url: unknown, init?: FetchInit) => Promise<FetchResponse> {
   const {credentials, dispatcher, clock, metrics} = options;
+  let calls = 0;
   return async (url, init = {}) => {
+    const callId = (++calls).toString(36);
     const target = new URL(String(url));
     const body = typeof init.body === 'string' ? init.body : '';
     const path = target.pathname + target.search;
@@ -54,6 +57,7 @@
       signal: init.signal ?? undefined,
       headers: {
         'content-type': 'application/json',
+        [callIdHeader]: callId,
         [peerHeader]: signCall(credentials, {
           path,
           body,
@@ -66,6 +70,10 @@
     metrics.increment('peer.calls', 1, tags);
     metrics.increment('peer.sent_bytes', body.length, tags);
     metrics.increment('peer.received_bytes', text.length, tags);
+    // Instances of earlier versions don't return the id.
+    if ((response.headers[callIdHeader] ?? callId) !== callId) {
+      throw new Error('reply to another call');
+    }
     if (response.statusCode === 401) throw parseRejection(text);
     return {
       ok: response.statusCode < 300,
--- a/packages/daemon/tests/peer.test.ts
+++ b/packages/daemon/tests/peer.test.ts
@@ -1,14 +1,21 @@
+import {createServer, type Socket} from 'node:net';
+import {setTimeout as sleep} from 'node:timers/promises';
+
+import {Agent} from 'undici';
 import {afterEach, describe, expect, it} from 'vitest';
 
 import {createPeerApi, type PeerHandlers} from '../src/peer/peerApi.js';
 import {
   derivePeerKey,
+  peerHeader,
   type PeerCredentials,
   signCall,
   verifyCall,
 } from '../src/peer/peerAuthentication.js';
 import {PeerClient} from '../src/peer/peerClient.js';
 import {PeerServer} from '../src/peer/peerServer.js';
+import {createPeerFetch} from '../src/peer/peerTransport.js';
+import {silentMetrics} from '../src/util/metrics.js';
 import {systemClock} from '@dogwoodtrestle/runtime';
 
 const closers: Array<() => Promise<void>> = [];
@@ -131,3 +138,62 @@
     });
   });
 });
+
+/** Starts an instance that answers all calls on a connection as it did the first. */
+async function startRepeater(): Promise<string> {
+  const replies = new Map<Socket, string>();
+  const listener = createServer(socket => {
+    socket.on('error', () => undefined);
+    socket.on('data', data => {
+      const [head = '', body = ''] = data.toString().split('\r\n\r\n');
+      const id = /^x-call-id: .*\r\n/im.exec(`${head}\r\n`)?.[0] ?? '';
+      const reply =
+        replies.get(socket) ??
+        `HTTP/1.1 200 OK\r\n${id}content-length: ${body.length}\r\n\r\n${body}`;
+      replies.set(socket, reply);
+      socket.write(reply);
+    });
+  });
+  await new Promise<void>(resolve => listener.listen(0, '127.0.0.1', resolve));
+  closers.push(async () => void listener.close());
+  return `http://127.0.0.1:${(listener.address() as {port: number}).port}/`;
+}
+
+describe('a reply that an instance sends once more', () => {
+  // Guards against consensus messages and calls that take the reply to another one
+  // for theirs (issue 60).
+  it('is not that to the next call', async () => {
+    const url = await startRepeater();
+    const dispatcher = new Agent({connections: 1});
+    closers.push(() => dispatcher.destroy());
+    const send = createPeerFetch({
+      credentials: credentialsOf(),
+      dispatcher,
+      clock: systemClock,
+      metrics: silentMetrics,
+    });
+    const first = await send(url, {body: '1'});
+    expect(await first.json()).toBe(1);
+    await sleep(10);
+    await expect(send(url, {body: '2'})).rejects.toThrow('another call');
+  });
+
+  it('names its call', async () => {
+    const address = await startServer();
+    const path = '/peer/explain';
+    const body = '{"requestId":"r-1"}';
+    const time = systemClock.wallNow();
+    const signature = signCall(credentialsOf(), {path, body, time});
+    const {status, headers} = await fetch(`http://${address}${path}`, {
+      method: 'POST',
+      body,
+      headers: {
+        'content-type': 'application/json',
+        'x-call-id': 'c-1',
+        [peerHeader]: signature,
+      },
+    });
+    expect(status).toBe(200);
+    expect(headers.get('x-call-id')).toBe('c-1');
+  });
+});
--- a/packages/runtime/src/index.ts
+++ b/packages/runtime/src/index.ts
@@ -16,6 +16,7 @@
   HeldBytes,
 } from './byteAccount.js';
 export {ByteAccumulator, ByteBudget} from './byteAccumulator.js';
+export {callIdHeader} from './callId.js';
 export {CallContext, type ReplyRecord} from './callContext.js';
 export {type Clock, sleep, systemClock} from './clock.js';
 export {
