--- a/packages/daemon/src/ledgerHost/backendOutcomeClient.ts
+++ b/packages/daemon/src/ledgerHost/backendOutcomeClient.ts
@@ -10,12 +10,13 @@
   type BackendDirectory,
 } from '@dogwoodtrestle/routing';
 import {type Target} from '@dogwoodtrestle/schema';
-import {Agent, request as sendRequest} from 'undici';
+import {request as sendRequest} from 'undici';
 
 import {type Clock} from '@dogwoodtrestle/runtime';
 import {readBody} from '../requests/backendHttp.js';
 import {createConnector} from '../requests/backendSocket.js';
 import {parseReadBack} from '../util/readBack.js';
+import {createUnkeptAgent} from '../util/unkeptAgent.js';
 import {type BackendOutcome} from './abandonedRequestSettler.js';
 
 /** Options of the client. */
@@ -67,11 +68,6 @@
 /** Largest report, in bytes: an answer of 1 MiB, each character escaped. */
 const maximumReportBytes = 8388608;
 
-/** Its connections are closed when they are idle. */
-const dispatcher = new Agent({
-  connect: createConnector({maximumBodyBytes: maximumReportBytes}),
-});
-
 const unknown: BackendOutcome = {kind: 'unknown'};
 
 interface AttemptReport {
@@ -132,6 +128,11 @@
   );
 }
 
+/** Reports don't tell of which attempt they are. */
+const dispatcher = createUnkeptAgent({
+  connect: createConnector({maximumBodyBytes: maximumReportBytes}),
+});
+
 async function get<T>(url: string): Promise<T | undefined> {
   try {
     const response = await sendRequest(url, {
--- a/packages/daemon/src/requests/backendHttp.ts
+++ b/packages/daemon/src/requests/backendHttp.ts
@@ -2,7 +2,10 @@
  * @fileoverview HTTP helpers for calls to backend servers.
  */
 import {type BackendEntry} from '@dogwoodtrestle/routing';
-import {ByteAccumulator} from '@dogwoodtrestle/runtime';
+import {
+  ByteAccumulator,
+  type EmbeddedHeadFinder,
+} from '@dogwoodtrestle/runtime';
 import {type Dispatcher} from 'undici';
 
 import {attemptError, toAttemptError} from './attemptError.js';
@@ -23,11 +26,14 @@
 /**
  * Reads the whole body of a response as UTF-8 text.
  *
- * @throws AttemptError if the body is truncated or larger than `maximumBytes`.
+ * @param finder Looks for a second response in the body.
+ * @throws AttemptError if the body is truncated, is larger than `maximumBytes` or
+ *     holds a second response.
  */
 export async function readBody(
   body: Dispatcher.ResponseData['body'],
   maximumBytes: number,
+  finder?: EmbeddedHeadFinder,
 ): Promise<string> {
   const bytes = new ByteAccumulator();
   try {
@@ -35,6 +41,9 @@
       if (bytes.length + piece.length > maximumBytes) {
         throw attemptError('badPayload', {sent: true});
       }
+      if (finder?.push(piece) === true) {
+        throw attemptError('crossed', {sent: true});
+      }
       bytes.append(piece);
     }
   } catch (error) {
--- a/packages/edge/src/attempt.ts
+++ b/packages/edge/src/attempt.ts
@@ -8,13 +8,14 @@
 import {
   ByteAccumulator,
   type Clock,
+  EmbeddedHeadFinder,
   EndlessResponse,
   isOrderlyEnd,
 } from '@dogwoodtrestle/runtime';
+import {errors} from 'undici';
 
 import {type EventCoalescer} from './eventCoalescer.js';
 import {type ServerConnection} from './serverConnections.js';
-import {SecondResponse} from './secondResponse.js';
 import {type PooledServer} from './serverPool.js';
 import {
   type CallerRequest,
@@ -131,10 +132,12 @@
 export class Attempt {
   private readonly connection: ServerConnection;
   private isSent = false;
+  /** Bytes that its connection had received before it was sent. */
+  private bytesBefore = 0;
   private isOver = false;
   private head?: ResponseHead;
-  /** Set while only the close of the connection delimits the body. */
-  private secondResponse?: SecondResponse;
+  /** Of a body that only the close ends. */
+  private headFinder?: EmbeddedHeadFinder;
   private readonly pieces = new ByteAccumulator();
   private tinyPieces = 0;
   /** Whether the caller has yet to read what was passed on. */
@@ -165,6 +168,10 @@
     return this.connection.requests > 1;
   }
 
+  private get bytesRead(): number {
+    return this.connection.socket?.bytesRead ?? 0;
+  }
+
   /** Resumes reading after `onData` returned false. */
   resume(): void {
     this.waitsForCaller = false;
@@ -196,8 +203,8 @@
 
   /**
    * Cancels the request. Half-closes the connection at once: a server that
-   * then closes it without a response has not executed the request, since it
-   * would have responded first.
+   * then closes it without a byte has not executed the request, since it would
+   * have responded first.
    *
    * @param onKnown Called once with whether the server may have executed the
    *     request; with true after `milliseconds` without a result.
@@ -258,12 +265,8 @@
             return;
           }
           this.recordByte();
-          if (this.secondResponse?.isInside(chunk) === true) {
-            const reason = 'second response inside a body without a length';
-            this.failAndClose({kind: 'unknown', reason});
-            return;
-          }
-          this.receiveData(chunk);
+          if (this.headFinder?.push(chunk) === true) this.failAsMixed();
+          else this.receiveData(chunk);
         },
         onResponseEnd: () => this.end(),
         onResponseError: (_, error) => this.fail(error),
@@ -280,6 +283,8 @@
 
   private beginSending(): void {
     this.isSent ||= this.input.mayBeSent(this.connection);
+    this.connection.isAwaiting = this.isSent;
+    this.bytesBefore = this.bytesRead;
     if (this.isSent) return;
     this.failAndClose({kind: 'notSent', reason: 'server is limited'});
   }
@@ -315,10 +320,7 @@
     server.lastByteAt = clock.now();
     const head = codec.decodeResponse(rawHeaders);
     this.reportSignals(status, head);
-    // Another instance refuses a request without the request's attempt id.
-    const isForeign =
-      head.attemptId !== undefined && head.attemptId !== request.attemptId;
-    if (isForeign) {
+    if (this.isForeign(head)) {
       this.failAndClose({
         kind: 'unknown',
         reason: 'response to another request',
@@ -360,7 +362,10 @@
         this.failAndClose({kind: 'unknown', reason});
         return;
       }
-      this.secondResponse = new SecondResponse(request.attemptId);
+      this.headFinder = new EmbeddedHeadFinder(
+        headers =>
+          codec.decodeResponse(headers).attemptId === request.attemptId,
+      );
     }
     this.head = head;
     server.connections.recordByte(this.connection, server.lastByteAt);
@@ -371,6 +376,13 @@
     return this.input.request.method === 'HEAD' || bodilessStatuses.has(status);
   }
 
+  /** Ends the attempt, as a second response is in the body of the first. */
+  private failAsMixed(): void {
+    this.input.server.connections.recordUnsolicited('response');
+    const reason = 'second response in the body';
+    this.failAndClose({kind: 'unknown', reason});
+  }
+
   /** Closes the connection where the body of a refusal is too long. */
   private receiveRefusalBody(refusal: AttemptFailure, chunk: Buffer): void {
     this.refusalBytes += chunk.length;
@@ -381,11 +393,23 @@
   private receiveLateHead(status: number, rawHeaders: string[]): void {
     const head = this.input.codec.decodeResponse(rawHeaders);
     this.reportSignals(status, head);
-    const isCertain = head.attemptId !== undefined || !this.isReused;
+    const isForeign = this.isForeign(head);
+    const isCertain =
+      !isForeign && (head.attemptId !== undefined || !this.isReused);
     const isRefusal = status === 421 || head.isNotExecuted;
     this.onResult?.(!isRefusal || !isCertain);
   }
 
+  /** Whether a response is to another request; records it then. */
+  private isForeign({attemptId}: ResponseHead): boolean {
+    const {request, server} = this.input;
+    // Another instance refuses a request without the request's attempt id.
+    const isOwn = attemptId === request.attemptId;
+    if (attemptId === undefined || isOwn) return false;
+    server.connections.recordUnsolicited('response');
+    return true;
+  }
+
   private reportSignals(status: number, head: ResponseHead): void {
     // 421 comes from another server that has taken over the address.
     if (status === 421) return;
@@ -435,13 +459,19 @@
     this.passOnPieces();
     if (this.isOver) return;
     if (this.onResult !== undefined) {
-      this.onResult(this.isSent && this.connection.wasReset);
+      const isAnswered = this.bytesRead > this.bytesBefore;
+      const {wasReset} = this.connection;
+      this.onResult(this.isSent && (wasReset || isAnswered));
       return;
     }
     if (this.refusal !== undefined) {
       this.failAndClose(this.refusal);
       return;
     }
+    const isUnreadable = error instanceof errors.HTTPParserError;
+    if (this.isSent && this.isReused && isUnreadable) {
+      this.input.server.connections.recordUnsolicited('response');
+    }
     const reason = error.message;
     if (error instanceof EndlessResponse) {
       this.failAndClose({kind: 'unknown', reason, endless: 'overhead'});
--- a/packages/edge/src/serverConnections.ts
+++ b/packages/edge/src/serverConnections.ts
@@ -11,7 +11,10 @@
   type PausableSocket,
   ResponseOverhead,
 } from '@dogwoodtrestle/runtime';
-import {Client} from 'undici';
+import {Client, errors} from 'undici';
+
+import {ConnectionReuse} from './connectionReuse.js';
+import {type UnsolicitedPlace} from './unsolicitedBytes.js';
 
 /** Options of the connections to one server. */
 export interface ServerConnectionsOptions {
@@ -24,6 +27,8 @@
   onConnect: () => void;
   /** Called when a request no longer uses a connection. */
   onFree?: () => void;
+  /** Called when the server sent bytes that no request waited for. */
+  onUnsolicited?: (place: UnsolicitedPlace) => void;
   /** Which connections lead to the known process; without it all do. */
   proof?: ProcessProof;
 }
@@ -60,6 +65,8 @@
   isEstablished: boolean;
   /** When the peer accepted its current socket, in monotonic milliseconds. */
   openedAt: number;
+  /** Whether a request was sent on it whose response isn't complete. */
+  isAwaiting: boolean;
   /** Requests that it was acquired for. */
   requests: number;
 }
@@ -75,6 +82,7 @@
   private readonly openedTimes = new Map<ServerConnection, number>();
   /** Open connections above which none is kept for another request. */
   private limit = Infinity;
+  private readonly reuse = new ConnectionReuse();
 
   constructor(
     private readonly address: string,
@@ -147,10 +155,11 @@
 
   /** Returns a connection to the pool after a complete response. */
   release(connection: ServerConnection): void {
+    connection.isAwaiting = false;
     connection.socket?.offer();
     const isExcess = this.open > this.limit;
-    const {isClosed, wasReset} = connection;
-    if (isExcess || isClosed || wasReset || holdsUnsentBytes(connection)) {
+    const isReusable = this.reuse.isAllowed(this.options.clock.now());
+    if (isExcess || !isReusable || isUncertain(connection)) {
       this.drop(connection);
     } else {
       this.idle.push(connection);
@@ -158,6 +167,13 @@
     }
   }
 
+  /** Records bytes that no request waited for; more may follow on others. */
+  recordUnsolicited(place: UnsolicitedPlace): void {
+    this.reuse.pause(this.options.clock.now());
+    this.closeIdle();
+    this.options.onUnsolicited?.(place);
+  }
+
   /** Closes a connection whose state is uncertain. */
   drop(connection: ServerConnection): void {
     this.markClosed(connection);
@@ -204,10 +220,16 @@
       isHalfClosed: false,
       isEstablished: false,
       openedAt: Infinity,
+      isAwaiting: false,
       requests: 0,
     };
-    connection.client.on('disconnect', (...[, , {code}]) => {
+    connection.client.on('disconnect', (...[, , error]) => {
+      const {code} = error;
       this.markClosed(connection);
+      if (hasUnsolicitedBytes(connection, error)) {
+        this.recordUnsolicited('idle');
+        return;
+      }
       const isByPeer = peerCodes.has(code) && !connection.isHalfClosed;
       if (isByPeer && this.established === 0) this.recordEnd();
     });
@@ -272,7 +294,20 @@
   }
 }
 
-/** Whether the server answered before it took the whole request. */
-function holdsUnsentBytes({socket}: ServerConnection): boolean {
-  return socket !== undefined && socket.writableLength > 0;
+/** Whether a connection has ended, or holds a part of the request. */
+function isUncertain({isClosed, wasReset, socket}: ServerConnection): boolean {
+  const holdsUnsentBytes = socket !== undefined && socket.writableLength > 0;
+  return isClosed || wasReset || holdsUnsentBytes;
+}
+
+/** Whether the client closed a connection for bytes that no request waited for. */
+function hasUnsolicitedBytes(
+  {isAwaiting, socket}: ServerConnection,
+  error: NodeJS.ErrnoException,
+): boolean {
+  if (isAwaiting) return false;
+  // The code is also that of a connection that the peer has ended.
+  const isUnexpected =
+    error.code === 'UND_ERR_SOCKET' && socket?.readableEnded === false;
+  return isUnexpected || error instanceof errors.HTTPParserError;
 }
--- a/packages/runtime/src/index.ts
+++ b/packages/runtime/src/index.ts
@@ -16,6 +16,7 @@
   HeldBytes,
 } from './byteAccount.js';
 export {ByteAccumulator, ByteBudget} from './byteAccumulator.js';
+export {callIdHeader} from './callId.js';
 export {CallContext, type ReplyRecord} from './callContext.js';
 export {type Clock, sleep, systemClock} from './clock.js';
 export {
@@ -29,6 +30,7 @@
   type DiscardOptions,
   discardRest,
 } from './discardRest.js';
+export {EmbeddedHeadFinder, type HeadTest} from './embeddedHead.js';
 export {EventLoopDelay} from './eventLoopDelay.js';
 export {
   type ClientLimit,
