fix(edge): use no connection again of a server that gives a response no length

What callers saw since: half of the requests that can't be repeated ended with 502 at a server that gives a length to some responses only, as one without a length is none on a connection that another request used.

Change: such a server gets one request on each connection for some time, as one that answers twice does (connectionReuse).

--- a/packages/edge/src/attempt.ts
+++ b/packages/edge/src/attempt.ts
@@ -356,6 +356,7 @@
       return;
     }
     if (head.isUnframed && !this.endsWithHead(status)) {
+      server.connections.pauseReuse();
       if (this.isReused) {
         // The second response to an earlier request would be part of its body.
         const reason = 'response without a length on a reused connection';
--- a/packages/edge/src/connectionReuse.ts
+++ b/packages/edge/src/connectionReuse.ts
@@ -3,14 +3,15 @@
  * one request.
  *
  * A server that has sent bytes that no request waited for may do so again, at any
- * time: on a connection that is used again they come in place of the next response.
- * For some time each request then has a connection of its own, and for longer each
+ * time: on a connection that is used again they come in place of the next response,
+ * or inside one that only a close delimits. So a server that has given a response no
+ * length counts as well. For some time each request then has a connection of its own, and for longer each
  * time that this was too short.
  */
 
 /** Options of the reuse of connections. */
 export interface ConnectionReuseOptions {
-  /** Time without reuse after the first unexpected bytes. */
+  /** Time without reuse after the first occurrence. */
   pauseMilliseconds: number;
   /** Limit of that time, and how long it is remembered. */
   maxPauseMilliseconds: number;
--- a/packages/edge/src/serverConnections.ts
+++ b/packages/edge/src/serverConnections.ts
@@ -169,9 +169,14 @@
 
   /** Records bytes that no request waited for; more may follow on others. */
   recordUnsolicited(place: UnsolicitedPlace): void {
+    this.pauseReuse();
+    this.options.onUnsolicited?.(place);
+  }
+
+  /** Gives each request a connection of its own for some time. */
+  pauseReuse(): void {
     this.reuse.pause(this.options.clock.now());
     this.closeIdle();
-    this.options.onUnsolicited?.(place);
   }
 
   /** Closes a connection whose state is uncertain. */
