fix(runtime): close the connection of a call that is not JSON

Cause: for each text that JSON.parse rejects, V8 (of Node.js 20) makes a script object in the old generation that refers to the whole text. So no such text is freed before the next full collection. A process that answered 400 or 500 and read the next call of the connection let its heap grow from 23 to 147 MB in half a second, while the bodies that it held stayed below 25 MB. The text is counted nowhere. In a loop without any server, scavenges free nothing of texts of 20 kB that aren't JSON (17.4 -> 17.4 MB, 18.4 -> 18.0) and nearly all of those that are (5.3 -> 3.4).

Ruled out: the same trials with valid JSON of the same sizes stay at 104 to 118 MB on the code before, so neither unread answers nor buffers of reads that slices hold are the cause.

--- a/packages/runtime/src/peerCallServer.ts
+++ b/packages/runtime/src/peerCallServer.ts
@@ -184,11 +184,16 @@
         return;
       }
       read.held.release();
-      const message = decodeMessage(
+      const message = decodeCall(
         read.bytes,
         headers['content-encoding'],
         maxCallBytes,
-      ) as never;
+      );
+      if (message instanceof Error) {
+        logger.debug({err: message, call: method}, 'call was not decoded');
+        refuse(request, response, 400, String(message));
+        return;
+      }
       const context = new CallContext();
       const receivedAt = systemClock.now();
       let bytes = 0;
@@ -219,7 +224,20 @@
   return url.slice(1);
 }
 
-/** Answers a call that was not read or is unknown, and closes its connection. */
+/** Decodes a call, or returns why it can't be decoded. */
+function decodeCall(...body: Parameters<typeof decodeMessage>): never | Error {
+  try {
+    return decodeMessage(...body) as never;
+  } catch (error) {
+    return error as Error;
+  }
+}
+
+/**
+ * Answers a call that was not read or can't be handled, and closes its connection.
+ * V8 keeps the whole text of each that isn't JSON until its next full collection, so
+ * a client may have one per connection.
+ */
 function refuse(
   request: IncomingMessage,
   response: ServerResponse,
--- a/packages/runtime/tests/messageEncoding.test.ts
+++ b/packages/runtime/tests/messageEncoding.test.ts
@@ -135,4 +135,16 @@
     expect(response.headers.get('content-encoding')).toBeNull();
     expect(await response.json()).toEqual(reply);
   });
+
+  // Guards against clients whose texts, kept by V8 for their syntax errors, took a
+  // process beyond the memory of its machine (issue 60).
+  it('is the last one of its connection if it is not JSON', async () => {
+    await startServer({echo: async message => message});
+    const response = await fetch(`http://${host}:${port}/echo`, {
+      method: 'POST',
+      body: 'x'.repeat(20_000),
+    });
+    expect(response.status).toBe(400);
+    expect(response.headers.get('connection')).toBe('close');
+  });
 });
