fix(runtime): limit the values of a call from another process

Seen: one connection with one call ended a control process: a list of empty objects, 30 MB, or 40 MB of it compressed to 40 kB, at its port for other processes (POST /watch). A call of 8 MB that is compressed to 8 kB took it to 329 MB, 80 calls of 4 MB to 400 MB; its machine has 210 MB.

Cause: at this port calls were limited by their bytes only, to 64 MiB whatever the machine's memory, and compressed ones by the same 64 MiB once they were decompressed. A short value takes more than 20 times its text once it is parsed.

Change: the values of a call are counted in its text before it is parsed. Refused with 413 and counted as `bodyValues`. Texts shorter than the limit aren't scanned.

--- a/packages/control/src/controlNode.ts
+++ b/packages/control/src/controlNode.ts
@@ -27,6 +27,7 @@
   type Logger,
   PeerCallClient,
   ByteAccount,
+  maxMessageBytes,
   PeerCallServer,
   PeriodicTask,
   recordLimitsOf,
@@ -269,6 +270,8 @@
       maxConnections: options.maxPeerConnections,
       preferredMethods: replicaMethods,
       onLimit: recordLimitsOf('processes', options),
+      maxCallBytes: Math.min(maxMessageBytes, options.maxCallBytes),
+      maxCallValues: options.maxCallValues,
       account: new ByteAccount({maxBytes: options.maxCallBytes}),
       onAbandoned: (method, message, end) => {
         if (method !== 'presence') return;
--- a/packages/control/src/controlOptions.ts
+++ b/packages/control/src/controlOptions.ts
@@ -44,6 +44,8 @@
   maxPeerConnections: number;
   /** Bytes of all calls of other processes that are being read. */
   maxCallBytes: number;
+  /** Values in the JSON of one call of another process. */
+  maxCallValues: number;
 }
 
 /** Options of a control process. */
@@ -112,6 +114,7 @@
   failureDomains: () => undefined,
   maxPeerConnections: Infinity,
   maxCallBytes: 128 * 1024 * 1024,
+  maxCallValues: 16 * 1024 * 1024,
   logger: silentLogger,
   clock: systemClock,
 } satisfies Partial<ControlOptions>;
--- a/packages/runtime/src/limitRecorder.ts
+++ b/packages/runtime/src/limitRecorder.ts
@@ -12,6 +12,8 @@
   | 'memory'
   /** Bytes of one body. */
   | 'bodyBytes'
+  /** Values in the JSON of one body. */
+  | 'bodyValues'
   /** Time of a body. */
   | 'bodyTime'
   /** Requests sent ahead on one connection. */
--- a/packages/runtime/src/messageEncoding.ts
+++ b/packages/runtime/src/messageEncoding.ts
@@ -6,6 +6,8 @@
  */
 import {gunzipSync, gzipSync} from 'node:zlib';
 
+import {exceedsValues} from './jsonValues.js';
+
 /** Length from which a message is compressed. */
 const minCompressedBytes = 4_096;
 
@@ -82,20 +84,30 @@
   return {body, isCompressed: true, length, ...work};
 }
 
+/** A message has more values than its receiver has memory for. */
+export class TooManyValues extends Error {
+  override name = 'TooManyValues';
+}
+
 /**
  * Decodes the body of a message.
  *
- * @throws If it isn't JSON, or has more than `maxBytes` once it is decompressed.
+ * @throws TooManyValues if it has more than `maxValues`, and another error if it isn't
+ *     JSON or has more than `maxBytes` once it is decompressed.
  */
 export function decodeMessage(
   body: Buffer,
   encoding: string | undefined,
   maxBytes: number,
+  maxValues = Infinity,
 ): unknown {
   const isCompressed = encoding === compressedEncoding;
   const plain = isCompressed
     ? gunzipSync(body, {maxOutputLength: maxBytes})
     : body;
+  if (exceedsValues(plain, maxValues)) {
+    throw new TooManyValues(`a message has more than ${maxValues} values`);
+  }
   return JSON.parse(plain.toString('utf8'));
 }
 
--- a/packages/runtime/src/peerCallServer.ts
+++ b/packages/runtime/src/peerCallServer.ts
@@ -22,6 +22,7 @@
   decodeMessage,
   encodeMessage,
   type EncodingOptions,
+  TooManyValues,
 } from './messageEncoding.js';
 import {divideParsing} from './parsingTurns.js';
 import {maxMessageBytes} from './readMessage.js';
@@ -58,6 +59,8 @@
   logger: Logger;
   /** Most bytes of a call. */
   maxCallBytes?: number;
+  /** Most values in the JSON of a call; not limited by default. */
+  maxCallValues?: number;
   /** Connections that are open at once; not limited by default. */
   maxConnections?: number;
   /** Methods whose callers keep their connections if too many are open. */
@@ -169,7 +172,7 @@
         refuse(request, response, 404, `unknown method ${method}`);
         return;
       }
-      const {maxCallBytes = maxMessageBytes} = this.options;
+      const {maxCallBytes = maxMessageBytes, maxCallValues} = this.options;
       const {headers} = request;
       const read = await readBody(request, {
         maxBytes: maxCallBytes,
@@ -188,7 +191,14 @@
         read.bytes,
         headers['content-encoding'],
         maxCallBytes,
+        maxCallValues,
       );
+      if (message instanceof TooManyValues) {
+        logger.warn({call: method, failure: 'values'}, 'call was not read');
+        this.options.onLimit?.('bodyValues');
+        refuse(request, response, 413, message.message);
+        return;
+      }
       if (message instanceof Error) {
         logger.debug({err: message, call: method}, 'call was not decoded');
         refuse(request, response, 400, String(message));
--- a/packages/runtime/tests/messageEncoding.test.ts
+++ b/packages/runtime/tests/messageEncoding.test.ts
@@ -12,7 +12,8 @@
   shareEncoding,
   silentLogger,
 } from '../src/index.js';
-import {decodeMessage} from '../src/messageEncoding.js';
+import {exceedsValues} from '../src/jsonValues.js';
+import {decodeMessage, TooManyValues} from '../src/messageEncoding.js';
 
 const host = '127.0.0.1';
 const port = 21_906;
@@ -87,6 +88,40 @@
 
 // Guards against a leader that writes the same change for each router, and sends
 // more than its link carries (issue 49).
+describe('the values of a message', () => {
+  const countValues = (value: unknown): number =>
+    typeof value === 'object' && value !== null
+      ? Object.values(value).reduce(
+          (sum: number, field) =>
+            sum + countValues(field) + (Array.isArray(value) ? 0 : 1),
+          1,
+        )
+      : 1;
+
+  it('are counted, but for two of each list or object', () => {
+    const values = fc.jsonValue({stringUnit: 'binary'});
+    fc.assert(
+      fc.property(values, value => {
+        const text = Buffer.from(JSON.stringify(value));
+        let most = 0;
+        while (exceedsValues(text, most)) most++;
+        const expected = countValues(value);
+        expect(most).toBeGreaterThanOrEqual(expected);
+        expect(most).toBeLessThanOrEqual(2 * expected);
+      }),
+    );
+  });
+
+  it.each([undefined, 'gzip'])('have a limit in encoding %s', encoding => {
+    const text = Buffer.from(`[${'{},'.repeat(100)}{}]`);
+    const body = encoding === undefined ? text : gzipSync(text);
+    expect(() => decodeMessage(body, encoding, maxBytes, 200)).toThrow(
+      TooManyValues,
+    );
+    expect(decodeMessage(body, encoding, maxBytes, 400)).toHaveLength(101);
+  });
+});
+
 describe('a change for many receivers', () => {
   it('is written and compressed once', () => {
     const change = shareEncoding({put: createRoutes(1_700), removed: []});
