--- a/packages/runtime/src/index.ts
+++ b/packages/runtime/src/index.ts
@@ -64,6 +64,7 @@
   type PeerCallClientOptions,
   PeerCallError,
 } from './peerCallClient.js';
+export {exceedsValues} from './jsonValues.js';
 export {maxMessageBytes} from './readMessage.js';
 export {
   type CallHandler,
