--- a/packages/runtime/src/peerCallServer.ts
+++ b/packages/runtime/src/peerCallServer.ts
@@ -23,6 +23,7 @@
   decodeMessage,
   encodeMessage,
   type EncodingOptions,
+  TooManyValues,
 } from './messageEncoding.js';
 import {divideParsing} from './parsingTurns.js';
 import {maxMessageBytes} from './readMessage.js';
@@ -59,6 +60,8 @@
   logger: Logger;
   /** Most bytes of a call. */
   maxCallBytes?: number;
+  /** Most values in the JSON of a call; not limited by default. */
+  maxCallValues?: number;
   /** Connections that are open at once; not limited by default. */
   maxConnections?: number;
   /** Methods whose callers keep their connections if too many are open. */
@@ -170,7 +173,7 @@
         refuse(request, response, 404, `unknown method ${method}`);
         return;
       }
-      const {maxCallBytes = maxMessageBytes} = this.options;
+      const {maxCallBytes = maxMessageBytes, maxCallValues} = this.options;
       const {headers} = request;
       const read = await readBody(request, {
         maxBytes: maxCallBytes,
@@ -185,11 +188,23 @@
         return;
       }
       read.held.release();
-      const message = decodeMessage(
+      const message = decodeCall(
         read.bytes,
         headers['content-encoding'],
         maxCallBytes,
-      ) as never;
+        maxCallValues,
+      );
+      if (message instanceof TooManyValues) {
+        logger.warn({call: method, failure: 'values'}, 'call was not read');
+        this.options.onLimit?.('bodyValues');
+        refuse(request, response, 413, message.message);
+        return;
+      }
+      if (message instanceof Error) {
+        logger.debug({err: message, call: method}, 'call was not decoded');
+        refuse(request, response, 400, String(message));
+        return;
+      }
       const context = new CallContext();
       const receivedAt = systemClock.now();
       let bytes = 0;
@@ -234,7 +249,20 @@
   return url.slice(1);
 }
 
-/** Answers a call that was not read or is unknown, and closes its connection. */
+/** Decodes a call, or returns why it can't be decoded. */
+function decodeCall(...body: Parameters<typeof decodeMessage>): never | Error {
+  try {
+    return decodeMessage(...body) as never;
+  } catch (error) {
+    return error as Error;
+  }
+}
+
+/**
+ * Answers a call that was not read or can't be handled, and closes its connection.
+ * V8 keeps the whole text of each that isn't JSON until its next full collection, so
+ * a client may have one per connection.
+ */
 function refuse(
   request: IncomingMessage,
   response: ServerResponse,
