feat: tell by which leader and term the version of a stream is known

A router's line 'stream taken up' names the leader that it asked, its term, and how old the confirmation of its majority was at the reply; the leader writes 'origin of a stream told' with the same.

--- a/packages/control/src/controlParts.ts
+++ b/packages/control/src/controlParts.ts
@@ -85,7 +85,7 @@
       () => routers.addresses,
       watch,
     ),
-    streams: new StreamService(options.logger, group, state, directory, () =>
+    streams: new StreamService(options, group, state, directory, () =>
       watch.leaderHint(),
     ),
     evacuations: new EvacuationService(options, calls, group, state, routers),
--- a/packages/control/src/streamService.ts
+++ b/packages/control/src/streamService.ts
@@ -12,8 +12,8 @@
   softwareVersionOf,
   streamLifetimeMilliseconds,
 } from '@dogwoodtrestle/fleet';
-import {type Logger} from '@dogwoodtrestle/runtime';
 import {
+  type KnownStream,
   type LeaderHint,
   type NoteStreams,
   type StreamQuery,
@@ -22,15 +22,19 @@
   type StreamReportReply,
 } from '@dogwoodtrestle/schema';
 
+import {type ControlOptions} from './controlOptions.js';
 import {type ReplicaGroup} from './replicaGroup.js';
 
+/** Which version began a stream, as the leader's state has it. */
+type Origin = Pick<KnownStream, 'source' | 'softwareVersion'>;
+
 /** Answers routers that report streams, or ask for the version of one. */
 export class StreamService {
   constructor(
-    private readonly logger: Logger,
+    private readonly options: Pick<ControlOptions, 'clock' | 'logger'>,
     private readonly group: Pick<
       ReplicaGroup,
-      'isLeader' | 'replica' | 'confirmedAt'
+      'isLeader' | 'replica' | 'confirmedAt' | 'term'
     >,
     private readonly state: Pick<
       FleetState,
@@ -53,12 +57,25 @@
   }
 
   /** Returns the software version that began a stream, and how it is known. */
-  async find({attempt, service}: StreamQuery): Promise<StreamQueryReply> {
+  async find(query: StreamQuery): Promise<StreamQueryReply> {
     if (!this.group.isLeader) return this.leaderHint();
     if (this.group.confirmedAt === undefined) {
       // The state lacks what former leaders committed.
       await this.group.replica.barrier();
     }
+    const origin = this.originOf(query);
+    const {clock, logger} = this.options;
+    const {confirmedAt, term} = this.group;
+    const confirmationAgeMilliseconds =
+      confirmedAt === undefined
+        ? undefined
+        : Math.round(clock.now() - confirmedAt);
+    const reply = {...origin, term, confirmationAgeMilliseconds};
+    logger.info({...query, ...reply}, 'origin of a stream told');
+    return {kind: 'stream', ...reply};
+  }
+
+  private originOf({attempt, service}: StreamQuery): Origin {
     const known =
       attempt === undefined
         ? undefined
@@ -67,14 +84,15 @@
       const isSame = known.service === service;
       const softwareVersion = isSame ? known.softwareVersion : undefined;
       if (softwareVersion === undefined) {
-        this.logger.warn({attempt, service}, 'attempt names several streams');
+        const {logger} = this.options;
+        logger.warn({attempt, service}, 'attempt names several streams');
       }
-      return {kind: 'stream', source: 'record', softwareVersion};
+      return {source: 'record', softwareVersion};
     }
     const versions = this.versionsOf(service);
     const [softwareVersion] = versions;
-    if (versions.size !== 1) return {kind: 'stream', source: 'unknown'};
-    return {kind: 'stream', source: 'history', softwareVersion};
+    if (versions.size !== 1) return {source: 'unknown'};
+    return {source: 'history', softwareVersion};
   }
 
   /** Versions of all servers that may have begun a stream that still lives. */
--- a/packages/edge/src/streamOrigins.ts
+++ b/packages/edge/src/streamOrigins.ts
@@ -46,9 +46,13 @@
 export type StreamSource = 'router' | KnownStream['source'] | 'noReply';
 
 /** The software version that began a stream; missing if that is not known. */
-export interface StreamOrigin {
-  softwareVersion?: string;
+export interface StreamOrigin extends Pick<
+  KnownStream,
+  'softwareVersion' | 'term' | 'confirmationAgeMilliseconds'
+> {
   source: StreamSource;
+  /** Address of the leader that told it, if one did. */
+  leader?: string;
   /** Time since this router has recorded it. */
   ageMilliseconds?: number;
 }
@@ -113,14 +117,14 @@
     }
     try {
       const origin = await this.ask(attempt, service);
-      const {softwareVersion, source} = origin;
+      const {softwareVersion, source, ...basis} = origin;
       // This router may know of servers that the leader has not heard of.
       const isDisproved =
         source === 'history' &&
         [...pool.softwareVersions(service, clock.now())].some(
           version => version !== softwareVersion,
         );
-      return isDisproved ? {source: 'unknown'} : origin;
+      return isDisproved ? {source: 'unknown', ...basis} : origin;
     } catch (error) {
       logger.info({err: error, attempt}, 'origin of a stream was not found');
       return {source: 'noReply'};
@@ -142,9 +146,16 @@
       {timeoutMilliseconds: callTimeoutMilliseconds},
     );
     const checked = checkedMessage('StreamQueryReply', reply);
-    if (checked.kind !== 'stream') return {source: 'noReply'};
-    const {softwareVersion, source} = checked;
-    return {softwareVersion, source};
+    if (checked.kind !== 'stream') return {source: 'noReply', leader};
+    const {source, softwareVersion, term, confirmationAgeMilliseconds} =
+      checked;
+    return {
+      source,
+      softwareVersion,
+      leader,
+      term,
+      confirmationAgeMilliseconds,
+    };
   }
 
   private reportSoon(): void {
