fix(control): tell the version of a stream only once a majority has confirmed the leader

Cause: StreamService.find asked for a majority only until the leader was confirmed for the first time. A leader that stood still, or was cut off, answered from a state without the servers and streams of the other side; the router, out of step as well, could not disprove it. Class: an answer from a leader's state without a proof, after the question, that it still leads.

Change: each query passes a read barrier.

Ruled out: a leader that reads calls late answers with a state that is newer than the question, which is sound.

--- a/packages/bench/src/freshness/controlProcess.ts
+++ b/packages/bench/src/freshness/controlProcess.ts
@@ -31,6 +31,8 @@
   type FleetConfiguration,
   type JoinRequest,
   type Member,
+  type StreamQuery,
+  type StreamReport,
   type UsageReport,
   type WatchRequest,
 } from '@dogwoodtrestle/schema';
@@ -112,7 +114,7 @@
       directory,
       topics: [],
     });
-  const {grants, service, evacuations} = others;
+  const {grants, service, evacuations, streams} = others;
   Object.assign(parts, {watch, recorder});
   machine.handlers = {
     consensus: (message: ConsensusMessage) => group.receive(message),
@@ -122,6 +124,8 @@
     watch: (request: WatchRequest, call: CallContext) =>
       watch.watch(request, call),
     usage: (report: UsageReport) => grants.report(report),
+    recordStreams: (report: StreamReport) => streams.record(report),
+    findStream: (query: StreamQuery) => streams.find(query),
     announcements: ({announcements}: AnnouncementBatch) =>
       receiveAnnouncements(announcements, directory, group, departures, clock),
     putConfiguration: ({
--- a/packages/control/src/index.ts
+++ b/packages/control/src/index.ts
@@ -26,4 +26,5 @@
 export {LeaderCalls, type Unavailable} from './leaderCalls.js';
 export {ReplicaGroup} from './replicaGroup.js';
 export {type ServerChangeRecorder} from './serverChangeRecorder.js';
+export {type StreamService} from './streamService.js';
 export {type WatchService} from './watchService.js';
--- a/packages/control/src/streamService.ts
+++ b/packages/control/src/streamService.ts
@@ -12,6 +12,7 @@
   softwareVersionOf,
   streamLifetimeMilliseconds,
 } from '@dogwoodtrestle/fleet';
+import {settledWithin} from '@dogwoodtrestle/runtime';
 import {
   type KnownStream,
   type LeaderHint,
@@ -25,6 +26,12 @@
 import {type ControlOptions} from './controlOptions.js';
 import {type ReplicaGroup} from './replicaGroup.js';
 
+/**
+ * Time for which a reply waits for a majority: several round trips between distant
+ * members, and less than the timeout of the routers' calls.
+ */
+const confirmationTimeoutMilliseconds = 300;
+
 /** Which version began a stream, as the leader's state has it. */
 type Origin = Pick<KnownStream, 'source' | 'softwareVersion'>;
 
@@ -56,13 +63,13 @@
     return {kind: 'recorded'};
   }
 
-  /** Returns the software version that began a stream, and how it is known. */
+  /**
+   * Returns the software version that began a stream, and how it is known. A
+   * process that a majority doesn't confirm as the leader, after the call came,
+   * replies with a leader hint: its state may lack servers and streams.
+   */
   async find(query: StreamQuery): Promise<StreamQueryReply> {
-    if (!this.group.isLeader) return this.leaderHint();
-    if (this.group.confirmedAt === undefined) {
-      // The state lacks what former leaders committed.
-      await this.group.replica.barrier();
-    }
+    if (!(await this.isConfirmed())) return this.leaderHint();
     const origin = this.originOf(query);
     const {clock, logger} = this.options;
     const {confirmedAt, term} = this.group;
@@ -75,6 +82,16 @@
     return {kind: 'stream', ...reply};
   }
 
+  private async isConfirmed(): Promise<boolean> {
+    let isConfirmed = false;
+    const confirmation = this.group.replica.barrier().then(() => {
+      isConfirmed = true;
+    });
+    const {clock} = this.options;
+    await settledWithin(clock, confirmation, confirmationTimeoutMilliseconds);
+    return isConfirmed;
+  }
+
   private originOf({attempt, service}: StreamQuery): Origin {
     const known =
       attempt === undefined
--- a/packages/control/tests/streamService.test.ts
+++ b/packages/control/tests/streamService.test.ts
@@ -3,18 +3,23 @@
  * as it can know.
  */
 import {FleetState, ServerDirectory} from '@dogwoodtrestle/fleet';
-import {silentLogger} from '@dogwoodtrestle/runtime';
+import {silentLogger, systemClock} from '@dogwoodtrestle/runtime';
 import {type BackendServerRecord, type Entry} from '@dogwoodtrestle/schema';
-import {beforeEach, describe, expect, it} from 'vitest';
+import {afterEach, beforeEach, describe, expect, it, vi} from 'vitest';
 
 import {type ReplicaGroup} from '../src/replicaGroup.js';
 import {StreamService} from '../src/streamService.js';
 import {createRecord} from './support/controlGroup.js';
 
-let now: number;
+/** Time within which a router hears that the leader can't tell. */
+const replyMilliseconds = 350;
 
 beforeEach(() => {
-  now = 100_000;
+  vi.useFakeTimers();
+});
+
+afterEach(() => {
+  vi.useRealTimers();
 });
 
 /** Creates the service of a leader whose majority confirmed it 30 ms ago. */
@@ -22,14 +27,13 @@
   const group = {
     isLeader: true,
     term: 7,
-    confirmedAt: now - 30,
-    replica: {barrier: () => Promise.resolve(0)},
+    confirmedAt: systemClock.now() - 30,
+    replica: {barrier: (): Promise<number> => Promise.resolve(0)},
   };
   const directory = new ServerDirectory('epoch');
   const state = new FleetState();
-  const clock = {now: () => now, wallNow: () => now, setTimer: () => () => {}};
   const service = new StreamService(
-    {clock, logger: silentLogger},
+    {clock: systemClock, logger: silentLogger},
     group as unknown as ReplicaGroup,
     state,
     directory,
@@ -45,7 +49,7 @@
       state.apply({
         index: ++index,
         term: 7,
-        timestamp: now,
+        timestamp: systemClock.now(),
         kind: 'commands',
         commands,
       }),
@@ -58,7 +62,9 @@
 /** Creates a leader that knows servers, which are committed. */
 function createLeaderOf(...servers: BackendServerRecord[]) {
   const leader = createLeader();
-  for (const server of servers) leader.directory.announce(server, now);
+  for (const server of servers) {
+    leader.directory.announce(server, systemClock.now());
+  }
   leader.commit({kind: 'noteServers', records: servers});
   return leader;
 }
@@ -76,4 +82,25 @@
       confirmationAgeMilliseconds: 30,
     });
   });
+
+  // Guards against a version that a leader tells after its majority has gone on
+  // without it: other servers may have joined there (issue 60).
+  it.each([
+    ['is cut off', () => new Promise<never>(() => undefined)],
+    ['was resumed', () => Promise.reject(new Error('no majority'))],
+  ])('tells no version if the leader %s', async (_, barrier) => {
+    const {service, group, commit} = createLeaderOf(createServer('1', 'v1'));
+    const {service: name} = query;
+    const stream = {attempt: 'a-2', service: name, softwareVersion: 'v1'};
+    commit({kind: 'noteStreams', streams: [stream]});
+    group.replica.barrier = barrier;
+    for (const attempt of ['a-1', 'a-2', undefined]) {
+      let reply: unknown;
+      void service.find({attempt, service: name}).then(value => {
+        reply = value;
+      });
+      await vi.advanceTimersByTimeAsync(replyMilliseconds);
+      expect(reply).toEqual({kind: 'notLeader', replicas: []});
+    }
+  });
 });
--- a/packages/edge/src/index.ts
+++ b/packages/edge/src/index.ts
@@ -15,6 +15,7 @@
   type RouterIdentityOptions,
 } from './routerIdentity.js';
 export {ServerPool} from './serverPool.js';
+export {StreamOrigins} from './streamOrigins.js';
 export {matchRequest} from './viewDecision.js';
 export {
   type ResponseHead,
