fix(fleet): offer routers a server only once the replicated log has it

Cause: a leader told routers of servers as they were announced, and recorded them in the log beside that. One that had just lost its majority still did so within the election timeout; the leader after it knew one software version only, and told it. Class: a conclusion from the absence of a record, where what must be recorded isn't.

Change: a control process withholds a server from routers until its replica has the server's incarnation and software version; departures aren't withheld. So each server that can have begun a stream is in the log behind each later read barrier.

Evidence, before the change: 'knows of each server that an earlier one has offered' (three control processes in virtual time) saw the server offered to a router of the cut-off leader, and 'v1' told by the next leader of a stream of it. The new cases of ServerDirectory did not exist before.

No server's own start waits for it, and routers keep the servers they know.

--- a/packages/bench/src/freshness/controlProcess.ts
+++ b/packages/bench/src/freshness/controlProcess.ts
@@ -91,11 +91,14 @@
   };
   const parts: {watch?: WatchService; recorder?: ServerChangeRecorder} = {};
   const epoch = `${machine.address}#${machine.epoch}`;
-  const directory = new ServerDirectory(epoch, {}, record => {
-    parts.watch?.notifyWatchers(isDeparture(record) ? 'urgent' : 'normal');
+  const isRecorded = (record: BackendServerRecord) => state.hasServer(record);
+  const directory = new ServerDirectory(epoch, {isRecorded}, record => {
+    if (directory.isOffered(record.id)) {
+      parts.watch?.notifyWatchers(isDeparture(record) ? 'urgent' : 'normal');
+    }
     parts.recorder?.recordSoon();
   });
-  const state = new FleetState({
+  const state: FleetState = new FleetState({
     onConfiguration: next => parts.watch?.putConfiguration(next),
     onEvacuations: next => parts.watch?.putEvacuations(next),
     onServers: records => {
--- a/packages/bench/tests/streamVersions.test.ts
+++ b/packages/bench/tests/streamVersions.test.ts
@@ -130,7 +130,8 @@
     return this.origins.find('a-1', service);
   }
 
-  private leads(machine: VirtualMachine): boolean {
+  /** Whether a process leads, by what it knows. */
+  leads(machine: VirtualMachine): boolean {
     const isLeader = this.controls.get(machine)?.group.isConfirmedLeader;
     return isLeader === true && !machine.isFrozen;
   }
@@ -213,3 +214,31 @@
     },
   );
 });
+
+describe('a leader that was elected', () => {
+  // Guards against a stream of a new version that goes on at an old one: the leader
+  // before it had offered a server that no majority had recorded (issue 60).
+  it('knows of each server that an earlier one has offered', async () => {
+    const release = await startRelease();
+    const {leader: former, core, network} = release;
+    const others = core.filter(machine => machine !== former);
+    for (const other of others) network.cut(former, other);
+    release.announce(former, 's-2', 'v2');
+    let isBegun = false;
+    for (let count = 0; count < settleMilliseconds; count += 10) {
+      isBegun ||= release.isOffered('s-2');
+      await release.advance(10);
+    }
+    release.knownLeader = others.find(other => release.leads(other))?.address;
+    const origin = release.find();
+    await release.advance(replyMilliseconds);
+    const {softwareVersion} = await origin;
+    expect({isBegun, softwareVersion}).toEqual({
+      isBegun: false,
+      softwareVersion: 'v1',
+    });
+    for (const other of others) network.join(former, other);
+    await release.advance(settleMilliseconds);
+    expect(release.isOffered('s-2')).toBe(true);
+  });
+});
--- a/packages/control/src/announcementReceiver.ts
+++ b/packages/control/src/announcementReceiver.ts
@@ -24,6 +24,7 @@
     directory.leave(record.id, now, record.startedAt);
   } else {
     directory.announce(record, now);
+    directory.offer(record.id, now);
   }
 }
 
--- a/packages/control/src/controlNode.ts
+++ b/packages/control/src/controlNode.ts
@@ -119,18 +119,26 @@
     });
     // Opening the group replays the log before these parts exist.
     const parts: {watch?: WatchService; recorder?: ServerChangeRecorder} = {};
-    const directory = new ServerDirectory(randomUUID(), {}, record => {
-      logger.info({server: record}, 'backend server changed');
-      parts.watch?.notifyWatchers(isUrgent(record) ? 'urgent' : 'normal');
-      parts.recorder?.recordSoon();
-    });
+    const isRecorded = (record: BackendServerRecord) => state.hasServer(record);
+    const directory = new ServerDirectory(
+      randomUUID(),
+      {isRecorded},
+      record => {
+        const isOffered = directory.isOffered(record.id);
+        logger.info({server: record, isOffered}, 'backend server changed');
+        if (isOffered) {
+          parts.watch?.notifyWatchers(isUrgent(record) ? 'urgent' : 'normal');
+        }
+        parts.recorder?.recordSoon();
+      },
+    );
     const failedCommands = metrics.counter(
       'dogwoodtrestle_failed_commands_total',
       'Committed commands that could not be applied, or whose changes not all parts of the process could take.',
     );
     let activeConfiguration: FleetConfiguration | undefined;
     let activeEvacuations = noEvacuations;
-    const state = new FleetState({
+    const state: FleetState = new FleetState({
       onConfiguration: configuration => {
         logger.info(
           {
--- a/packages/control/tests/support/controlGroup.ts
+++ b/packages/control/tests/support/controlGroup.ts
@@ -71,8 +71,10 @@
     } as unknown as ControlOptions;
     const {clock} = options;
     const replicaGroup = this.replicaGroup();
-    this.directory = new ServerDirectory(address, {}, () =>
-      this.recorder.recordSoon(),
+    this.directory = new ServerDirectory(
+      address,
+      {isRecorded: record => this.state.hasServer(record)},
+      () => this.recorder.recordSoon(),
     );
     this.state = new FleetState({
       onConfiguration: () => undefined,
--- a/packages/fleet/src/fleetState.ts
+++ b/packages/fleet/src/fleetState.ts
@@ -25,7 +25,7 @@
   recordUsage,
 } from './prepaidAccounts.js';
 import {RetiredVersions, type RetiredVersion} from './retiredVersions.js';
-import {isNewerRecord} from './serverRecords.js';
+import {isNewerRecord, isSameSoftware} from './serverRecords.js';
 import {type KnownStream, StreamVersions} from './streamVersions.js';
 import {
   stateVersion,
@@ -160,6 +160,12 @@
     return this.servers;
   }
 
+  /** Whether the log has a server's incarnation with its software version. */
+  hasServer(record: BackendServerRecord): boolean {
+    const recorded = this.servers.get(record.id);
+    return recorded !== undefined && isSameSoftware(recorded, record);
+  }
+
   /** Streams that servers have begun; changed by `apply`. */
   get streamVersions(): Pick<StreamVersions, 'find'> {
     return this.streams;
--- a/packages/fleet/src/serverDirectory.ts
+++ b/packages/fleet/src/serverDirectory.ts
@@ -5,6 +5,10 @@
  * start. Delayed and duplicate announcements change nothing, and a departure is
  * final for its incarnation. Of several incarnations with one address, the one
  * that started last owns it.
+ *
+ * Routers are offered a server once the replicated log has its incarnation and
+ * software version, so that each later leader knows which versions may have begun a
+ * stream.
  */
 import {
   type BackendServerRecord,
@@ -16,6 +20,7 @@
   isDeparture,
   isEqualRecord,
   isNewerRecord,
+  isSameSoftware,
 } from './serverRecords.js';
 
 interface Entry {
@@ -24,6 +29,8 @@
   revision: number;
   /** End of the cold period as routers were told of it. */
   coldUntil: number;
+  /** Whether routers are not yet told of it. */
+  isWithheld: boolean;
 }
 
 /** Options of a directory. */
@@ -32,6 +39,8 @@
   silentAfterMilliseconds: number;
   /** Time without an announcement after which a record is removed. */
   forgetAfterMilliseconds: number;
+  /** Whether the replicated log has a server; routers hear of no other. */
+  isRecorded: (record: BackendServerRecord) => boolean;
 }
 
 /** Default options. */
@@ -40,6 +49,7 @@
   silentAfterMilliseconds: 4_000,
   // Longer than a partition delays announcements.
   forgetAfterMilliseconds: 60_000,
+  isRecorded: () => true,
 };
 
 /**
@@ -99,6 +109,21 @@
     return this.entries.get(id)?.record;
   }
 
+  /** Whether routers are told of a server. */
+  isOffered(id: string): boolean {
+    return this.entries.get(id)?.isWithheld === false;
+  }
+
+  /** Offers a server to routers if it was withheld, and the log has it now. */
+  offer(id: string, now: number): void {
+    const entry = this.entries.get(id);
+    if (entry?.isWithheld !== true) return;
+    const {record, coldUntil} = entry;
+    if (!this.options.isRecorded(record)) return;
+    entry.isWithheld = false;
+    this.change(entry, withColdTimeAt(record, coldUntil, now));
+  }
+
   /** Returns when an incarnation of a server was last announced, if it was. */
   announcedAt(id: string, startedAt: number): number | undefined {
     const entry = this.entries.get(id);
@@ -175,7 +200,7 @@
     const isComplete = !isKnown || revision < this.forgottenRevision;
     const since = isComplete ? -1 : revision;
     const records = [...this.entries.values()]
-      .filter(entry => entry.revision > since)
+      .filter(entry => entry.revision > since && !entry.isWithheld)
       .map(({record}) => record);
     return {
       epoch: this.epoch,
@@ -205,9 +230,16 @@
     const entry = this.entries.get(announced.id);
     const record = withKnownColdTime(announced, entry, now);
     const coldUntil = now + (record.coldMilliseconds ?? 0);
+    const isWithheld = this.isWithheld(record, entry);
     if (entry === undefined) {
       const {revision} = this;
-      const added = {record, announcedAt: now, revision, coldUntil};
+      const added = {
+        record,
+        announcedAt: now,
+        revision,
+        coldUntil,
+        isWithheld,
+      };
       this.entries.set(record.id, added);
       this.change(added, record);
       return;
@@ -215,18 +247,29 @@
     entry.announcedAt = now;
     const isEqual =
       isEqualRecord(entry.record, record) &&
+      entry.isWithheld === isWithheld &&
       !isNewColdPeriod(entry, record, coldUntil);
     if (isEqual) {
       entry.record = record;
       return;
     }
     entry.coldUntil = coldUntil;
+    entry.isWithheld = isWithheld;
     this.change(entry, record);
   }
 
+  /** Whether routers must not hear of a record; they hear of each departure. */
+  private isWithheld(record: BackendServerRecord, known?: Entry): boolean {
+    if (isDeparture(record)) return false;
+    const isOffered =
+      known?.isWithheld === false && isSameSoftware(known.record, record);
+    return !isOffered && !this.options.isRecorded(record);
+  }
+
   private change(entry: Entry, record: BackendServerRecord): void {
     entry.record = record;
-    entry.revision = ++this.revision;
+    if (isDeparture(record)) entry.isWithheld = false;
+    if (!entry.isWithheld) entry.revision = ++this.revision;
     if (isDeparture(record)) this.newestDeparture = this.revision;
     this.onChange(record);
   }
--- a/packages/fleet/src/serverRecords.ts
+++ b/packages/fleet/src/serverRecords.ts
@@ -37,6 +37,18 @@
   return coldMilliseconds > 0;
 }
 
+/** Whether two records are of one incarnation, with one software version. */
+export function isSameSoftware(
+  a: BackendServerRecord,
+  b: BackendServerRecord,
+): boolean {
+  return (
+    a.startedAt === b.startedAt &&
+    a.service === b.service &&
+    softwareVersionOf(a) === softwareVersionOf(b)
+  );
+}
+
 /**
  * Returns a record without the time for which its server stays cold. That time is
  * over soon, and is announced again: the replicated log doesn't have it.
--- a/packages/fleet/tests/serverDirectory.test.ts
+++ b/packages/fleet/tests/serverDirectory.test.ts
@@ -54,6 +54,43 @@
     expect(statesOf(directory)).toEqual({'s-1': 'left', 's-2': 'ready'});
   });
 
+  // Guards against streams of a software version that a later leader has not heard
+  // of: routers were told of servers that no majority had recorded (issue 60).
+  it.each([
+    ['a server', createRecord()],
+    ['a server that starts again', createRecord({startedAt: 200})],
+    ['another software version', createRecord({softwareVersion: 'v2'})],
+  ])('offers %s once the log has it', (_, announced) => {
+    const recorded = new Set(['v1@50']);
+    const keyOf = ({softwareVersion = 'v1', startedAt}: BackendServerRecord) =>
+      `${softwareVersion}@${startedAt}`;
+    const isRecorded = (record: BackendServerRecord) =>
+      recorded.has(keyOf(record));
+    const directory = new ServerDirectory('e', {isRecorded});
+    directory.announce(
+      createRecord({id: 's-0', startedAt: 50, address: ''}),
+      0,
+    );
+    const {currentRevision} = directory;
+    const record = {...announced, sequence: 2, coldMilliseconds: 500};
+    directory.announce(record, 0);
+    directory.offer(record.id, 1);
+    expect(directory.changesSince('e', currentRevision)).toBeUndefined();
+    expect(statesOf(directory)).toEqual({'s-0': 'ready'});
+    recorded.add(keyOf(record));
+    directory.offer(record.id, 100);
+    const offered = {...record, coldMilliseconds: 400};
+    expect(directory.changesSince('e', currentRevision)?.records).toEqual([
+      offered,
+    ]);
+    // The state is bounded, and may drop it.
+    recorded.clear();
+    directory.announce({...record, sequence: 3, slots: 5}, 200);
+    expect(directory.isOffered(record.id)).toBe(true);
+    directory.leave(record.id, 300);
+    expect(statesOf(directory)).toEqual({'s-0': 'ready', 's-1': 'left'});
+  });
+
   it('records that an unknown server left', () => {
     const directory = new ServerDirectory('e');
     directory.leave('s-9', 0, 500);
