fix(control): count servers that a new leader has forgotten among those that began streams

Cause: the versions that may have begun a stream were taken from the directory of the process, which forgets servers that it has not heard of for a minute. A process that was cut off, or stood still, and is elected right after has forgotten servers that have served meanwhile, and hears again of those of one version before the others.

Change: until a process has led for as long as a stream lives, the servers of its replicated state count too. Cost: after a change of leader, servers that crashed for good and had another version keep unreported streams from being taken up for a minute; reported ones aren't concerned.

Shown on the component; not played with replicas that are cut off for a minute.

--- a/packages/consensus/src/leadership.ts
+++ b/packages/consensus/src/leadership.ts
@@ -25,7 +25,7 @@
   private readonly proposals: ProposalQueue;
   private readonly barriers = new ReadBarriers();
   private readonly commitWaiters = new Map<number, Deferred<void>>();
-  private readonly startedAt: number;
+  readonly startedAt: number;
   private readonly startTimestamp: number;
   private firstIndex = 0;
   private cancelHeartbeat?: () => void;
--- a/packages/consensus/src/replica.ts
+++ b/packages/consensus/src/replica.ts
@@ -219,6 +219,14 @@
     return this.state.leadership?.confirmedAt;
   }
 
+  /**
+   * Monotonic time in milliseconds of this replica's election. Undefined unless
+   * it leads.
+   */
+  get leadsSince(): number | undefined {
+    return this.state.leadership?.startedAt;
+  }
+
   /** Returns the current state of this replica. */
   status(): ReplicaStatus {
     const {id, term, commitIndex, lastApplied, log, self} = this.state;
--- a/packages/consensus/src/replicaState.ts
+++ b/packages/consensus/src/replicaState.ts
@@ -20,6 +20,8 @@
    * until an entry of the own term is applied.
    */
   readonly confirmedAt: number | undefined;
+  /** Monotonic time in milliseconds of its election. */
+  readonly startedAt: number;
   /** Whether a majority of the voters answered within the election timeout. */
   hasQuorum(): boolean;
   /** Called after each applied entry with the results of its commands. */
--- a/packages/control/src/replicaGroup.ts
+++ b/packages/control/src/replicaGroup.ts
@@ -164,6 +164,11 @@
     return this.confirmedAt !== undefined && this.leadsWithQuorum;
   }
 
+  /** Monotonic time since which this process leads; undefined if it doesn't. */
+  get leadsSince(): number | undefined {
+    return this.replica.leadsSince;
+  }
+
   /** Newest term that this process's replica knows. */
   get term(): number {
     return this.replica.status().term;
--- a/packages/control/src/streamService.ts
+++ b/packages/control/src/streamService.ts
@@ -14,6 +14,7 @@
 } from '@dogwoodtrestle/fleet';
 import {settledWithin} from '@dogwoodtrestle/runtime';
 import {
+  type BackendServerRecord,
   type KnownStream,
   type LeaderHint,
   type NoteStreams,
@@ -41,13 +42,13 @@
     private readonly options: Pick<ControlOptions, 'clock' | 'logger'>,
     private readonly group: Pick<
       ReplicaGroup,
-      'isLeader' | 'replica' | 'confirmedAt' | 'term'
+      'isLeader' | 'replica' | 'confirmedAt' | 'leadsSince' | 'term'
     >,
     private readonly state: Pick<
       FleetState,
       'streamVersions' | 'retiredVersions' | 'backendServers'
     >,
-    private readonly directory: Pick<ServerDirectory, 'records'>,
+    private readonly directory: Pick<ServerDirectory, 'records' | 'find'>,
     private readonly leaderHint: () => LeaderHint,
   ) {}
 
@@ -117,14 +118,25 @@
     const versions = new Set(
       this.state.retiredVersions(service, streamLifetimeMilliseconds),
     );
-    for (const record of this.directory.records) {
-      // The replicated state may still have the server's record before this one.
-      const recorded = this.state.backendServers.get(record.id) ?? record;
-      for (const server of [record, recorded]) {
-        const isPresent = server.state !== 'left' && server.service === service;
-        if (isPresent) versions.add(softwareVersionOf(server));
-      }
+    const add = (record: BackendServerRecord) => {
+      const isPresent = record.state !== 'left' && record.service === service;
+      if (isPresent) versions.add(softwareVersionOf(record));
+    };
+    for (const record of this.directory.records) add(record);
+    for (const record of this.state.backendServers.values()) {
+      const isForgotten = this.directory.find(record.id) === undefined;
+      if (!isForgotten || !this.hasHeardAll()) add(record);
     }
     return versions;
   }
+
+  /**
+   * Whether this process has led for as long as a stream lives. The directory of
+   * one that was cut off before lacks servers that have served meanwhile.
+   */
+  private hasHeardAll(): boolean {
+    const now = this.options.clock.now();
+    const {leadsSince = now} = this.group;
+    return now - leadsSince >= streamLifetimeMilliseconds;
+  }
 }
--- a/packages/control/tests/streamService.test.ts
+++ b/packages/control/tests/streamService.test.ts
@@ -2,7 +2,11 @@
  * @fileoverview Tests that a leader tells which version began a stream only as far
  * as it can know.
  */
-import {FleetState, ServerDirectory} from '@dogwoodtrestle/fleet';
+import {
+  FleetState,
+  ServerDirectory,
+  streamLifetimeMilliseconds,
+} from '@dogwoodtrestle/fleet';
 import {silentLogger, systemClock} from '@dogwoodtrestle/runtime';
 import {type BackendServerRecord, type Entry} from '@dogwoodtrestle/schema';
 import {afterEach, beforeEach, describe, expect, it, vi} from 'vitest';
@@ -27,6 +31,7 @@
   const group = {
     isLeader: true,
     term: 7,
+    leadsSince: systemClock.now(),
     confirmedAt: systemClock.now() - 30,
     replica: {barrier: (): Promise<number> => Promise.resolve(0)},
   };
@@ -103,4 +108,22 @@
       expect(reply).toEqual({kind: 'notLeader', replicas: []});
     }
   });
+
+  // Guards against a version that a new leader takes for the only one: while it was
+  // cut off it had forgotten servers of another, which may have begun streams just
+  // now (issue 60).
+  it('counts forgotten servers for as long as they may matter', async () => {
+    const {service, directory, commit} = createLeader();
+    const servers = [createServer('1', 'v1'), createServer('2', 'v2')];
+    commit({kind: 'noteServers', records: servers});
+    const heard = () => {
+      directory.announce(servers[1]!, systemClock.now());
+      return service.find(query);
+    };
+    expect(await heard()).toMatchObject({source: 'unknown'});
+    await vi.advanceTimersByTimeAsync(streamLifetimeMilliseconds - 1);
+    expect(await heard()).toMatchObject({source: 'unknown'});
+    await vi.advanceTimersByTimeAsync(1);
+    expect(await heard()).toMatchObject({softwareVersion: 'v2'});
+  });
 });
