--- a/packages/bench/src/freshness/controlProcess.ts
+++ b/packages/bench/src/freshness/controlProcess.ts
@@ -31,6 +31,8 @@
   type FleetConfiguration,
   type JoinRequest,
   type Member,
+  type StreamQuery,
+  type StreamReport,
   type UsageReport,
   type WatchRequest,
 } from '@dogwoodtrestle/schema';
@@ -89,11 +91,14 @@
   };
   const parts: {watch?: WatchService; recorder?: ServerChangeRecorder} = {};
   const epoch = `${machine.address}#${machine.epoch}`;
-  const directory = new ServerDirectory(epoch, {}, record => {
-    parts.watch?.notifyWatchers(isDeparture(record) ? 'urgent' : 'normal');
+  const isRecorded = (record: BackendServerRecord) => state.hasServer(record);
+  const directory = new ServerDirectory(epoch, {isRecorded}, record => {
+    if (directory.isOffered(record.id)) {
+      parts.watch?.notifyWatchers(isDeparture(record) ? 'urgent' : 'normal');
+    }
     parts.recorder?.recordSoon();
   });
-  const state = new FleetState({
+  const state: FleetState = new FleetState({
     onConfiguration: next => parts.watch?.putConfiguration(next),
     onEvacuations: next => parts.watch?.putEvacuations(next),
     onServers: records => {
@@ -112,7 +117,7 @@
       directory,
       topics: [],
     });
-  const {grants, service, evacuations} = others;
+  const {grants, service, evacuations, streams} = others;
   Object.assign(parts, {watch, recorder});
   machine.handlers = {
     consensus: (message: ConsensusMessage) => group.receive(message),
@@ -122,6 +127,8 @@
     watch: (request: WatchRequest, call: CallContext) =>
       watch.watch(request, call),
     usage: (report: UsageReport) => grants.report(report),
+    recordStreams: (report: StreamReport) => streams.record(report),
+    findStream: (query: StreamQuery) => streams.find(query),
     announcements: ({announcements}: AnnouncementBatch) =>
       receiveAnnouncements(announcements, directory, group, departures, clock),
     putConfiguration: ({
--- a/packages/control/src/streamService.ts
+++ b/packages/control/src/streamService.ts
@@ -12,8 +12,10 @@
   softwareVersionOf,
   streamLifetimeMilliseconds,
 } from '@dogwoodtrestle/fleet';
-import {type Logger} from '@dogwoodtrestle/runtime';
+import {settledWithin} from '@dogwoodtrestle/runtime';
 import {
+  type BackendServerRecord,
+  type KnownStream,
   type LeaderHint,
   type NoteStreams,
   type StreamQuery,
@@ -22,21 +24,31 @@
   type StreamReportReply,
 } from '@dogwoodtrestle/schema';
 
+import {type ControlOptions} from './controlOptions.js';
 import {type ReplicaGroup} from './replicaGroup.js';
 
+/**
+ * Time for which a reply waits for a majority: several round trips between distant
+ * members, and less than the timeout of the routers' calls.
+ */
+const confirmationTimeoutMilliseconds = 300;
+
+/** Which version began a stream, as the leader's state has it. */
+type Origin = Pick<KnownStream, 'source' | 'softwareVersion'>;
+
 /** Answers routers that report streams, or ask for the version of one. */
 export class StreamService {
   constructor(
-    private readonly logger: Logger,
+    private readonly options: Pick<ControlOptions, 'clock' | 'logger'>,
     private readonly group: Pick<
       ReplicaGroup,
-      'isLeader' | 'replica' | 'confirmedAt'
+      'isLeader' | 'replica' | 'confirmedAt' | 'leadsSince' | 'term'
     >,
     private readonly state: Pick<
       FleetState,
       'streamVersions' | 'retiredVersions' | 'backendServers'
     >,
-    private readonly directory: Pick<ServerDirectory, 'records'>,
+    private readonly directory: Pick<ServerDirectory, 'records' | 'find'>,
     private readonly leaderHint: () => LeaderHint,
   ) {}
 
@@ -52,13 +64,36 @@
     return {kind: 'recorded'};
   }
 
-  /** Returns the software version that began a stream, and how it is known. */
-  async find({attempt, service}: StreamQuery): Promise<StreamQueryReply> {
-    if (!this.group.isLeader) return this.leaderHint();
-    if (this.group.confirmedAt === undefined) {
-      // The state lacks what former leaders committed.
-      await this.group.replica.barrier();
-    }
+  /**
+   * Returns the software version that began a stream, and how it is known. A
+   * process that a majority doesn't confirm as the leader, after the call came,
+   * replies with a leader hint: its state may lack servers and streams.
+   */
+  async find(query: StreamQuery): Promise<StreamQueryReply> {
+    if (!(await this.isConfirmed())) return this.leaderHint();
+    const origin = this.originOf(query);
+    const {clock, logger} = this.options;
+    const {confirmedAt, term} = this.group;
+    const confirmationAgeMilliseconds =
+      confirmedAt === undefined
+        ? undefined
+        : Math.round(clock.now() - confirmedAt);
+    const reply = {...origin, term, confirmationAgeMilliseconds};
+    logger.info({...query, ...reply}, 'origin of a stream told');
+    return {kind: 'stream', ...reply};
+  }
+
+  private async isConfirmed(): Promise<boolean> {
+    let isConfirmed = false;
+    const confirmation = this.group.replica.barrier().then(() => {
+      isConfirmed = true;
+    });
+    const {clock} = this.options;
+    await settledWithin(clock, confirmation, confirmationTimeoutMilliseconds);
+    return isConfirmed;
+  }
+
+  private originOf({attempt, service}: StreamQuery): Origin {
     const known =
       attempt === undefined
         ? undefined
@@ -67,14 +102,15 @@
       const isSame = known.service === service;
       const softwareVersion = isSame ? known.softwareVersion : undefined;
       if (softwareVersion === undefined) {
-        this.logger.warn({attempt, service}, 'attempt names several streams');
+        const {logger} = this.options;
+        logger.warn({attempt, service}, 'attempt names several streams');
       }
-      return {kind: 'stream', source: 'record', softwareVersion};
+      return {source: 'record', softwareVersion};
     }
     const versions = this.versionsOf(service);
     const [softwareVersion] = versions;
-    if (versions.size !== 1) return {kind: 'stream', source: 'unknown'};
-    return {kind: 'stream', source: 'history', softwareVersion};
+    if (versions.size !== 1) return {source: 'unknown'};
+    return {source: 'history', softwareVersion};
   }
 
   /** Versions of all servers that may have begun a stream that still lives. */
@@ -82,14 +118,25 @@
     const versions = new Set(
       this.state.retiredVersions(service, streamLifetimeMilliseconds),
     );
-    for (const record of this.directory.records) {
-      // The replicated state may still have the server's record before this one.
-      const recorded = this.state.backendServers.get(record.id) ?? record;
-      for (const server of [record, recorded]) {
-        const isPresent = server.state !== 'left' && server.service === service;
-        if (isPresent) versions.add(softwareVersionOf(server));
-      }
+    const add = (record: BackendServerRecord) => {
+      const isPresent = record.state !== 'left' && record.service === service;
+      if (isPresent) versions.add(softwareVersionOf(record));
+    };
+    for (const record of this.directory.records) add(record);
+    for (const record of this.state.backendServers.values()) {
+      const isForgotten = this.directory.find(record.id) === undefined;
+      if (!isForgotten || !this.hasHeardAll()) add(record);
     }
     return versions;
   }
+
+  /**
+   * Whether this process has led for as long as a stream lives. The directory of
+   * one that was cut off before lacks servers that have served meanwhile.
+   */
+  private hasHeardAll(): boolean {
+    const now = this.options.clock.now();
+    const {leadsSince = now} = this.group;
+    return now - leadsSince >= streamLifetimeMilliseconds;
+  }
 }
