--- a/packages/runtime/src/index.ts
+++ b/packages/runtime/src/index.ts
@@ -93,7 +93,6 @@
   maxOverheadBytes,
   ResponseOverhead,
 } from './responseOverhead.js';
-export {maxMessageBytes} from './readMessage.js';
 export {settledWithin} from './settledWithin.js';
 export {PeriodicTask, type PeriodicTaskOptions} from './periodicTask.js';
 export {registerMemoryGauges} from './processMemory.js';
