fix(runtime): look for an embedded head only behind the start of a status

Text full of 'HTTP/1.' had a line of up to 1 KiB behind each of them searched. The status is looked at first.

--- a/packages/daemon/src/requests/modelClient.ts
+++ b/packages/daemon/src/requests/modelClient.ts
@@ -11,7 +11,7 @@
 import {type Dispatcher} from 'undici';
 
 import {attemptError, toAttemptError} from './attemptError.js';
-import {addressOf, readBody} from './backendHttp.js';
+import {addressOf, bodyOf, readBody} from './backendHttp.js';
 import {discard} from './discard.js';
 
 /** A chunk of a streamed chat response, as the engine sent it. */
@@ -71,7 +71,7 @@
    */
   async complete(call: ModelCall): Promise<Record<string, unknown>> {
     const response = await this.post(call);
-    const text = await readBody(response.body, maximumAnswerBytes);
+    const text = await readBody(this.bodyOf(response), maximumAnswerBytes);
     let answer: Record<string, unknown>;
     try {
       answer = JSON.parse(text) as Record<string, unknown>;
@@ -181,9 +181,10 @@
     }
     this.checkAttemptId(response, call.attemptId);
     if (statusCode !== 200) {
-      const body = await readBody(response.body, maximumAnswerBytes).catch(
-        () => '',
-      );
+      const body = await readBody(
+        this.bodyOf(response),
+        maximumAnswerBytes,
+      ).catch(() => '');
       const isClientError =
         statusCode >= 400 && statusCode < 429 && statusCode !== 408;
       throw attemptError(isClientError ? 'rejected' : 'status', {
@@ -224,6 +225,10 @@
     }
   }
 
+  private bodyOf(response: Dispatcher.ResponseData): AsyncIterable<Buffer> {
+    return bodyOf(response, this.options.onAttemptMismatch);
+  }
+
   private async *readChunks(
     attemptId: string,
     response: Dispatcher.ResponseData,
@@ -237,8 +242,8 @@
     });
     const decoder = new TextDecoder();
     try {
-      for await (const bytes of response.body) {
-        parser.feed(decoder.decode(bytes as Uint8Array, {stream: true}));
+      for await (const bytes of this.bodyOf(response)) {
+        parser.feed(decoder.decode(bytes, {stream: true}));
         for (const data of queue.splice(0)) {
           if (data === '[DONE]') return;
           const chunk = this.parseChunk(data, attemptId);
--- a/packages/runtime/src/embeddedHead.ts
+++ b/packages/runtime/src/embeddedHead.ts
@@ -12,6 +12,11 @@
 
 const statusLine = /^HTTP\/1\.[01] [1-5]\d\d(?: |$)/;
 
+/** Bytes of a status line up to its status. */
+const statusLength = 'HTTP/1.1 200'.length;
+
+const statusStart = /^HTTP\/1\.[01] [1-5]\d\d$/;
+
 const headerLine = /^([\w-]+):\s*(.*)$/;
 
 const lineEnd = '\r\n';
@@ -48,8 +53,11 @@
     return false;
   }
 
-  /** Reads line by line, as most text ends at the first one. */
+  /** Reads line by line, as most text ends before the end of the first one. */
   private examine(bytes: Buffer, start: number): Finding {
+    const status = bytes.toString('latin1', start, start + statusLength);
+    if (status.length < statusLength) return 'open';
+    if (!statusStart.test(status)) return 'text';
     const rawHeaders: string[] = [];
     let position = start;
     for (let lines = 0; lines <= maxHeaderLines; lines++) {
--- a/packages/runtime/tests/embeddedHead.test.ts
+++ b/packages/runtime/tests/embeddedHead.test.ts
@@ -13,6 +13,19 @@
   return pieces.some(piece => finder.push(Buffer.from(piece)));
 }
 
+/** Shortest of some times to look through texts, in milliseconds. */
+function timeOf(texts: string[]): number {
+  const pieces = texts.map(text => Buffer.from(text));
+  const times = Array.from({length: 10}, () => {
+    const startedAt = performance.now();
+    for (const piece of pieces) {
+      new EmbeddedHeadFinder(() => false).push(piece);
+    }
+    return performance.now() - startedAt;
+  });
+  return Math.min(...times);
+}
+
 describe('a second response in a body', () => {
   it.each<[string, string[]]>([
     ['behind it', [`body${head}body`]],
@@ -40,4 +53,12 @@
   ])('is not found in one %s', (_, pieces) => {
     expect(isFound(...pieces)).toBe(false);
   });
+
+  // Guards against bodies full of what may be heads that take a router's processor
+  // time (issue 60): once the bytes in one piece take as long as in eight.
+  it('is sought in time that grows as the body does', () => {
+    const part = `HTTP/1.${'i'.repeat(30)}`.repeat(800);
+    const parts = Array.from({length: 8}, () => part);
+    expect(timeOf([parts.join('')])).toBeLessThan(3 * timeOf(parts));
+  });
 });
