fix(daemon): take no body of an engine that holds another response

What callers saw: the refused prompt of another caller inside an engine's error; a stream that ended as complete before its last chunk, at the '[DONE]' of an earlier stream, both where the response had no length and a second one came on its connection. Services had this mended before.

Change: all bodies of servers are read by bodyOf, which looks for a second head where only the close delimits them.

--- a/packages/daemon/src/requests/serviceClient.ts
+++ b/packages/daemon/src/requests/serviceClient.ts
@@ -4,12 +4,11 @@
  */
 import {type BackendEntry} from '@dogwoodtrestle/routing';
 import {type CallPattern, type StoredAnswer} from '@dogwoodtrestle/schema';
-import {EmbeddedHeadFinder} from '@dogwoodtrestle/runtime';
 import {type Dispatcher} from 'undici';
 
 import {parseReadBack, type ReadBack} from '../util/readBack.js';
 import {attemptError, toAttemptError} from './attemptError.js';
-import {addressOf, readBody} from './backendHttp.js';
+import {addressOf, bodyOf, readBody} from './backendHttp.js';
 import {discard} from './discard.js';
 
 /** A call to a service. */
@@ -92,9 +91,8 @@
         response.headers['content-type'] ?? 'application/octet-stream',
       ),
       body: await readBody(
-        response.body,
+        bodyOf(response, this.options.onAttemptMismatch),
         maximumAnswerBytes,
-        isUnframed(response) ? new EmbeddedHeadFinder(hasAttemptId) : undefined,
       ),
     };
   }
@@ -121,20 +119,6 @@
   }
 }
 
-/** Whether only the close ends the body of a response. */
-function isUnframed({headers}: Dispatcher.ResponseData): boolean {
-  return (
-    headers['content-length'] === undefined &&
-    headers['transfer-encoding'] === undefined
-  );
-}
-
-function hasAttemptId(rawHeaders: string[]): boolean {
-  return rawHeaders.some(
-    (name, index) => index % 2 === 0 && name.toLowerCase() === 'x-attempt-id',
-  );
-}
-
 /** Whether a call matches one of a service's patterns of non-idempotent calls. */
 export function isNonIdempotent(
   patterns: readonly CallPattern[],
--- a/packages/daemon/tests/requests/secondResponses.test.ts
+++ b/packages/daemon/tests/requests/secondResponses.test.ts
@@ -33,32 +33,50 @@
 /** Creates the response of a server to the call of an attempt. */
 type Responder = (id: Id) => {status: string; body: string};
 
-/** Options of a server. */
-interface RepeaterOptions {
-  /** Whether only the close ends a response, which then comes twice at once. */
-  isUnframed?: boolean;
-}
+/** Writes the response to a call, after earlier ones on its connection. */
+type Writer = (
+  socket: Socket,
+  response: {head: string; body: string},
+  earlier: string[],
+) => void;
+
+const withLength = ({head, body}: {head: string; body: string}) =>
+  `${head}content-length: ${body.length}\r\n\r\n${body}`;
+
+/** Answers all calls on a connection as it did the first. */
+const repeatFirst: Writer = (socket, response, earlier) => {
+  earlier.push(withLength(response));
+  socket.write(earlier[0]!);
+};
+
+/** Sends the first response again inside the next one, which has no length. */
+const repeatInside: Writer = (socket, response, earlier) => {
+  const [first] = earlier;
+  earlier.push(withLength(response));
+  if (first === undefined) socket.write(earlier[0]!);
+  else socket.end(`${response.head}\r\n${response.body}${first}`);
+};
+
+/** Sends each response twice, the first time without a length. */
+const repeatBehind: Writer = (socket, response) =>
+  socket.end(`${response.head}\r\n${response.body}${withLength(response)}`);
 
-/** Starts a server that answers all calls on a connection as it did the first. */
+/** Starts a server that sends responses more than once. */
 async function startRepeater(
   respond: Responder,
-  {isUnframed = false}: RepeaterOptions = {},
+  write: Writer,
 ): Promise<BackendEntry> {
   const sockets = new Set<Socket>();
   const listener = createServer(socket => {
     sockets.add(socket);
-    let response: string | undefined;
+    const earlier: string[] = [];
     socket.on('error', () => undefined);
     socket.on('data', data => {
       const call = data.toString();
       const {status, body} = respond(call.includes('first') ? 'first' : 'next');
       const id = /^x-attempt-id: .*\r\n/im.exec(call)?.[0] ?? '';
-      const length = isUnframed ? '' : `content-length: ${body.length}\r\n`;
-      response ??=
-        `HTTP/1.1 ${status}\r\n${id}content-type: application/json\r\n` +
-        `${length}\r\n${body}`;
-      if (isUnframed) socket.end(response + response);
-      else socket.write(response);
+      const head = `HTTP/1.1 ${status}\r\n${id}content-type: application/json\r\n`;
+      write(socket, {head, body}, earlier);
     });
   });
   await new Promise<void>(resolve => listener.listen(0, '127.0.0.1', resolve));
@@ -136,6 +154,8 @@
   completion_tokens: 0,
 });
 
+const streamEnd = 'data: [DONE]\n\n';
+
 const completion: Responder = id => ({
   status: '200 OK',
   body: JSON.stringify({id, of: id}),
@@ -165,7 +185,7 @@
   'of a stream': [
     id => ({
       status: '200 OK',
-      body: `data: ${JSON.stringify({id, of: id})}\n\ndata: [DONE]\n\n`,
+      body: `data: ${JSON.stringify({id, of: id})}\n\n${streamEnd}`,
     }),
     ({models}, backend, id) => collect(models.stream(modelCallOf(backend, id))),
   ],
@@ -190,8 +210,9 @@
 async function callBoth(
   respond: Responder,
   call: (backend: BackendEntry, id: Id) => Promise<unknown>,
+  write = repeatFirst,
 ): Promise<string[]> {
-  const backend = await startRepeater(respond);
+  const backend = await startRepeater(respond, write);
   const learned: string[] = [];
   for (const id of ids) {
     const outcome = await call(backend, id).catch(
@@ -250,14 +271,26 @@
     expect([first, next]).toEqual(['200', '409']);
   });
 
-  // Guards against a body that holds another response behind the service's own
-  // (issue 60).
-  it('is no part of a body that only the close ends', async () => {
-    const backend = await startRepeater(completion, {
-      isUnframed: true,
-    });
-    const {services} = createClients();
-    const call = callService({services}, backend, 'first');
-    await expect(call).rejects.toMatchObject({failure: 'crossed'});
+  // Guards against callers that get a second response as a part of the body of one
+  // without a length, or its end as that of their stream (issue 60).
+  it.each([
+    ['of a service', 'inside the next', repeatInside],
+    ['of a service', 'behind itself', repeatBehind],
+    ['of a model that rejects a request', 'inside the next', repeatInside],
+    ['of a stream', 'inside the next', repeatInside],
+  ] as const)('%s %s is part of no body', async (name, _, write) => {
+    const clients = createClients();
+    const [respond, caller] = cases[name]!;
+    const [, next] = await callBoth(
+      id => {
+        const {status, body} = respond(id);
+        const isCut = id === 'next' && write === repeatInside;
+        return {status, body: isCut ? body.replace(streamEnd, '') : body};
+      },
+      (backend, id) => caller(clients, backend, id),
+      write,
+    );
+    expect(next).toContain('"failure"');
+    expect(next).not.toContain('HTTP/1.');
   });
 });
