fix(edge): count a connection that was ended until its server has closed it

What callers saw, since: at a server that takes as many connections as a router may open, a request on a connection of its own was reset, as the server hadn't yet seen that the one before was closed. It may have run, so it ended with 502 unless it could be repeated.

Cause: the router counted a connection as closed once it had closed its own side, and opened the next at once.

Change: where connections aren't used again, the router ends its side and counts the connection until the server has closed it, or 250 ms.

--- a/packages/edge/src/serverConnections.ts
+++ b/packages/edge/src/serverConnections.ts
@@ -39,6 +39,12 @@
 /** Time by which a connection is closed before a server's idle timeout. */
 const idleMarginMilliseconds = 1_000;
 
+/**
+ * Time within which a server closes a connection that this router has ended. Until
+ * then it counts in what the server accepts.
+ */
+const closeMilliseconds = 250;
+
 const maxAnswerHeaderBytes = 32 * 1024;
 
 /** Error codes of connections that the peer, and not this router, has closed. */
@@ -159,8 +165,10 @@
     connection.socket?.offer();
     const isExcess = this.open > this.limit;
     const isReusable = this.reuse.isAllowed(this.options.clock.now());
-    if (isExcess || !isReusable || isUncertain(connection)) {
+    if (isExcess || isUncertain(connection)) {
       this.drop(connection);
+    } else if (!isReusable) {
+      this.leave(connection);
     } else {
       this.idle.push(connection);
       this.options.onFree?.();
@@ -179,6 +187,17 @@
     this.closeIdle();
   }
 
+  /** Ends a connection, which is open until the server has closed it as well. */
+  private leave(connection: ServerConnection): void {
+    this.halfClose(connection);
+    const drop = () => this.drop(connection);
+    const cancel = this.options.clock.setTimer(closeMilliseconds, drop);
+    connection.client.once('disconnect', () => {
+      cancel();
+      drop();
+    });
+  }
+
   /** Closes a connection whose state is uncertain. */
   drop(connection: ServerConnection): void {
     this.markClosed(connection);
@@ -307,10 +326,10 @@
 
 /** Whether the client closed a connection for bytes that no request waited for. */
 function hasUnsolicitedBytes(
-  {isAwaiting, socket}: ServerConnection,
+  {isAwaiting, isHalfClosed, socket}: ServerConnection,
   error: NodeJS.ErrnoException,
 ): boolean {
-  if (isAwaiting) return false;
+  if (isAwaiting || isHalfClosed) return false;
   // The code is also that of a connection that the peer has ended.
   const isUnexpected =
     error.code === 'UND_ERR_SOCKET' && socket?.readableEnded === false;
--- a/packages/edge/tests/unsolicitedBytes.test.ts
+++ b/packages/edge/tests/unsolicitedBytes.test.ts
@@ -19,6 +19,7 @@
   recordEnd,
   refusalHeader,
   send,
+  server,
   startServer,
   statusLine,
   unsolicited,
@@ -144,6 +145,23 @@
   });
 });
 
+describe('a server that is at the limit of its connections', () => {
+  // Guards against connections that a server resets, as it hasn't seen yet that the
+  // one before was closed (issue 60).
+  it('gets a connection only once it has closed the one before', async () => {
+    const target = await startRepeater('no more than its responses', 1);
+    let excess = 0;
+    server!.maxConnections = 1;
+    server!.on('drop', () => excess++);
+    target.connections.pauseReuse();
+    for (let turn = 0; turn < 60; turn++) {
+      while (target.connections.busy > 0) await sleep(1);
+      await send(target);
+    }
+    expect(excess).toBe(0);
+  });
+});
+
 const refusal =
   'HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n' + `${refusalHeader}: 1\r\n`;
 
