--- a/packages/control/tests/routerEnd.test.ts
+++ b/packages/control/tests/routerEnd.test.ts
@@ -12,6 +12,7 @@
   systemClock,
 } from '@dogwoodtrestle/runtime';
 import {type RouterLife, type UsageGrants} from '@dogwoodtrestle/schema';
+import {freeAddress} from '@dogwoodtrestle/testkit';
 import {afterEach, describe, expect, it} from 'vitest';
 
 import {GrantService} from '../src/grantService.js';
@@ -19,8 +20,8 @@
 
 const workspace = 'desk';
 const prepaid = 100_000;
-const routerAddress = '127.0.0.1:21890';
-const leaderAddress = '127.0.0.1:21891';
+const routerAddress = await freeAddress();
+const leaderAddress = await freeAddress();
 
 /** Time after which a router that doesn't report is checked. */
 const silentMilliseconds = 1_600;
--- a/packages/edge/tests/staleConfiguration.test.ts
+++ b/packages/edge/tests/staleConfiguration.test.ts
@@ -21,15 +21,16 @@
   type WatchReply,
   type WatchRequest,
 } from '@dogwoodtrestle/schema';
+import {freeAddress} from '@dogwoodtrestle/testkit';
 import {afterEach, describe, expect, it} from 'vitest';
 
 import {EdgeNode} from '../src/edgeNode.js';
 import {type WireCodec} from '../src/wireCodec.js';
 import {createConfiguration} from './support/controlGroup.js';
 
-const leaderAddress = '127.0.0.1:21950';
-const callerAddress = '127.0.0.1:21951';
-const peerAddress = '127.0.0.1:21952';
+const leaderAddress = await freeAddress();
+const callerAddress = await freeAddress();
+const peerAddress = await freeAddress();
 const host = 'a.example';
 
 /** Longer than a change of the configuration may take to be in force. */
--- a/packages/edge/tests/stoppingRouter.test.ts
+++ b/packages/edge/tests/stoppingRouter.test.ts
@@ -11,12 +11,14 @@
   type UsageReport,
   type WatchUpdate,
 } from '@dogwoodtrestle/schema';
+import {freeAddress} from '@dogwoodtrestle/testkit';
 import {afterEach, describe, expect, it} from 'vitest';
 
 import {EdgeNode} from '../src/edgeNode.js';
 
-const leaderAddress = '127.0.0.1:21894';
-const routerAddress = '127.0.0.1:21895';
+const leaderAddress = await freeAddress();
+const routerAddress = await freeAddress();
+const callerAddress = await freeAddress();
 
 /** Tokens that the router holds. */
 const granted = 10_000;
@@ -84,7 +86,7 @@
   return EdgeNode.start({
     instance: 'edge-1',
     failureDomain: 'domain-1',
-    callerAddress: '127.0.0.1:21896',
+    callerAddress,
     peerAddress: routerAddress,
     seeds: () => [leaderAddress],
     codec: {
--- a/packages/testkit/src/index.ts
+++ b/packages/testkit/src/index.ts
@@ -34,7 +34,7 @@
   type StandInProcess,
 } from './launcher/cluster.js';
 export {ctl} from './launcher/ctl.js';
-export {freePort, isFree} from './launcher/freePort.js';
+export {freeAddress, freePort, isFree} from './launcher/freePort.js';
 export {
   ManagedProcess,
   type ProcessExit,
--- a/packages/testkit/src/launcher/freePort.ts
+++ b/packages/testkit/src/launcher/freePort.ts
@@ -24,6 +24,12 @@
   }
 }
 
+/** Returns an address of the loopback interface whose port is free. */
+export async function freeAddress(): Promise<string> {
+  const host = '127.0.0.1';
+  return `${host}:${await freePort(host)}`;
+}
+
 /** Whether a server can listen on a port of an address. */
 export async function isFree(host: string, port: number): Promise<boolean> {
   const server = createServer().listen(port, host);
