fix(edge): serve a response without a length on a connection used before

Connections to such a server aren't used again for some time, so few of these responses come behind another. Given up: a late copy without its id, or in part, inside a body without a length is not told from it.

Evidence: endedRouter.test.ts 8 of 8, 'a server that gives a length to every second response' now asks for all 45 (44 before). packages/edge, routerEnd, truncatedResponses and duplicateResponses: 410 passed.

--- a/packages/edge/src/attempt.ts
+++ b/packages/edge/src/attempt.ts
@@ -316,7 +316,7 @@
   }
 
   private receiveHead(status: number, rawHeaders: string[]): void {
-    const {codec, request, server, clock} = this.input;
+    const {codec, server, clock} = this.input;
     server.lastByteAt = clock.now();
     const head = codec.decodeResponse(rawHeaders);
     this.reportSignals(status, head);
@@ -357,15 +357,8 @@
     }
     if (head.isUnframed && !this.endsWithHead(status)) {
       server.connections.pauseReuse();
-      if (this.isReused) {
-        // The second response to an earlier request would be part of its body.
-        const reason = 'response without a length on a reused connection';
-        this.failAndClose({kind: 'unknown', reason});
-        return;
-      }
       this.headFinder = new EmbeddedHeadFinder(
-        headers =>
-          codec.decodeResponse(headers).attemptId === request.attemptId,
+        headers => codec.decodeResponse(headers).attemptId !== undefined,
       );
     }
     this.head = head;
