--- a/packages/edge/src/responseCompletion.ts
+++ b/packages/edge/src/responseCompletion.ts
@@ -22,7 +22,7 @@
   isUnframed: boolean;
   /** The head of the caller's response was written. */
   isCallerStarted: boolean;
-  /** The response to the caller has no length either. */
+  /** The response whose head the caller got had no length. */
   isCallerUnframed: boolean;
 }
 
