feat(edge): tell late connections to servers from unreachable servers

Cause: a refusal for want of a server didn't say what barred each of them, and connections to servers that came late weren't logged at all. So a busy link of the router looked like servers that don't accept.

No logic changes.

--- a/packages/edge/src/requestHandler.ts
+++ b/packages/edge/src/requestHandler.ts
@@ -41,6 +41,7 @@
 import {type LimitDecision} from './serverLimits.js';
 import {type PooledServer} from './serverPool.js';
 import {
+  countServerStates,
   refuseWithoutServer,
   type SelectionCriteria,
   selectServer,
@@ -454,9 +455,10 @@
     this.waits.end();
     this.context.streams.end(this.input, outcome === 'delivered');
     this.onFinished();
+    const {context} = this;
     const {events, firstEventAt} = this.stream;
     const servers = [...this.tried].map(([id, address]) => `${id}@${address}`);
-    recordRequest(this.context, this.input, {
+    recordRequest(context, this.input, {
       outcome,
       status,
       reason,
@@ -467,6 +469,10 @@
       limitDecisions: this.limitDecisions,
       placement: this.placements.at(-1),
       shortage: this.tokens.shortage,
+      serverStates:
+        reason === 'noServer'
+          ? countServerStates(context, this.criteria, context.clock.now())
+          : undefined,
       waitedMilliseconds: this.waits.milliseconds,
       usedTokens,
     });
--- a/packages/edge/src/requestSummary.ts
+++ b/packages/edge/src/requestSummary.ts
@@ -7,7 +7,10 @@
 import {type RoutedRequest} from './routedRequest.js';
 import {type LimitDecision} from './serverLimits.js';
 import {type PooledServer} from './serverPool.js';
-import {type ServerDecision} from './serverSelection.js';
+import {
+  type countServerStates,
+  type ServerDecision,
+} from './serverSelection.js';
 import {type TokenShortage} from './tokenReservation.js';
 
 /** Summary of a finished request. */
@@ -30,6 +33,8 @@
   placement?: ServerDecision;
   /** Set if the request was refused for want of tokens. */
   shortage?: TokenShortage;
+  /** Servers by state; set if the request was refused for want of one. */
+  serverStates?: ReturnType<typeof countServerStates>;
   /** Time for which it waited for room at this router, in milliseconds. */
   waitedMilliseconds: number;
   /** Tokens charged to the workspace's prepaid total. */
@@ -85,6 +90,7 @@
       limits: limitDecisions.length > 0 ? limitDecisions : undefined,
       placement: end.placement && describePlacement(end.placement),
       shortage: end.shortage,
+      serverStates: end.serverStates,
       evacuationRevision: isEvacuated
         ? control.evacuations.revision
         : undefined,
--- a/packages/edge/src/serverConnections.ts
+++ b/packages/edge/src/serverConnections.ts
@@ -13,6 +13,7 @@
 } from '@dogwoodtrestle/runtime';
 import {Client, errors} from 'undici';
 
+import {type ConnectOutcome} from './connectionCounter.js';
 import {ConnectionReuse} from './connectionReuse.js';
 import {type UnsolicitedPlace} from './unsolicitedBytes.js';
 
@@ -25,6 +26,12 @@
   maxConnectTimeoutMilliseconds: number;
   /** Called when a new connection is made. */
   onConnect: () => void;
+  /** Called with the outcome of an attempt to connect, and the time it took. */
+  onConnectEnd?: (
+    address: string,
+    outcome: ConnectOutcome,
+    milliseconds: number,
+  ) => void;
   /** Called when a request no longer uses a connection. */
   onFree?: () => void;
   /** Called when the server sent bytes that no request waited for. */
@@ -264,8 +271,13 @@
     connection: ServerConnection,
     callback: ConnectCallback,
   ): void {
-    const {clock, connectTimeout, maxConnectTimeoutMilliseconds, onConnect} =
-      this.options;
+    const {
+      clock,
+      connectTimeout,
+      maxConnectTimeoutMilliseconds,
+      onConnect,
+      onConnectEnd,
+    } = this.options;
     onConnect();
     const startedAt = clock.now();
     let isLate = false;
@@ -275,8 +287,15 @@
       (...outcome) => {
         cancelTimer();
         const [error, opened] = outcome;
+        const milliseconds = clock.now() - startedAt;
+        const end = isLate ? 'late' : 'inTime';
+        onConnectEnd?.(
+          this.address,
+          error === null ? end : 'missing',
+          milliseconds,
+        );
         if (error === null) {
-          connectTimeout.record(clock.now() - startedAt);
+          connectTimeout.record(milliseconds);
           connection.openedAt = clock.now();
           if (!isLate) this.markEstablished(connection);
         }
--- a/packages/edge/src/serverParts.ts
+++ b/packages/edge/src/serverParts.ts
@@ -5,6 +5,7 @@
 import {type RouterPosition} from '@dogwoodtrestle/fleet';
 
 import {ColdLimits} from './coldLimits.js';
+import {ConnectionCounter} from './connectionCounter.js';
 import {type ConnectionRoom, createConnectionRoom} from './connectionWaits.js';
 import {type ControlPlaneClient} from './controlPlaneClient.js';
 import {type EdgeContext} from './edgeContext.js';
@@ -56,6 +57,14 @@
     maxConnectTimeoutMilliseconds: options.maxConnectTimeoutMilliseconds,
     suspectAfterMilliseconds: options.suspectAfterMilliseconds,
     onConnect: () => openedConnections.add(),
+    connectionCounter: new ConnectionCounter({
+      clock,
+      logger,
+      attempts: metrics.counter(
+        'dogwoodtrestle_server_connection_attempts_total',
+        'Attempts to connect to backend servers, by outcome: in time, late or missing.',
+      ),
+    }),
     unsolicitedBytes: new UnsolicitedBytes({clock, logger, metrics}),
     paces,
     coldTerms: (service, server) => coldLimits.terms(service, server),
--- a/packages/edge/src/serverPool.ts
+++ b/packages/edge/src/serverPool.ts
@@ -23,6 +23,7 @@
 import {type BackendServerRecord} from '@dogwoodtrestle/schema';
 
 import {changeColdPeriod, createServerLimit} from './coldLimits.js';
+import {type ConnectionCounter} from './connectionCounter.js';
 import {KnownDepartures} from './knownDepartures.js';
 import {PooledServer} from './pooledServer.js';
 import {ServerConnections} from './serverConnections.js';
@@ -55,6 +56,8 @@
   suspectAfterMilliseconds: number;
   /** Called when a new connection is made. */
   onConnect: () => void;
+  /** Counts attempts to connect; without it nothing does. */
+  connectionCounter?: ConnectionCounter;
   /** Returns the limit of a cold server; undefined where there is none. */
   coldTerms?: (service: string, server: string) => ColdTerms | undefined;
   /**
@@ -157,6 +160,16 @@
     return this.servers.values();
   }
 
+  /** Returns the servers of a service that may get requests by their state. */
+  eligible(service: string, now: number): PooledServer[] {
+    return [...this.servers.values()].filter(
+      server =>
+        server.record.service === service &&
+        !this.isEvacuated(server) &&
+        isEligible(server, now),
+    );
+  }
+
   /**
    * Returns available servers of a service, without those in `except`. Their
    * limits may still exclude some.
@@ -167,12 +180,9 @@
     maxConnections: (server: PooledServer) => number,
     now: number,
   ): PooledServer[] {
-    return [...this.servers.values()].filter(
+    return this.eligible(service, now).filter(
       server =>
-        server.record.service === service &&
         !except.has(server.record.id) &&
-        !this.isEvacuated(server) &&
-        isEligible(server, now) &&
         server.bar.admits(now) &&
         server.connections.busy < maxConnections(server),
     );
@@ -400,6 +410,7 @@
       clock,
       maxConnectTimeoutMilliseconds,
       onConnect,
+      connectionCounter,
       onFree,
       unsolicitedBytes,
     } = this.options;
@@ -408,6 +419,7 @@
       connectTimeout: this.connectTimeout,
       maxConnectTimeoutMilliseconds,
       onConnect,
+      onConnectEnd: (...end) => connectionCounter?.record(...end),
       onFree: () => onFree?.(record.service),
       onUnsolicited: place => unsolicitedBytes?.record(record, place),
       proof: this.createProof(record),
--- a/packages/edge/src/serverSelection.ts
+++ b/packages/edge/src/serverSelection.ts
@@ -2,6 +2,7 @@
  * @fileoverview Selects the backend server for a request's next attempt.
  */
 import {
+  type BlockReason,
   type Placement,
   placeRequest,
   shortlistServers,
@@ -99,6 +100,35 @@
   return serversRefusal(reason, first, options.random);
 }
 
+/** Why a server gets no request, or that it may get one. */
+type ServerState =
+  BlockReason | 'tried' | 'notReady' | 'noConnection' | 'limited' | 'available';
+
+/** Returns how many servers of a service can't get a request, by reason. */
+export function countServerStates(
+  {pool, connections}: Pick<EdgeContext, 'pool' | 'connections'>,
+  {service, tried}: Pick<SelectionCriteria, 'service' | 'tried'>,
+  now: number,
+): Partial<Record<ServerState, number>> {
+  const limitOf = connections.limitsOf(service);
+  const eligible = new Set(pool.eligible(service, now));
+  const stateOf = (server: PooledServer): ServerState => {
+    if (tried.has(server.id)) return 'tried';
+    if (!eligible.has(server)) return 'notReady';
+    if (!server.bar.admits(now)) return server.bar.reason ?? 'available';
+    if (server.connections.busy >= limitOf(server)) return 'noConnection';
+    return server.limit.admits(now) ? 'available' : 'limited';
+  };
+  const counts: Partial<Record<ServerState, number>> = {};
+  for (const server of pool.all()) {
+    const {record} = server;
+    if (record.service !== service || record.state === 'left') continue;
+    const state = stateOf(server);
+    counts[state] = (counts[state] ?? 0) + 1;
+  }
+  return counts;
+}
+
 /** The parts of a prompt that other requests may share: all but the last. */
 export function sharedParts(generation?: GenerationParameters): PromptPart[] {
   return generation?.parts.slice(0, -1) ?? [];
