test(edge): reproduce requests refused while connections are late

Cause: connections of a router with a busy link take longer than their time limit, and each of them bars its server.

--- a/packages/edge/tests/support/routerContext.ts
+++ b/packages/edge/tests/support/routerContext.ts
@@ -12,10 +12,13 @@
 /** Connections to each server that a router opens then. */
 const unstatedConnections = 4;
 
-/** Creates a router with servers at which nobody listens. */
+/** Creates a router with servers, at which nobody listens unless one has an address. */
 export function createRouterContext(
   options: Pick<EdgeOptions, 'clock' | 'codec'>,
-  servers: Array<Pick<BackendServerRecord, 'id' | 'softwareVersion'>>,
+  servers: Array<
+    Pick<BackendServerRecord, 'id' | 'softwareVersion'> &
+      Partial<Pick<BackendServerRecord, 'address'>>
+  >,
 ) {
   const address = '127.0.0.1:1';
   const {context} = createEdgeParts({
