fix(edge): keep late connections, and don't bar their servers

What callers saw: of the workspace whose callers are at one router most requests are refused for want of a server, though all servers idle.

Cause: the router's own link is busy, so that connections take longer than their time limit of 400 ms. Each of them was given up, thrown away once it was made, and barred its server for a second, until all servers were barred. A limit that learns only from connections that are made grew too late. Class: a delay of one's own that is taken for a fault of the peer.

Change: a connection that isn't made within its limit is late. Its request goes elsewhere; the connection is kept for another request, and the server is passed over while others are reached at once. Only a connection that is never made (2 s), or refused, bars its server. The time after which a connection is given up counts for the limit as well, and connections that are being made follow a limit that has grown.

--- a/packages/edge/src/attempt.ts
+++ b/packages/edge/src/attempt.ts
@@ -15,7 +15,11 @@
 import {errors} from 'undici';
 
 import {type EventCoalescer} from './eventCoalescer.js';
-import {type ServerConnection} from './serverConnections.js';
+import {
+  isRefusedConnection,
+  LateConnectionError,
+  type ServerConnection,
+} from './serverConnections.js';
 import {type PooledServer} from './serverPool.js';
 import {
   type CallerRequest,
@@ -122,9 +126,6 @@
 /** Statuses of responses that end with their head. */
 const bodilessStatuses: ReadonlySet<number> = new Set([204, 304]);
 
-/** Error of a connection to a port on which no process listens. */
-const refusedCode = 'ECONNREFUSED';
-
 /** Statuses of an overloaded server. */
 const overloadStatuses: ReadonlySet<number> = new Set([429, 503]);
 
@@ -471,8 +472,8 @@
       this.failAndClose({kind: 'unknown', reason, endless: 'overhead'});
       return;
     }
-    if (!this.isSent) {
-      const isRefused = (error as NodeJS.ErrnoException).code === refusedCode;
+    if (!this.isSent && !(error instanceof LateConnectionError)) {
+      const isRefused = isRefusedConnection(error);
       this.input.onSignal({kind: 'unreachable', isRefused});
     }
     this.failAndClose(
--- a/packages/edge/src/serverConnections.ts
+++ b/packages/edge/src/serverConnections.ts
@@ -1,6 +1,11 @@
 /**
  * @fileoverview Connections to one backend server. A connection carries one
  * request at a time and is closed unless its state is certain.
+ *
+ * A connection that isn't made within its time limit is late: its request goes
+ * elsewhere, and the connection is for another request if it is made after all.
+ * Only one that is never made shows that the server is unreachable, as the link of
+ * this router may be busy.
  */
 import {type ProcessProof} from '@dogwoodtrestle/fleet';
 import {
@@ -36,6 +41,8 @@
   onFree?: () => void;
   /** Called when the server sent bytes that no request waited for. */
   onUnsolicited?: (place: UnsolicitedPlace) => void;
+  /** Called when a late connection has failed. */
+  onUnreachable?: (error: Error) => void;
   /** Which connections lead to the known process; without it all do. */
   proof?: ProcessProof;
 }
@@ -46,6 +53,12 @@
 /** Time by which a connection is closed before a server's idle timeout. */
 const idleMarginMilliseconds = 1_000;
 
+/** Interval at which a connection follows a timeout that has grown. */
+const timeoutPollMilliseconds = 100;
+
+/** Time for which a late connection is kept for a request. */
+const maxUnusedMilliseconds = 1_000;
+
 /**
  * Time within which a server closes a connection that this router has ended. Until
  * then it counts in what the server accepts.
@@ -61,6 +74,18 @@
   'EPIPE',
 ]);
 
+/** Whether an error says that no process listens at the address. */
+export function isRefusedConnection(error: NodeJS.ErrnoException): boolean {
+  return error.code === 'ECONNREFUSED';
+}
+
+/** A connection was not made within its time limit, and may be made yet. */
+export class LateConnectionError extends Error {
+  constructor() {
+    super('connection attempt timed out');
+  }
+}
+
 /** One connection to a server. */
 export interface ServerConnection {
   client: Client;
@@ -82,6 +107,10 @@
   isAwaiting: boolean;
   /** Requests that it was acquired for. */
   requests: number;
+  /** Whether its request no longer waits for it to be made. */
+  isLate: boolean;
+  /** A socket that was made late, until a request uses it. */
+  unused?: PausableSocket;
 }
 
 /** Pool of the connections to one server. */
@@ -90,6 +119,8 @@
   open = 0;
   /** Connections that are open. */
   established = 0;
+  /** Late connections that are being made. */
+  private late = 0;
   private readonly idle: ServerConnection[] = [];
   /** Connections that are open, and when the peer accepted them. */
   private readonly openedTimes = new Map<ServerConnection, number>();
@@ -107,6 +138,11 @@
     return this.open - this.idle.length;
   }
 
+  /** Whether a request would probably have to wait for a connection. */
+  get isLate(): boolean {
+    return this.late > 0 && this.idle.length === 0;
+  }
+
   /** Limits the open connections; closes idle ones above it, the oldest first. */
   setLimit(limit: number): void {
     this.limit = limit;
@@ -205,9 +241,11 @@
     });
   }
 
-  /** Closes a connection whose state is uncertain. */
+  /** Closes a connection whose state is uncertain, unless it is late. */
   drop(connection: ServerConnection): void {
+    if (connection.isLate) return;
     this.markClosed(connection);
+    connection.unused?.destroy();
     void connection.client.destroy().catch(() => undefined);
   }
 
@@ -253,6 +291,7 @@
       openedAt: Infinity,
       isAwaiting: false,
       requests: 0,
+      isLate: false,
     };
     connection.client.on('disconnect', (...[, , error]) => {
       const {code} = error;
@@ -278,9 +317,14 @@
       onConnect,
       onConnectEnd,
     } = this.options;
+    const {unused} = connection;
+    connection.unused = undefined;
+    if (unused?.destroyed === false) {
+      queueMicrotask(() => callback(null, unused));
+      return;
+    }
     onConnect();
     const startedAt = clock.now();
-    let isLate = false;
     const socket = openSocket(
       this.address,
       {timeoutMilliseconds: maxConnectTimeoutMilliseconds},
@@ -288,7 +332,7 @@
         cancelTimer();
         const [error, opened] = outcome;
         const milliseconds = clock.now() - startedAt;
-        const end = isLate ? 'late' : 'inTime';
+        const end = connection.isLate ? 'late' : 'inTime';
         onConnectEnd?.(
           this.address,
           error === null ? end : 'missing',
@@ -297,16 +341,30 @@
         if (error === null) {
           connectTimeout.record(milliseconds);
           connection.openedAt = clock.now();
-          if (!isLate) this.markEstablished(connection);
         }
-        if (isLate) opened?.destroy();
-        else callback(...outcome);
+        if (connection.isLate) this.receiveLate(connection, error, opened);
+        else {
+          if (error === null) this.markEstablished(connection);
+          callback(...outcome);
+        }
       },
     );
-    const cancelTimer = clock.setTimer(connectTimeout.milliseconds, () => {
-      isLate = true;
-      callback(new Error('connection attempt timed out'), null);
-    });
+    const giveUp = () => {
+      const age = clock.now() - startedAt;
+      const rest = connectTimeout.milliseconds - age;
+      // Others that were late may have shown meanwhile that the link is busy.
+      if (rest >= 1) {
+        const milliseconds = Math.min(rest, timeoutPollMilliseconds);
+        cancelTimer = clock.setTimer(milliseconds, giveUp);
+        return;
+      }
+      // The least that it takes; without it, the timeout grows too late.
+      connectTimeout.record(age);
+      connection.isLate = true;
+      this.late++;
+      callback(new LateConnectionError(), null);
+    };
+    let cancelTimer = clock.setTimer(connectTimeout.milliseconds, giveUp);
     socket.limitOverhead(new ResponseOverhead());
     connection.socket = socket;
     connection.wasReset = false;
@@ -317,6 +375,35 @@
     });
   }
 
+  /** Keeps a late connection for another request, or ends one that failed. */
+  private receiveLate(
+    connection: ServerConnection,
+    error: Error | null,
+    socket: PausableSocket | null,
+  ): void {
+    const {clock, onUnreachable, onFree} = this.options;
+    connection.isLate = false;
+    this.late--;
+    if (error !== null || socket === null) {
+      this.drop(connection);
+      if (error !== null) onUnreachable?.(error);
+      return;
+    }
+    connection.unused = socket;
+    this.markEstablished(connection);
+    const dropUnused = () => {
+      if (connection.unused === socket) this.drop(connection);
+    };
+    socket.once('close', dropUnused);
+    clock.setTimer(maxUnusedMilliseconds, dropUnused);
+    if (this.open > this.limit) {
+      this.drop(connection);
+      return;
+    }
+    this.idle.push(connection);
+    onFree?.();
+  }
+
   private markEstablished(connection: ServerConnection): void {
     if (connection.isClosed) return;
     this.openedTimes.set(connection, connection.openedAt);
--- a/packages/edge/src/serverPool.ts
+++ b/packages/edge/src/serverPool.ts
@@ -26,7 +26,7 @@
 import {type ConnectionCounter} from './connectionCounter.js';
 import {KnownDepartures} from './knownDepartures.js';
 import {PooledServer} from './pooledServer.js';
-import {ServerConnections} from './serverConnections.js';
+import {isRefusedConnection, ServerConnections} from './serverConnections.js';
 import {type ServerPaces} from './serverPaces.js';
 import {type UnsolicitedBytes} from './unsolicitedBytes.js';
 
@@ -257,7 +257,7 @@
   addSignal(
     server: PooledServer,
     attempt: object,
-    request: string,
+    request: string | undefined,
     signal: ServerSignal,
     now: number,
   ): void {
@@ -295,9 +295,14 @@
     );
   }
 
-  /** Returns the servers that their pace lets have a request, or all. */
+  /**
+   * Returns the servers that their pace lets have a request, or all; without
+   * those to which connections are late, if there are others.
+   */
   prefer(servers: PooledServer[]): PooledServer[] {
-    return this.options.paces?.prefer(servers) ?? servers;
+    const prompt = servers.filter(({connections}) => !connections.isLate);
+    const preferred = prompt.length > 0 ? prompt : servers;
+    return this.options.paces?.prefer(preferred) ?? preferred;
   }
 
   /** Whether a server is silent, or was ejected for its failures. */
@@ -422,6 +427,11 @@
       onConnectEnd: (...end) => connectionCounter?.record(...end),
       onFree: () => onFree?.(record.service),
       onUnsolicited: place => unsolicitedBytes?.record(record, place),
+      onUnreachable: error => {
+        const isRefused = isRefusedConnection(error);
+        const signal = {kind: 'unreachable', isRefused} as const;
+        this.addSignal(server, connections, undefined, signal, clock.now());
+      },
       proof: this.createProof(record),
     });
     const isUnproven = (now: number) => connections.isUnproven(now);
--- a/packages/edge/tests/lateConnections.test.ts
+++ b/packages/edge/tests/lateConnections.test.ts
@@ -6,6 +6,7 @@
 import {type AddressInfo} from 'node:net';
 import {setTimeout as sleep} from 'node:timers/promises';
 
+import type * as runtime from '@dogwoodtrestle/runtime';
 import {type ConnectCallback, systemClock} from '@dogwoodtrestle/runtime';
 import {type FleetRoute} from '@dogwoodtrestle/schema';
 import {afterEach, describe, expect, it, vi} from 'vitest';
@@ -21,8 +22,7 @@
 let linkDelay: (address: string) => number = () => 0;
 
 vi.mock('@dogwoodtrestle/runtime', async importOriginal => {
-  const actual =
-    await importOriginal<typeof import('@dogwoodtrestle/runtime')>();
+  const actual = await importOriginal<typeof runtime>();
   const openSocket: typeof actual.openSocket = (address, options, callback) => {
     const delayMilliseconds = linkDelay(address);
     const end: ConnectCallback = (...outcome) => {
