fix(edge): send callers elsewhere while no server is reached

Cause: a router said that it is ready whatever it reached, left refused callers' connections open, and learned anew with each request that no server answers. Class: a member that can't serve and still advertises itself.

Change: ServerReach probes a few servers by connections once all are silent while requests are open, or once connections to several have failed and none was made. If all probes fail, the router isn't ready, refuses at once (serversUnreached, to be repeated elsewhere), closes its callers' connections, and after the balancer's two checks the idle ones as well; it probes until a server is reached again.

Why it works: of a failure domain of which no router is ready, callers go to the nearest ones, and a closed connection is opened elsewhere.

--- a/packages/edge/src/edgeContext.ts
+++ b/packages/edge/src/edgeContext.ts
@@ -25,6 +25,7 @@
 import {type ServerLimits} from './serverLimits.js';
 import {type ServerPaces} from './serverPaces.js';
 import {type ServerPool} from './serverPool.js';
+import {type ServerReach} from './serverReach.js';
 import {type ServerSpeeds} from './serverSpeeds.js';
 import {type StreamOrigins} from './streamOrigins.js';
 
@@ -39,6 +40,7 @@
   pool: ServerPool;
   paces: ServerPaces;
   limits: ServerLimits;
+  reach: ServerReach;
   connections: ConnectionShares;
   connectionWaits: ConnectionWaits;
   speeds: ServerSpeeds;
--- a/packages/edge/src/edgeNode.ts
+++ b/packages/edge/src/edgeNode.ts
@@ -48,6 +48,12 @@
 /** Pause between the last reports of a router, until one is recorded. */
 const finalReportIntervalMilliseconds = 100;
 
+/** Interval at which callers of a router that reaches no server are sent away. */
+const idleCallerIntervalMilliseconds = 500;
+
+/** Time in which a load balancer notices, by two checks, that it isn't ready. */
+const rotationMilliseconds = 2_000;
+
 /** Monotonic times of a stop in which no new connections are accepted. */
 interface StopEnd {
   /** From then on no request is taken. */
@@ -71,6 +77,7 @@
   private readonly pipeline = new RequestPipeline();
   private readonly callerLimits: CallerLimits;
   private isStopping = false;
+  private cancelIdleCallers?: () => void;
   /** When the stop ends; set once new connections are no longer accepted. */
   private stopEnd?: StopEnd;
 
@@ -105,6 +112,8 @@
     await node.listen();
     await node.listener.listen();
     node.context.control.start();
+    node.context.reach.start();
+    node.closeIdleCallers();
     return node;
   }
 
@@ -115,8 +124,8 @@
 
   /** Whether a load balancer should send new connections here. */
   get isReady(): boolean {
-    const {admission, control, grants} = this.context;
-    const isServing = !this.isStopping && !grants.isOver;
+    const {admission, control, grants, reach} = this.context;
+    const isServing = !this.isStopping && !grants.isOver && !reach.isLost;
     return isServing && !admission.isOverloaded && control.routes !== undefined;
   }
 
@@ -125,7 +134,7 @@
    * within the drain time, and returns unused tokens.
    */
   async stop(): Promise<void> {
-    const {clock, logger, control, loans, pool} = this.context;
+    const {clock, logger, control, loans, pool, reach} = this.context;
     const {lingerMilliseconds, drainMilliseconds} = this.options;
     const startedAt = clock.now();
     this.isStopping = true;
@@ -159,6 +168,8 @@
       await control.report();
     }
     control.stop();
+    reach.stop();
+    this.cancelIdleCallers?.();
     pool.close();
     this.server.closeAllConnections();
     await this.listener.close();
@@ -172,6 +183,21 @@
     return grants.hasUnreported && !grants.isOver;
   }
 
+  /**
+   * Closes the open connections of callers while no server is reached, so that they
+   * connect to other routers before their next request.
+   */
+  private closeIdleCallers(): void {
+    const {clock, reach} = this.context;
+    if (reach.lostMilliseconds >= rotationMilliseconds) {
+      this.server.closeIdleConnections();
+    }
+    this.cancelIdleCallers = clock.setTimer(
+      idleCallerIntervalMilliseconds,
+      () => this.closeIdleCallers(),
+    );
+  }
+
   private async listen(): Promise<void> {
     const [host = '', port = '0'] = this.options.callerAddress.split(':');
     await new Promise<void>((resolve, reject) => {
@@ -196,7 +222,7 @@
     const exchange = new CallerExchange(
       message,
       response,
-      () => this.isStopping,
+      () => this.isStopping || this.context.reach.isLost,
       account,
     );
     const {control} = this.context;
--- a/packages/edge/src/refusal.ts
+++ b/packages/edge/src/refusal.ts
@@ -21,6 +21,7 @@
   | 'routerBusy'
   | 'routerStopping'
   | 'noServer'
+  | 'serversUnreached'
   | 'serversRefused'
   | 'serversBusy'
   | 'serversLimited'
@@ -106,6 +107,13 @@
     message: 'No server can take the request now; it has not run.',
     retryAfterSeconds: 0.5,
   },
+  serversUnreached: {
+    status: 503,
+    message: 'This router reaches no server now; the request has not run.',
+    // One round trip: the retry is likely to reach another router.
+    retryAfterSeconds: 0.1,
+    endsConnection: true,
+  },
   serversRefused: {
     status: 503,
     message: 'The servers are full; the request has not run.',
--- a/packages/edge/src/requestHandler.ts
+++ b/packages/edge/src/requestHandler.ts
@@ -13,7 +13,11 @@
 } from './attemptProgress.js';
 import {type CallerExchange} from './callerExchange.js';
 import {type EdgeContext} from './edgeContext.js';
-import {blockedReason, type RefusalReason} from './refusal.js';
+import {
+  blockedReason,
+  type RefusalReason,
+  type TimedRefusal,
+} from './refusal.js';
 import {RelayedStream} from './relayedStream.js';
 import {RequestGuard} from './requestGuard.js';
 import {
@@ -115,6 +119,10 @@
     );
     this.cancelTimers.push(timer);
     if (this.refuseIfBlocked()) return;
+    if (this.context.reach.isMute) {
+      this.refuse('serversUnreached');
+      return;
+    }
     if (this.terms.isStream && !this.exchange.readsChunks) {
       this.refuse('versionUnsupported');
       return;
@@ -150,8 +158,7 @@
       onServer: (server, at) => {
         if (!this.endIfUnsendable()) this.sendTo(server, at);
       },
-      onNone: ({reason, retryAfterSeconds}) =>
-        this.fail(reason, retryAfterSeconds),
+      onNone: refusal => this.failWithout(refusal),
       onFailed: () => this.abort(),
     });
   }
@@ -386,8 +393,12 @@
   /** Fails as no server accepts the request, with the time until one may. */
   private failWithoutServer(reason: RefusalReason, now: number): void {
     const request = {...this.criteria, reason};
-    const refusal = refuseWithoutServer(this.context, request, now);
-    this.fail(refusal.reason, refusal.retryAfterSeconds);
+    this.failWithout(refuseWithoutServer(this.context, request, now));
+  }
+
+  private failWithout({reason, retryAfterSeconds}: TimedRefusal): void {
+    if (this.context.reach.isLost) this.fail('serversUnreached');
+    else this.fail(reason, retryAfterSeconds);
   }
 
   private refuse(reason: RefusalReason, retryAfterSeconds?: number): void {
--- a/packages/edge/src/serverParts.ts
+++ b/packages/edge/src/serverParts.ts
@@ -3,6 +3,7 @@
  * limits, and the connections, the speed and the pace of each.
  */
 import {type RouterPosition} from '@dogwoodtrestle/fleet';
+import {openSocket} from '@dogwoodtrestle/runtime';
 
 import {ColdLimits} from './coldLimits.js';
 import {ConnectionCounter} from './connectionCounter.js';
@@ -14,6 +15,7 @@
 import {ServerLimits} from './serverLimits.js';
 import {ServerPaces} from './serverPaces.js';
 import {ServerPool} from './serverPool.js';
+import {ServerReach} from './serverReach.js';
 import {ServerSpeeds} from './serverSpeeds.js';
 import {UnsolicitedBytes} from './unsolicitedBytes.js';
 import {type WatchTopic} from './watchTopic.js';
@@ -22,7 +24,7 @@
 export interface ServerParts
   extends
     ConnectionRoom,
-    Pick<EdgeContext, 'pool' | 'paces' | 'limits' | 'speeds'> {
+    Pick<EdgeContext, 'pool' | 'paces' | 'limits' | 'reach' | 'speeds'> {
   /** Subjects of the watch call that concern the servers. */
   topics: readonly WatchTopic[];
 }
@@ -49,6 +51,14 @@
     routers: control().routers,
     routerCount: routerCount(),
   });
+  const connectionCounter = new ConnectionCounter({
+    clock,
+    logger,
+    attempts: metrics.counter(
+      'dogwoodtrestle_server_connection_attempts_total',
+      'Attempts to connect to backend servers, by outcome: in time, late or missing.',
+    ),
+  });
   const paces = new ServerPaces({...options, routerCount});
   const pool = new ServerPool({
     logger,
@@ -57,14 +67,10 @@
     maxConnectTimeoutMilliseconds: options.maxConnectTimeoutMilliseconds,
     suspectAfterMilliseconds: options.suspectAfterMilliseconds,
     onConnect: () => openedConnections.add(),
-    connectionCounter: new ConnectionCounter({
-      clock,
-      logger,
-      attempts: metrics.counter(
-        'dogwoodtrestle_server_connection_attempts_total',
-        'Attempts to connect to backend servers, by outcome: in time, late or missing.',
-      ),
-    }),
+    onConnectEnd: (address, outcome, milliseconds) => {
+      connectionCounter.record(address, outcome, milliseconds);
+      reach.recordConnection(address, outcome);
+    },
     unsolicitedBytes: new UnsolicitedBytes({clock, logger, metrics}),
     paces,
     coldTerms: (service, server) => coldLimits.terms(service, server),
@@ -75,6 +81,13 @@
     },
     onFree: service => room.connectionWaits.dispatchSoon(service),
   });
+  const reach = new ServerReach({
+    clock,
+    logger,
+    random: options.random,
+    servers: () => pool.allEligible(clock.now()),
+    probe: probeConnection,
+  });
   const limits = new ServerLimits({
     logger,
     metrics,
@@ -102,5 +115,19 @@
   });
   const speeds = new ServerSpeeds({logger, metrics, clock, pool});
   const topics = [limits, coldLimits, room.connections, speeds];
-  return {...room, pool, paces, limits, speeds, topics};
+  return {...room, pool, paces, limits, reach, speeds, topics};
+}
+
+/** Time within which a probe must be connected; below the balancer's interval. */
+const probeMilliseconds = 750;
+
+/** Resolves with whether a connection to an address could be made. */
+function probeConnection(address: string): Promise<boolean> {
+  return new Promise(resolve => {
+    const options = {timeoutMilliseconds: probeMilliseconds};
+    openSocket(address, options, (error, socket) => {
+      socket?.destroy();
+      resolve(error === null);
+    });
+  });
 }
--- a/packages/edge/src/serverPool.ts
+++ b/packages/edge/src/serverPool.ts
@@ -23,10 +23,13 @@
 import {type BackendServerRecord} from '@dogwoodtrestle/schema';
 
 import {changeColdPeriod, createServerLimit} from './coldLimits.js';
-import {type ConnectionCounter} from './connectionCounter.js';
 import {KnownDepartures} from './knownDepartures.js';
 import {PooledServer} from './pooledServer.js';
-import {isRefusedConnection, ServerConnections} from './serverConnections.js';
+import {
+  isRefusedConnection,
+  ServerConnections,
+  type ServerConnectionsOptions,
+} from './serverConnections.js';
 import {type ServerPaces} from './serverPaces.js';
 import {type UnsolicitedBytes} from './unsolicitedBytes.js';
 
@@ -56,8 +59,8 @@
   suspectAfterMilliseconds: number;
   /** Called when a new connection is made. */
   onConnect: () => void;
-  /** Counts attempts to connect; without it nothing does. */
-  connectionCounter?: ConnectionCounter;
+  /** Called with the outcome of an attempt to connect, and the time it took. */
+  onConnectEnd?: ServerConnectionsOptions['onConnectEnd'];
   /** Returns the limit of a cold server; undefined where there is none. */
   coldTerms?: (service: string, server: string) => ColdTerms | undefined;
   /**
@@ -162,11 +165,15 @@
 
   /** Returns the servers of a service that may get requests by their state. */
   eligible(service: string, now: number): PooledServer[] {
+    return this.allEligible(now).filter(
+      ({record}) => record.service === service,
+    );
+  }
+
+  /** Returns the servers of all services that may get requests by their state. */
+  allEligible(now: number): PooledServer[] {
     return [...this.servers.values()].filter(
-      server =>
-        server.record.service === service &&
-        !this.isEvacuated(server) &&
-        isEligible(server, now),
+      server => !this.isEvacuated(server) && isEligible(server, now),
     );
   }
 
@@ -415,7 +422,7 @@
       clock,
       maxConnectTimeoutMilliseconds,
       onConnect,
-      connectionCounter,
+      onConnectEnd,
       onFree,
       unsolicitedBytes,
     } = this.options;
@@ -424,7 +431,7 @@
       connectTimeout: this.connectTimeout,
       maxConnectTimeoutMilliseconds,
       onConnect,
-      onConnectEnd: (...end) => connectionCounter?.record(...end),
+      onConnectEnd,
       onFree: () => onFree?.(record.service),
       onUnsolicited: place => unsolicitedBytes?.record(record, place),
       onUnreachable: error => {
--- a/packages/edge/tests/serverReach.test.ts
+++ b/packages/edge/tests/serverReach.test.ts
@@ -56,7 +56,8 @@
   it.each(Object.entries(partitions))(
     'serves callers or sends them elsewhere at once: %s',
     async (_, cut) => {
-      const {sendAll} = await startRouter();
+      const {sendAll, context} = await startRouter();
+      context.reach.start();
       expect(failuresOf(await sendAll(30, 20))).toEqual([]);
       cut();
       const before = sendAll(detectMilliseconds / 50, 50);
@@ -69,6 +70,7 @@
       link.isMute = false;
       await sleep(detectMilliseconds);
       expect(failuresOf(await sendAll(20, 20))).toEqual([]);
+      context.reach.stop();
     },
     15_000,
   );
