--- a/packages/edge/src/serverConnections.ts
+++ b/packages/edge/src/serverConnections.ts
@@ -138,8 +138,8 @@
     return this.open - this.idle.length;
   }
 
-  /** Whether a request would probably have to wait for a connection. */
-  get isLate(): boolean {
+  /** Whether connections are late, and none is there for a request. */
+  get hasOnlyLate(): boolean {
     return this.late > 0 && this.idle.length === 0;
   }
 
--- a/packages/edge/src/serverParts.ts
+++ b/packages/edge/src/serverParts.ts
@@ -3,7 +3,6 @@
  * limits, and the connections, the speed and the pace of each.
  */
 import {type RouterPosition} from '@dogwoodtrestle/fleet';
-import {openSocket} from '@dogwoodtrestle/runtime';
 
 import {ColdLimits} from './coldLimits.js';
 import {ConnectionCounter} from './connectionCounter.js';
@@ -15,7 +14,7 @@
 import {ServerLimits} from './serverLimits.js';
 import {ServerPaces} from './serverPaces.js';
 import {ServerPool} from './serverPool.js';
-import {ServerReach} from './serverReach.js';
+import {probeConnection, ServerReach} from './serverReach.js';
 import {ServerSpeeds} from './serverSpeeds.js';
 import {UnsolicitedBytes} from './unsolicitedBytes.js';
 import {type WatchTopic} from './watchTopic.js';
@@ -117,17 +116,3 @@
   const topics = [limits, coldLimits, room.connections, speeds];
   return {...room, pool, paces, limits, reach, speeds, topics};
 }
-
-/** Time within which a probe must be connected; below the balancer's interval. */
-const probeMilliseconds = 750;
-
-/** Resolves with whether a connection to an address could be made. */
-function probeConnection(address: string): Promise<boolean> {
-  return new Promise(resolve => {
-    const options = {timeoutMilliseconds: probeMilliseconds};
-    openSocket(address, options, (error, socket) => {
-      socket?.destroy();
-      resolve(error === null);
-    });
-  });
-}
--- a/packages/edge/src/serverPool.ts
+++ b/packages/edge/src/serverPool.ts
@@ -307,7 +307,7 @@
    * those to which connections are late, if there are others.
    */
   prefer(servers: PooledServer[]): PooledServer[] {
-    const prompt = servers.filter(({connections}) => !connections.isLate);
+    const prompt = servers.filter(({connections}) => !connections.hasOnlyLate);
     const preferred = prompt.length > 0 ? prompt : servers;
     return this.options.paces?.prefer(preferred) ?? preferred;
   }
--- a/packages/edge/src/serverReach.ts
+++ b/packages/edge/src/serverReach.ts
@@ -7,7 +7,7 @@
  * while requests are open, or once connections to several servers have failed and
  * none was made since. It reaches none if all probes fail.
  */
-import {type Clock, type Logger} from '@dogwoodtrestle/runtime';
+import {type Clock, type Logger, openSocket} from '@dogwoodtrestle/runtime';
 
 import {type ConnectOutcome} from './connectionCounter.js';
 import {type PooledServer} from './pooledServer.js';
@@ -27,6 +27,9 @@
 /** Servers probed at a time. */
 const probedServers = 3;
 
+/** Time within which a probe must be connected. */
+const probeMilliseconds = 750;
+
 /** Options of the reach. */
 export interface ServerReachOptions {
   clock: Clock;
@@ -66,6 +69,7 @@
     return lostAt === undefined ? 0 : options.clock.now() - lostAt;
   }
 
+  /** Starts to check the state at an interval. */
   start(): void {
     const {clock} = this.options;
     this.cancelCheck = clock.setTimer(checkMilliseconds, () => {
@@ -98,7 +102,7 @@
       ...eligible.map(server => server.lastByteAt),
     );
     const waiting = eligible.filter(
-      server => server.openRequests > 0 || server.connections.isLate,
+      server => server.openRequests > 0 || server.connections.hasOnlyLate,
     );
     const isSilent = now - lastByteAt >= silenceMilliseconds;
     this.isSilent = isSilent && (waiting.length > 0 || this.isSilent);
@@ -149,3 +153,14 @@
     logger.warn({probed, isSilent}, 'no backend server is reached');
   }
 }
+
+/** Resolves with whether a connection to an address could be made in time. */
+export function probeConnection(address: string): Promise<boolean> {
+  return new Promise(resolve => {
+    const options = {timeoutMilliseconds: probeMilliseconds};
+    openSocket(address, options, (error, socket) => {
+      socket?.destroy();
+      resolve(error === null);
+    });
+  });
+}
--- a/packages/edge/tests/serverReach.test.ts
+++ b/packages/edge/tests/serverReach.test.ts
@@ -75,3 +75,19 @@
     15_000,
   );
 });
+
+// Guards against a router that sends its callers away as its servers are slow.
+describe('a router whose servers are silent', () => {
+  it('stays ready while connections are made', async () => {
+    const {sendAll, context} = await startRouter();
+    context.reach.start();
+    link.isMute = true;
+    const sent = sendAll(20, 50);
+    for (let check = 0; check < 10; check++) {
+      await sleep(200);
+      expect(context.reach.isLost).toBe(false);
+    }
+    await sent;
+    context.reach.stop();
+  }, 15_000);
+});
