fix(edge): ask a lender even if none replied in time

What callers saw: at a router with a busy link requests are refused for want of tokens, though holders have them.

Cause: a lender that doesn't reply within 80 ms isn't asked for 1.5 s. On a busy link each reply is late, so soon nobody was asked.

Change: where no lender is left, one of them is asked; a late reply counts, and the request waits for it.

The new test in loans.test.ts failed before (the second loan isn't given) and passes; loans and busyLinks tests pass.

--- a/packages/edge/src/loans.ts
+++ b/packages/edge/src/loans.ts
@@ -235,14 +235,16 @@
       : [];
     // A random first holder, so that no holder is exhausted before others.
     const first = Math.floor(random() * holders.length);
-    return [
+    const lenders = [
       ...rotated(holders, first),
       ...others.slice(0, maxNonHolders),
-    ].filter(
-      router =>
-        router !== peerAddress &&
-        (this.unansweredUntil.get(router) ?? -Infinity) <= now,
+    ].filter(router => router !== peerAddress);
+    const prompt = lenders.filter(
+      router => (this.unansweredUntil.get(router) ?? -Infinity) <= now,
     );
+    // If no reply is in time, the link of this router may be busy, and late
+    // replies count.
+    return prompt.length > 0 ? prompt : lenders.slice(0, 1);
   }
 
   /** Asks one router; returns the number of tokens received, 0 if it is late. */
--- a/packages/edge/tests/loans.test.ts
+++ b/packages/edge/tests/loans.test.ts
@@ -95,6 +95,22 @@
     expect(fleet.summary()).toMatchObject({used: 70_000, underWay: 0});
   });
 
+  // Guards against requests that are refused at a router with a busy link: no
+  // lender's reply is in time there, so none was asked any more (issue 63).
+  it('are asked for though no lender has replied in time', async () => {
+    const fleet = new MemoryFleet(3, prepaid);
+    const [borrower, ...lenders] = fleet.routers as [
+      MemoryRouter,
+      ...MemoryRouter[],
+    ];
+    fleet.isLeaderReachable = true;
+    for (const lender of lenders) fleet.fund(lender, 20_000);
+    fleet.delivery = 'replyLost';
+    expect(await fleet.borrow(borrower, 5_000)).toBe(false);
+    fleet.delivery = 'delivered';
+    expect(await fleet.borrow(borrower, 5_000)).toBe(true);
+  });
+
   it('are collected later, whichever messages are lost', async () => {
     const step = fc.record({
       router: fc.nat(2),
