fix(edge): tell per service whether servers are reached

What callers saw: a router that reaches no server of one service holds that service's requests for 2 to 3 s, as it reaches another service's.

Cause: ServerReach knew one state for all services, and a lost service's requests still tried connections that are never made.

Change: one state for each service with two servers or more; where it is lost only servers that have just sent a byte get requests, the others are refused with serversUnreached. The router isn't ready while all services are lost; a lost one has the others probed, which may have no requests.

--- a/packages/edge/src/refusal.ts
+++ b/packages/edge/src/refusal.ts
@@ -109,7 +109,8 @@
   },
   serversUnreached: {
     status: 503,
-    message: 'This router reaches no server now; the request has not run.',
+    message:
+      'This router reaches no server of the service now; the request has not run.',
     // One round trip: the retry is likely to reach another router.
     retryAfterSeconds: 0.1,
     endsConnection: true,
--- a/packages/edge/src/requestHandler.ts
+++ b/packages/edge/src/requestHandler.ts
@@ -119,7 +119,7 @@
     );
     this.cancelTimers.push(timer);
     if (this.refuseIfBlocked()) return;
-    if (this.context.reach.isMute) {
+    if (this.context.reach.isMuteTo(this.input.service)) {
       this.refuse('serversUnreached');
       return;
     }
@@ -397,7 +397,8 @@
   }
 
   private failWithout({reason, retryAfterSeconds}: TimedRefusal): void {
-    if (this.context.reach.isLost) this.fail('serversUnreached');
+    const {reach} = this.context;
+    if (reach.isLostTo(this.input.service)) this.fail('serversUnreached');
     else this.fail(reason, retryAfterSeconds);
   }
 
--- a/packages/edge/src/requestWaits.ts
+++ b/packages/edge/src/requestWaits.ts
@@ -34,6 +34,7 @@
   | 'limits'
   | 'options'
   | 'pool'
+  | 'reach'
   | 'routes'
   | 'speeds'
 >;
--- a/packages/edge/src/serverParts.ts
+++ b/packages/edge/src/serverParts.ts
@@ -66,9 +66,9 @@
     maxConnectTimeoutMilliseconds: options.maxConnectTimeoutMilliseconds,
     suspectAfterMilliseconds: options.suspectAfterMilliseconds,
     onConnect: () => openedConnections.add(),
-    onConnectEnd: (address, outcome, milliseconds) => {
+    onConnectEnd: (service, address, outcome, milliseconds) => {
       connectionCounter.record(address, outcome, milliseconds);
-      reach.recordConnection(address, outcome);
+      reach.recordConnection(service, address, outcome);
     },
     unsolicitedBytes: new UnsolicitedBytes({clock, logger, metrics}),
     paces,
--- a/packages/edge/src/serverPool.ts
+++ b/packages/edge/src/serverPool.ts
@@ -60,7 +60,10 @@
   /** Called when a new connection is made. */
   onConnect: () => void;
   /** Called with the outcome of an attempt to connect, and the time it took. */
-  onConnectEnd?: ServerConnectionsOptions['onConnectEnd'];
+  onConnectEnd?: (
+    service: string,
+    ...end: Parameters<NonNullable<ServerConnectionsOptions['onConnectEnd']>>
+  ) => void;
   /** Returns the limit of a cold server; undefined where there is none. */
   coldTerms?: (service: string, server: string) => ColdTerms | undefined;
   /**
@@ -431,7 +434,7 @@
       connectTimeout: this.connectTimeout,
       maxConnectTimeoutMilliseconds,
       onConnect,
-      onConnectEnd,
+      onConnectEnd: (...end) => onConnectEnd?.(record.service, ...end),
       onFree: () => onFree?.(record.service),
       onUnsolicited: place => unsolicitedBytes?.record(record, place),
       onUnreachable: error => {
--- a/packages/edge/src/serverReach.ts
+++ b/packages/edge/src/serverReach.ts
@@ -1,10 +1,10 @@
 /**
- * @fileoverview Tells whether this router reaches any backend server, so that callers
- * go elsewhere while it was partitioned from all of them.
+ * @fileoverview Tells whether this router reaches any server of a service, so that
+ * callers go elsewhere while it was partitioned from all of them.
  *
  * Silence alone shows nothing: servers may be slow, and there may be no requests. So
- * the router probes a few servers by connections once no byte has come from any
- * while requests are open, or once connections to several servers have failed and
+ * the router probes a few servers of a service by connections once no byte has come
+ * from any while requests are open, or once connections to several have failed and
  * none was made since. It reaches none if all probes fail.
  */
 import {type Clock, type Logger, openSocket} from '@dogwoodtrestle/runtime';
@@ -27,6 +27,9 @@
 /** Servers probed at a time. */
 const probedServers = 3;
 
+/** Least time between two rounds of probes of a service. */
+const probeIntervalMilliseconds = 500;
+
 /** Time within which a probe must be connected. */
 const probeMilliseconds = 750;
 
@@ -41,32 +44,43 @@
   probe: (address: string) => Promise<boolean>;
 }
 
-/** Whether this router reaches servers. Times are monotonic milliseconds. */
+/** Whether this router reaches servers. */
 export class ServerReach {
-  private lostAt?: number;
-  private isSilent = false;
-  private isProbing = false;
+  private readonly services = new Map<string, ServiceReach>();
   private cancelCheck?: () => void;
-  private madeAt = -Infinity;
-  /** When connections failed, by address; none that was made came later. */
-  private readonly failedAt = new Map<string, number>();
 
   constructor(private readonly options: ServerReachOptions) {}
 
-  /** Whether no server can be connected to. */
+  /** Whether no server of any service can be connected to. */
   get isLost(): boolean {
-    return this.lostAt !== undefined;
-  }
-
-  /** Whether moreover no byte comes over open connections. */
-  get isMute(): boolean {
-    return this.isLost && this.isSilent;
+    return this.lostMilliseconds > 0;
   }
 
   /** Time since no server can be connected to, in milliseconds; 0 if one can. */
   get lostMilliseconds(): number {
-    const {lostAt, options} = this;
-    return lostAt === undefined ? 0 : options.clock.now() - lostAt;
+    const times = [...this.services.values()].map(
+      service => service.lostMilliseconds,
+    );
+    return times.length > 0 ? Math.min(...times) : 0;
+  }
+
+  /** Whether no server of a service can be connected to. */
+  isLostTo(service: string): boolean {
+    return this.services.get(service)?.isLost === true;
+  }
+
+  /**
+   * Whether a request may be sent to a server: to any of a service whose servers are
+   * reached, else to those that have just sent a byte over an open connection.
+   */
+  mayReach({record, lastByteAt}: PooledServer, now: number): boolean {
+    const isHeard = now - lastByteAt < silenceMilliseconds;
+    return isHeard || !this.isLostTo(record.service);
+  }
+
+  /** Whether moreover no byte comes over open connections. */
+  isMuteTo(service: string): boolean {
+    return this.services.get(service)?.isMute === true;
   }
 
   /** Starts to check the state at an interval. */
@@ -82,7 +96,73 @@
     this.cancelCheck?.();
   }
 
-  /** Records the end of an attempt to connect. */
+  /** Records the end of an attempt to connect to a server of a service. */
+  recordConnection(
+    service: string,
+    address: string,
+    outcome: ConnectOutcome,
+  ): void {
+    this.services.get(service)?.recordConnection(address, outcome);
+  }
+
+  private check(): void {
+    const servers = new Map<string, PooledServer[]>();
+    for (const server of this.options.servers()) {
+      const {service} = server.record;
+      const others = servers.get(service);
+      if (others === undefined) servers.set(service, [server]);
+      else others.push(server);
+    }
+    // Services without requests show nothing by themselves.
+    const isSuspected = [...this.services.values()].some(({isLost}) => isLost);
+    for (const [service, ofService] of servers) {
+      // Of one server alone it can't be told which side was cut off.
+      if (ofService.length < minServers) this.services.delete(service);
+      else this.reachOf(service).check(ofService, {isSuspected});
+    }
+    for (const service of this.services.keys()) {
+      if (!servers.has(service)) this.services.delete(service);
+    }
+  }
+
+  private reachOf(service: string): ServiceReach {
+    let reach = this.services.get(service);
+    if (reach === undefined) {
+      reach = new ServiceReach(service, this.options);
+      this.services.set(service, reach);
+    }
+    return reach;
+  }
+}
+
+/** Whether the servers of one service are reached. Times are monotonic. */
+class ServiceReach {
+  private lostAt?: number;
+  private isSilent = false;
+  private isProbing = false;
+  private probedAt = -Infinity;
+  private madeAt = -Infinity;
+  /** When connections failed, by address; none that was made came later. */
+  private readonly failedAt = new Map<string, number>();
+
+  constructor(
+    private readonly service: string,
+    private readonly options: Omit<ServerReachOptions, 'servers'>,
+  ) {}
+
+  get isLost(): boolean {
+    return this.lostAt !== undefined;
+  }
+
+  get isMute(): boolean {
+    return this.isLost && this.isSilent;
+  }
+
+  get lostMilliseconds(): number {
+    const {lostAt, options} = this;
+    return lostAt === undefined ? 0 : options.clock.now() - lostAt;
+  }
+
   recordConnection(address: string, outcome: ConnectOutcome): void {
     const now = this.options.clock.now();
     if (outcome === 'missing') {
@@ -93,32 +173,41 @@
     this.failedAt.clear();
   }
 
-  private check(): void {
-    const {clock, servers} = this.options;
-    const now = clock.now();
-    const eligible = servers();
+  /**
+   * Probes servers if none seems to be reached, or none is.
+   *
+   * @param options Whether another service's servers aren't reached.
+   */
+  check(
+    servers: readonly PooledServer[],
+    {isSuspected}: {isSuspected: boolean},
+  ): void {
+    const now = this.options.clock.now();
     const lastByteAt = Math.max(
       this.madeAt,
-      ...eligible.map(server => server.lastByteAt),
+      ...servers.map(server => server.lastByteAt),
     );
-    const waiting = eligible.filter(
-      server => server.openRequests > 0 || server.connections.hasOnlyLate,
+    const isWaiting = servers.some(
+      ({openRequests, connections}) =>
+        openRequests > 0 || connections.hasOnlyLate,
     );
-    const isSilent = now - lastByteAt >= silenceMilliseconds;
-    this.isSilent = isSilent && (waiting.length > 0 || this.isSilent);
+    const wasSilent = now - lastByteAt >= silenceMilliseconds;
+    this.isSilent = wasSilent && (isWaiting || this.isSilent);
     for (const [address, at] of this.failedAt) {
       if (now - at > failureMilliseconds) this.failedAt.delete(address);
     }
-    const isSuspected = this.isSilent || this.failedAt.size >= minServers;
-    if (isSuspected || this.isLost) void this.probe(eligible);
+    const hasFailed = this.isSilent || this.failedAt.size >= minServers;
+    const isDue = now - this.probedAt >= probeIntervalMilliseconds;
+    if (isDue && (hasFailed || isSuspected)) void this.probe(servers);
   }
 
   /** Probes some servers, and changes the state by the result. */
-  private async probe(eligible: readonly PooledServer[]): Promise<void> {
-    if (this.isProbing || eligible.length < minServers) return;
+  private async probe(servers: readonly PooledServer[]): Promise<void> {
+    if (this.isProbing) return;
     this.isProbing = true;
-    const {random, probe} = this.options;
-    const rest = [...eligible];
+    const {random, probe, clock} = this.options;
+    this.probedAt = clock.now();
+    const rest = [...servers];
     const probed: string[] = [];
     while (probed.length < probedServers && rest.length > 0) {
       const [server] = rest.splice(Math.floor(random() * rest.length), 1);
@@ -127,30 +216,34 @@
     const results = await Promise.all(probed.map(probe));
     this.isProbing = false;
     if (results.includes(true)) this.markReached();
-    else this.markLost(probed);
+    else this.markLost(servers, probed);
   }
 
   private markReached(): void {
+    const {service, lostMilliseconds} = this;
     const {clock, logger} = this.options;
     this.madeAt = clock.now();
     this.isSilent = false;
     this.failedAt.clear();
     if (this.lostAt === undefined) return;
-    const milliseconds = Math.round(this.lostMilliseconds);
     this.lostAt = undefined;
-    logger.info({milliseconds}, 'backend servers are reached');
+    const milliseconds = Math.round(lostMilliseconds);
+    logger.info({service, milliseconds}, 'backend servers are reached');
   }
 
-  private markLost(probed: readonly string[]): void {
-    const {clock, logger, servers} = this.options;
-    if (this.isSilent) {
+  private markLost(
+    servers: readonly PooledServer[],
+    probed: readonly string[],
+  ): void {
+    const {service, isSilent} = this;
+    const {clock, logger} = this.options;
+    if (isSilent) {
       // Requests on open connections would wait for their whole deadline.
-      for (const {connections} of servers()) connections.closeIdle();
+      for (const {connections} of servers) connections.closeIdle();
     }
     if (this.lostAt !== undefined) return;
     this.lostAt = clock.now();
-    const {isSilent} = this;
-    logger.warn({probed, isSilent}, 'no backend server is reached');
+    logger.warn({service, probed, isSilent}, 'no backend server is reached');
   }
 }
 
--- a/packages/edge/src/serverSelection.ts
+++ b/packages/edge/src/serverSelection.ts
@@ -43,7 +43,7 @@
 /** What the selection needs of the router. */
 type SelectionContext = Pick<
   EdgeContext,
-  'pool' | 'limits' | 'speeds' | 'options' | 'routes' | 'connections'
+  'pool' | 'limits' | 'speeds' | 'options' | 'routes' | 'connections' | 'reach'
 >;
 
 /** Returns the best server; undefined where none is available. */
@@ -52,13 +52,16 @@
   criteria: SelectionCriteria,
   now: number,
 ): PooledServer | undefined {
-  const {pool, limits, connections} = context;
+  const {pool, limits, connections, reach} = context;
   const {service, generation, tried, limitDecisions} = criteria;
   const {softwareVersion} = criteria;
   limits.recordDemand(service, now);
   const available = pool
     .candidates(service, tried, connections.limitsOf(service), now)
-    .filter(server => hasVersion(server, softwareVersion));
+    .filter(
+      server =>
+        hasVersion(server, softwareVersion) && reach.mayReach(server, now),
+    );
   const wanted = choose(context, available, criteria, now);
   let server = wanted;
   if (wanted !== undefined && !wanted.limit.admits(now)) {
@@ -136,14 +139,17 @@
 
 /** Whether a request finds no server only for want of connections. */
 export function isShortOfConnections(
-  {pool}: Pick<EdgeContext, 'pool'>,
+  {pool, reach}: Pick<EdgeContext, 'pool' | 'reach'>,
   {service, tried, softwareVersion}: SelectionCriteria,
   now: number,
 ): boolean {
   return pool
     .candidates(service, tried, () => Infinity, now)
     .some(
-      server => hasVersion(server, softwareVersion) && server.limit.admits(now),
+      server =>
+        hasVersion(server, softwareVersion) &&
+        reach.mayReach(server, now) &&
+        server.limit.admits(now),
     );
 }
 
--- a/packages/edge/tests/serverSelection.test.ts
+++ b/packages/edge/tests/serverSelection.test.ts
@@ -47,6 +47,7 @@
     routes: () => undefined,
     limits: {recordDemand: () => undefined, recordDecision: () => undefined},
     connections: {limitsOf: () => () => Infinity},
+    reach: {mayReach: () => true},
     speeds: {
       placement: () => ({}),
       loadOf: () => ({}),
