--- a/packages/edge/src/attempt.ts
+++ b/packages/edge/src/attempt.ts
@@ -17,7 +17,7 @@
 import {type EventCoalescer} from './eventCoalescer.js';
 import {
   isRefusedConnection,
-  LateConnectionError,
+  LateConnection,
   type ServerConnection,
 } from './serverConnections.js';
 import {type PooledServer} from './serverPool.js';
@@ -472,7 +472,7 @@
       this.failAndClose({kind: 'unknown', reason, endless: 'overhead'});
       return;
     }
-    if (!this.isSent && !(error instanceof LateConnectionError)) {
+    if (!this.isSent && !(error instanceof LateConnection)) {
       const isRefused = isRefusedConnection(error);
       this.input.onSignal({kind: 'unreachable', isRefused});
     }
--- a/packages/edge/src/serverConnections.ts
+++ b/packages/edge/src/serverConnections.ts
@@ -80,7 +80,7 @@
 }
 
 /** A connection was not made within its time limit, and may be made yet. */
-export class LateConnectionError extends Error {
+export class LateConnection extends Error {
   constructor() {
     super('connection attempt timed out');
   }
@@ -362,7 +362,7 @@
       connectTimeout.record(age);
       connection.isLate = true;
       this.late++;
-      callback(new LateConnectionError(), null);
+      callback(new LateConnection(), null);
     };
     let cancelTimer = clock.setTimer(connectTimeout.milliseconds, giveUp);
     socket.limitOverhead(new ResponseOverhead());
--- a/packages/edge/src/serverReach.ts
+++ b/packages/edge/src/serverReach.ts
@@ -78,7 +78,7 @@
     return isHeard || !this.isLostTo(record.service);
   }
 
-  /** Whether moreover no byte comes over open connections. */
+  /** Whether besides no byte of a service's servers comes. */
   isMuteTo(service: string): boolean {
     return this.services.get(service)?.isMute === true;
   }
@@ -191,8 +191,8 @@
       ({openRequests, connections}) =>
         openRequests > 0 || connections.hasOnlyLate,
     );
-    const wasSilent = now - lastByteAt >= silenceMilliseconds;
-    this.isSilent = wasSilent && (isWaiting || this.isSilent);
+    const hasNoBytes = now - lastByteAt >= silenceMilliseconds;
+    this.isSilent = hasNoBytes && (isWaiting || this.isSilent);
     for (const [address, at] of this.failedAt) {
       if (now - at > failureMilliseconds) this.failedAt.delete(address);
     }
