--- a/review/lib-2/fleet.mjs
+++ b/review/lib-2/fleet.mjs
@@ -316,7 +316,7 @@
         `${machine.name} answers configuration ${version}: ${status}`,
       );
       // Callers of the control interface wait longer after each failure.
-      await sleep(Math.min(1_000, 30 + 10 * attempt));
+      await sleep(Math.min(150, 30 + 10 * attempt));
     }
     return undefined;
   }
