feat(edge): say why a request is not sent on to another server

Cause: callers saw streams broken off, and from the id of one nobody could tell why: request ended names outcomeUnknown for a stall, a failure and the end of a stop alike, and a refused retry left a line nowhere. Only a used-up budget was counted, as a metric without an id.

Change: the decision is one function that names its refusal. A request that a stop or an error aborts has the line request aborted. No decision is changed.

Ruled out: a field of its own for a stopping router; stopping and request aborted have its time and the id.

--- a/packages/edge/src/requestHandler.ts
+++ b/packages/edge/src/requestHandler.ts
@@ -41,6 +41,11 @@
 } from './responseCompletion.js';
 import {type EndlessPart, ResponseRelay} from './responseRelay.js';
 import {ResponseTimer} from './responseTimer.js';
+import {
+  type RetryRefusal,
+  type RetryRequest,
+  takeRetry,
+} from './retryDecision.js';
 import {type RoutedRequest} from './routedRequest.js';
 import {type LimitDecision} from './serverLimits.js';
 import {type PooledServer} from './serverPool.js';
@@ -48,7 +53,6 @@
   countServerStates,
   refuseWithoutServer,
   type SelectionCriteria,
-  selectServer,
 } from './serverSelection.js';
 import {stallStateOf, watchForStall} from './stallWatch.js';
 import {startAttempt} from './startAttempt.js';
@@ -73,6 +77,8 @@
   private readonly stream = new RelayedStream();
   private readonly relay: ResponseRelay;
   private failedResponse?: BufferedResponse;
+  /** Why it was not sent on when it last could have been. */
+  private retryRefusal?: RetryRefusal;
   private isOver = false;
   /** Whether only a close told the end of the last response. */
   private endedByClose = false;
@@ -293,25 +299,29 @@
 
   /** Retries if it may, and if no event would reach the caller again. */
   private tryRetry(reason: string): boolean {
-    const {retryBudget, control, clock, metrics} = this.context;
-    const {route, service} = this.input;
+    const {clock, metrics} = this.context;
+    const {service} = this.input;
     const now = clock.now();
-    if (this.sentAttempts >= route.maxAttempts) return false;
-    if (!this.guard.mayResend() || !this.stream.mayGoOn) return false;
-    if (this.terms.deadline - now < minSendTimeMilliseconds) return false;
-    const server = selectServer(this.context, this.criteria, now);
-    if (server === undefined) return false;
-    if (!retryBudget.takeRetry(service, control.routerCount, now)) {
-      metrics.retries.add({service, outcome: 'overBudget'});
+    const decision = takeRetry(this.context, this.retryRequest, now);
+    if ('refusal' in decision) {
+      const {refusal} = decision;
+      this.retryRefusal = refusal;
+      metrics.retries.add({service, outcome: refusal});
+      this.log('retry refused', {reason, refusal});
       return false;
     }
     metrics.retries.add({service, outcome: 'sent'});
     const {lastEventId, softwareVersion} = this.stream;
     this.log('retrying request', {reason, lastEventId, softwareVersion});
-    this.sendTo(server, now);
+    this.sendTo(decision.server, now);
     return true;
   }
 
+  private get retryRequest(): RetryRequest {
+    const {input, terms, guard, stream, criteria, sentAttempts} = this;
+    return {input, terms, guard, stream, criteria, sentAttempts};
+  }
+
   /** Retries on another server when this one makes no progress. */
   private watchForStall(progress: AttemptProgress): void {
     const {clock, options} = this.context;
@@ -423,7 +433,9 @@
   /** Ends the request at once, as when the router stops. */
   abort(): void {
     if (this.isOver) return;
-    if (this.current?.attempt?.mayHaveBeenSent === true) this.hasRun = true;
+    const {attempt, server} = this.current ?? {};
+    this.log('request aborted', {server: server?.record.id});
+    if (attempt?.mayHaveBeenSent === true) this.hasRun = true;
     this.cancelAttempt();
     this.fail('outcomeUnknown');
   }
@@ -478,6 +490,7 @@
       events,
       servers,
       endedByClose: this.endedByClose,
+      retryRefusal: this.retryRefusal,
       limitDecisions: this.limitDecisions,
       placement: this.placements.at(-1),
       shortage: this.tokens.shortage,
--- a/packages/edge/src/requestSummary.ts
+++ b/packages/edge/src/requestSummary.ts
@@ -4,6 +4,7 @@
 import {type ControlPlaneClient} from './controlPlaneClient.js';
 import {type EdgeContext} from './edgeContext.js';
 import {type RefusalReason} from './refusal.js';
+import {type RetryRefusal} from './retryDecision.js';
 import {type RoutedRequest} from './routedRequest.js';
 import {type LimitDecision} from './serverLimits.js';
 import {type PooledServer} from './serverPool.js';
@@ -27,6 +28,8 @@
   servers: readonly string[];
   /** Whether only the close of its connection told the end of the response. */
   endedByClose: boolean;
+  /** Why it was not sent to another server when its server had failed or stalled. */
+  retryRefusal?: RetryRefusal;
   /** Decisions that followed from the limits of servers, in order. */
   limitDecisions: readonly LimitDecision[];
   /** Why the last server was chosen; undefined if none was. */
@@ -87,6 +90,7 @@
       events,
       servers,
       endedByClose: end.endedByClose || undefined,
+      retryRefusal: end.retryRefusal,
       limits: limitDecisions.length > 0 ? limitDecisions : undefined,
       placement: end.placement && describePlacement(end.placement),
       shortage: end.shortage,
