fix(edge): leave a silent server only once another one has its request

Callers saw: streams (and, before the first event, 502 outcomeUnknown) that ended early though their server only wrote nothing for a second and went on, around stops, configurations and without either.

Cause: a stalled request was detached from its server and its connection closed first; then attempts, the guard against crashes, the time, a server and the retry budget were asked, and the next server could still refuse, fail or be silent. Given up before its replacement is certain.

Change: a stalled request is hedged. The second server gets it under the same limits as a retry (attempts, guard, time, servers' limits, software version, retry budget), and only if it is not silent itself. Both attempts stay open; an event of the first one ends the hedge attempt, a response of the second one that goes on with the request ends the first. Whatever else ends one of them leaves the other. Refused hedges are tried again every 300 ms while the stall lasts. A hedge attempt that stalls is replaced if another server may get the request.

Events come once and in order, as only one of the two is ever relayed, from the event that the caller has last. One reservation and one settlement, as before. A server begins to run a stream with its first token, and with its response head the first one is left, so that both run it for a round trip at most.

Ruled out: a longer timeout (moves the silence that breaks, and holds callers of dead servers longer); asking first whether a retry may be sent and leaving then (the next server may still refuse); a fixed time after which one of the two is left (a test with a mute second server lost the stream).

--- a/packages/edge/src/requestHandler.ts
+++ b/packages/edge/src/requestHandler.ts
@@ -4,15 +4,11 @@
  *
  * A non-idempotent request is retried only while no server can have run it.
  */
-import {type AttemptFailure, whileCurrent} from './attempt.js';
-import {
-  type AttemptProgress,
-  classifyAttemptEnd,
-  createProgress,
-  releaseBytes,
-} from './attemptProgress.js';
+import {type AttemptFailure} from './attempt.js';
+import {type AttemptProgress, classifyAttemptEnd} from './attemptProgress.js';
 import {type CallerExchange} from './callerExchange.js';
 import {type EdgeContext} from './edgeContext.js';
+import {OpenAttempts} from './openAttempts.js';
 import {
   blockedReason,
   type RefusalReason,
@@ -20,6 +16,7 @@
 } from './refusal.js';
 import {RelayedStream} from './relayedStream.js';
 import {RequestGuard} from './requestGuard.js';
+import {RequestRetries} from './requestRetries.js';
 import {
   cancelTimeoutMilliseconds,
   maxConnectFailures,
@@ -37,48 +34,35 @@
   type BufferedResponse,
   classifyResponse,
   type CompletionHandlers,
+  continuesRequest,
   impliesNotRun,
 } from './responseCompletion.js';
 import {type EndlessPart, ResponseRelay} from './responseRelay.js';
 import {ResponseTimer} from './responseTimer.js';
-import {
-  type RetryRefusal,
-  type RetryRequest,
-  takeRetry,
-} from './retryDecision.js';
 import {type RoutedRequest} from './routedRequest.js';
-import {type LimitDecision} from './serverLimits.js';
-import {type PooledServer} from './serverPool.js';
 import {
   countServerStates,
   refuseWithoutServer,
   type SelectionCriteria,
 } from './serverSelection.js';
-import {stallStateOf, watchForStall} from './stallWatch.js';
-import {startAttempt} from './startAttempt.js';
 import {decideTakeUp} from './streamTakeUp.js';
-import {emptyResponseHead} from './wireCodec.js';
+import {emptyResponseHead, type ResponseHead} from './wireCodec.js';
 
 /** Forwards one request and writes its response. */
 export class RequestHandler {
   private readonly terms: RequestTerms;
   private readonly timer: ResponseTimer;
-  /** Addresses of the servers that were tried, by id. */
-  private readonly tried = new Map<string, string>();
-  private readonly limitDecisions: LimitDecision[] = [];
   private readonly placements: SelectionCriteria['placements'] = [];
-  private current?: AttemptProgress;
+  private readonly attempts: OpenAttempts;
+  private readonly retries: RequestRetries;
   private readonly tokens: RequestTokens;
   private readonly guard: RequestGuard;
   private readonly waits: RequestWaits;
-  private sentAttempts = 0;
   private connectFailures = 0;
   private hasRun = false;
   private readonly stream = new RelayedStream();
   private readonly relay: ResponseRelay;
   private failedResponse?: BufferedResponse;
-  /** Why it was not sent on when it last could have been. */
-  private retryRefusal?: RetryRefusal;
   private isOver = false;
   /** Whether only a close told the end of the last response. */
   private endedByClose = false;
@@ -108,7 +92,25 @@
     this.tokens = new RequestTokens(context, input);
     this.guard = new RequestGuard(context, input);
     this.waits = new RequestWaits(context, input);
-    const {terms, timer, stream, tokens} = this;
+    const {terms, timer, stream, tokens, guard} = this;
+    this.attempts = new OpenAttempts(
+      {context, input, terms, timer, guard, stream},
+      {
+        onHead: (...head) => this.receiveHead(...head),
+        onData: (...data) => this.receiveData(...data),
+        onEnd: progress => this.receiveEnd(progress),
+        onFailed: (...failure) => this.receiveFailure(...failure),
+        onCurrent: progress => this.retries.watchForStall(progress),
+      },
+    );
+    const {attempts} = this;
+    this.retries = new RequestRetries({
+      ...{context, input, terms, timer, guard, stream, attempts},
+      criteria: () => this.criteria,
+      onHedge: () => {
+        this.hasRun = true;
+      },
+    });
     this.relay = new ResponseRelay(
       {context, input, terms, timer, stream, tokens, exchange},
       (progress, part) => this.abandonEndless(progress, part),
@@ -162,7 +164,7 @@
     this.waits.findServer(this.criteria, this.terms.deadline, {
       // It may have waited for the server.
       onServer: (server, at) => {
-        if (!this.endIfUnsendable()) this.sendTo(server, at);
+        if (!this.endIfUnsendable()) this.attempts.start(server, at);
       },
       onNone: refusal => this.failWithout(refusal),
       onFailed: () => this.abort(),
@@ -184,40 +186,34 @@
       service: this.input.service,
       generation: this.input.request.generation,
       softwareVersion: this.stream.softwareVersion,
-      tried: this.tried,
-      limitDecisions: this.limitDecisions,
+      tried: this.attempts.tried,
+      limitDecisions: this.attempts.limitDecisions,
       placements: this.placements,
     };
   }
 
-  private sendTo(server: PooledServer, now: number): void {
-    const {limits, connections} = this.context;
-    const {record} = server;
-    this.tried.set(record.id, record.address);
-    this.sentAttempts++;
-    const target = {
-      server: record,
-      timeRemainingMilliseconds: this.terms.deadline - now,
-      lastEventId: this.stream.lastEventId,
-    };
-    const progress = createProgress(server, now, this.context.responseBudget);
-    this.current = progress;
-    server.begin(progress, this.terms.promptTokens, now);
-    this.guard.begin(progress);
-    limits.recordAttempt(server, progress, this.limitDecisions, now);
-    const isCurrent = () => this.current === progress && !this.isOver;
-    const listener = whileCurrent(isCurrent, {
-      onHead: (status, head) => {
-        this.hasRun = true;
-        this.relay.receiveHead(progress, status, head);
-      },
-      onData: chunk => this.relay.receiveData(progress, chunk),
-      onEnd: () => this.receiveEnd(progress),
-      onFailed: failure => this.receiveFailure(progress, failure),
-    });
-    startAttempt(this.context, this.input, {progress, target, listener});
-    connections.recordUse(server);
-    if (this.terms.isRetryable) this.watchForStall(progress);
+  private receiveHead(
+    progress: AttemptProgress,
+    status: number,
+    head: ResponseHead,
+  ): void {
+    const {attempts, exchange} = this;
+    this.hasRun = true;
+    if (progress === attempts.hedge) {
+      if (!continuesRequest(status, exchange)) {
+        attempts.endHedge(`server responded with ${status}`, 'failure');
+        return;
+      }
+      attempts.switchToHedge();
+    }
+    this.relay.receiveHead(progress, status, head);
+    attempts.endHedgeAfterProgress();
+  }
+
+  private receiveData(progress: AttemptProgress, chunk: Buffer): boolean {
+    const mayRead = this.relay.receiveData(progress, chunk);
+    this.attempts.endHedgeAfterProgress();
+    return mayRead;
   }
 
   private receiveEnd(progress: AttemptProgress): void {
@@ -233,7 +229,7 @@
       isCallerUnframed: this.exchange.isStartedUnframed,
     });
     const body = held.take();
-    this.detach(progress, status >= 500 ? 'failure' : 'success');
+    this.attempts.detach(progress, status >= 500 ? 'failure' : 'success');
     this.completions[end]({status, head, body});
   }
 
@@ -242,7 +238,9 @@
     const {status} = response;
     if (!impliesNotRun(status)) this.failedResponse = response;
     const mayRetry = status >= 500 && this.terms.isRetryable;
-    if (mayRetry && this.tryRetry(`server responded with ${status}`)) return;
+    if (mayRetry && this.goOnElsewhere(`server responded with ${status}`)) {
+      return;
+    }
     if (impliesNotRun(status)) this.fail('outcomeUnknown');
     else this.deliver(response);
   }
@@ -256,19 +254,21 @@
     this.log('attempt failed', {server: progress.server.record.id, failure});
     switch (failure.kind) {
       case 'notSent':
-        this.detach(progress);
-        this.sentAttempts--;
-        if (++this.connectFailures < maxConnectFailures) this.sendNext();
+        this.attempts.detach(progress);
+        this.attempts.sent--;
+        this.connectFailures++;
+        if (this.attempts.keepsOther()) return;
+        if (this.connectFailures < maxConnectFailures) this.sendNext();
         else this.failWithoutServer('noServer', clock.now());
         return;
       case 'notExecuted':
-        this.detach(progress, 'success');
+        this.attempts.detach(progress, 'success');
         if (failure.status === 421 && !this.input.request.namesVersion) {
           // Another server answered, so none of the service has received it.
           pool.markReplaced(progress.server);
-          this.sentAttempts--;
+          this.attempts.sent--;
         }
-        if (this.tryRetry(`server refused with ${failure.status}`)) return;
+        if (this.goOnElsewhere(`server refused with ${failure.status}`)) return;
         this.failWithoutServer('serversRefused', clock.now());
         return;
       case 'unknown':
@@ -286,66 +286,25 @@
             failure.endless,
           );
         }
-        this.detach(progress, 'failure');
+        this.attempts.detach(progress, 'failure');
         this.handleUnknown(failure.reason);
     }
   }
 
   /** Retries, or fails a request that may have been executed. */
   private handleUnknown(reason: string): void {
-    if (this.terms.isRetryable && this.tryRetry(reason)) return;
+    if (this.terms.isRetryable && this.goOnElsewhere(reason)) return;
     this.fail('outcomeUnknown');
   }
 
-  /** Retries if it may, and if no event would reach the caller again. */
-  private tryRetry(reason: string): boolean {
-    const {clock, metrics} = this.context;
-    const {service} = this.input;
-    const now = clock.now();
-    const decision = takeRetry(this.context, this.retryRequest, now);
-    if ('refusal' in decision) {
-      const {refusal} = decision;
-      this.retryRefusal = refusal;
-      metrics.retries.add({service, outcome: refusal});
-      this.log('retry refused', {reason, refusal});
-      return false;
-    }
-    metrics.retries.add({service, outcome: 'sent'});
-    const {lastEventId, softwareVersion} = this.stream;
-    this.log('retrying request', {reason, lastEventId, softwareVersion});
-    this.sendTo(decision.server, now);
-    return true;
-  }
-
-  private get retryRequest(): RetryRequest {
-    const {input, terms, guard, stream, criteria, sentAttempts} = this;
-    return {input, terms, guard, stream, criteria, sentAttempts};
-  }
-
-  /** Retries on another server when this one makes no progress. */
-  private watchForStall(progress: AttemptProgress): void {
-    const {clock, options} = this.context;
-    const {server} = progress;
-    const stateOf = () => {
-      if (this.isOver || this.current !== progress) return undefined;
-      if (this.sentAttempts >= this.input.route.maxAttempts) return undefined;
-      const {deadline} = this.terms;
-      const patience = this.timer.firstEventTimeout;
-      const gapLimit = options.eventGapTimeoutMilliseconds;
-      const limits = {patience, gapLimit, deadline};
-      return stallStateOf(progress, limits, clock.now());
-    };
-    const cancel = watchForStall(clock, stateOf, state => {
-      this.timer.observeStall(progress, state);
-      this.log('server stalled', {server: server.record.id, ...state});
-      this.abandon(progress, 'server stalled');
-    });
-    this.cancelTimers.push(cancel);
+  /** Goes on with the other attempt, or with one at another server. */
+  private goOnElsewhere(reason: string): boolean {
+    return this.attempts.keepsOther() || this.retries.tryRetry(reason);
   }
 
   /** Leaves a server that may have executed the request. */
   private abandon(progress: AttemptProgress, reason: string): void {
-    this.detach(progress, 'failure');
+    this.attempts.detach(progress, 'failure');
     progress.attempt?.abort();
     this.hasRun = true;
     this.handleUnknown(reason);
@@ -359,28 +318,11 @@
 
   /** Leaves a server whose response is too long to be held for its caller. */
   private abandonUndelimited(progress: AttemptProgress): void {
-    this.detach(progress);
+    this.attempts.detach(progress);
     progress.attempt?.abort();
     this.fail('outcomeUnknown');
   }
 
-  private detach(
-    progress: AttemptProgress,
-    outcome?: 'success' | 'failure',
-  ): void {
-    if (this.current !== progress) return;
-    this.current = undefined;
-    this.timer.observeEnd(progress);
-    const {server, hasFirstEvent} = progress;
-    const now = this.context.clock.now();
-    const unreadTokens = hasFirstEvent ? 0 : this.terms.promptTokens;
-    server.end(progress, unreadTokens, now);
-    this.guard.end(progress, 'other');
-    releaseBytes(progress);
-    progress.observers?.onSignal({kind: 'ended'});
-    if (outcome !== undefined) this.context.pool.record(server, outcome, now);
-  }
-
   private deliver({status, head, body}: BufferedResponse): void {
     this.finish('delivered', status);
     this.exchange.sendResponse(head, status, body);
@@ -433,7 +375,7 @@
   /** Ends the request at once, as when the router stops. */
   abort(): void {
     if (this.isOver) return;
-    const {attempt, server} = this.current ?? {};
+    const {attempt, server} = this.attempts.current ?? {};
     this.log('request aborted', {server: server?.record.id});
     if (attempt?.mayHaveBeenSent === true) this.hasRun = true;
     this.cancelAttempt();
@@ -442,10 +384,11 @@
 
   /** Cancels the current attempt, if there is one. */
   private cancelAttempt(): void {
-    const {current: progress, hasRun} = this;
+    const {attempts, hasRun} = this;
+    const {current: progress} = attempts;
     if (progress === undefined) return;
     const {attempt, server} = progress;
-    this.detach(progress);
+    this.attempts.detach(progress);
     if (attempt?.mayHaveBeenSent !== true) {
       attempt?.abort();
       return;
@@ -472,6 +415,8 @@
     reason?: RefusalReason,
   ): void {
     this.isOver = true;
+    this.attempts.close();
+    this.retries.end();
     for (const cancel of this.cancelTimers) cancel();
     this.cancelTimers = [];
     // The result of a cancelled attempt decides whether the prompt counts.
@@ -481,7 +426,8 @@
     this.onFinished();
     const {context} = this;
     const {events, firstEventAt} = this.stream;
-    const servers = [...this.tried].map(([id, address]) => `${id}@${address}`);
+    const {tried, limitDecisions} = this.attempts;
+    const servers = [...tried].map(([id, address]) => `${id}@${address}`);
     recordRequest(context, this.input, {
       outcome,
       status,
@@ -490,8 +436,8 @@
       events,
       servers,
       endedByClose: this.endedByClose,
-      retryRefusal: this.retryRefusal,
-      limitDecisions: this.limitDecisions,
+      retryRefusal: this.retries.refusal,
+      limitDecisions,
       placement: this.placements.at(-1),
       shortage: this.tokens.shortage,
       serverStates:
--- a/packages/edge/src/responseCompletion.ts
+++ b/packages/edge/src/responseCompletion.ts
@@ -60,3 +60,12 @@
 export function impliesNotRun(status: number): boolean {
   return notRunStatuses.has(status);
 }
+
+/** Whether the head of a response shows that its server goes on with a request. */
+export function continuesRequest(
+  status: number,
+  {isStarted}: {isStarted: boolean},
+): boolean {
+  if (status < 300) return true;
+  return !isStarted && status < 500 && !impliesNotRun(status);
+}
--- a/packages/edge/src/retryDecision.ts
+++ b/packages/edge/src/retryDecision.ts
@@ -14,16 +14,17 @@
 /**
  * Why a request is not sent on: its route allows no more `attempts`, it may have
  * caused `crashes`, the stream has `noEventIds` to go on after, too little time is
- * left (`outOfTime`), there is `noServer`, or the service's retry budget is used up
- * (`overBudget`).
+ * left (`outOfTime`), the service's retry budget is used up (`overBudget`), there is
+ * `noServer`, or all that there are but the first are silent (`serversSilent`).
  */
 export type RetryRefusal =
   | 'attempts'
   | 'crashes'
   | 'noEventIds'
   | 'outOfTime'
+  | 'overBudget'
   | 'noServer'
-  | 'overBudget';
+  | 'serversSilent';
 
 /** The server that a request is sent to next, or why it is sent to none. */
 export type RetryDecision = {server: PooledServer} | {refusal: RetryRefusal};
@@ -39,11 +40,17 @@
   sentAttempts: number;
 }
 
-/** Takes a retry from the service's budget, unless the request is not sent on. */
+/**
+ * Takes a retry from the service's budget, unless the request is not sent on.
+ *
+ * @param options Whether the first server may still go on, so that one which is as
+ *     silent is no better.
+ */
 export function takeRetry(
   context: EdgeContext,
   {input, terms, guard, stream, criteria, sentAttempts}: RetryRequest,
   now: number,
+  {isHedge = false} = {},
 ): RetryDecision {
   const {route, service} = input;
   const {retryBudget, control} = context;
@@ -53,10 +60,32 @@
   if (terms.deadline - now < minSendTimeMilliseconds) {
     return {refusal: 'outOfTime'};
   }
-  const server = selectServer(context, criteria, now);
-  if (server === undefined) return {refusal: 'noServer'};
-  if (!retryBudget.takeRetry(service, control.routerCount, now)) {
+  if (!retryBudget.hasRetry(service, control.routerCount, now)) {
     return {refusal: 'overBudget'};
   }
+  const {tried} = criteria;
+  const silent = isHedge ? silentServers(context, service, tried, now) : none;
+  const excluded = {has: (id: string) => tried.has(id) || silent.has(id)};
+  const untried = {...criteria, tried: excluded};
+  const server = selectServer(context, untried, now);
+  if (server === undefined) {
+    return {refusal: silent.size > 0 ? 'serversSilent' : 'noServer'};
+  }
+  retryBudget.takeRetry(service, control.routerCount, now);
   return {server};
 }
+
+const none: ReadonlySet<string> = new Set();
+
+/** Returns the untried servers of a service that are silent, or fail often. */
+function silentServers(
+  {pool}: Pick<EdgeContext, 'pool'>,
+  service: string,
+  tried: SelectionCriteria['tried'],
+  now: number,
+): ReadonlySet<string> {
+  const silent = pool
+    .eligible(service, now)
+    .filter(server => !tried.has(server.id) && pool.isSuspect(server, now));
+  return new Set(silent.map(({id}) => id));
+}
--- a/packages/edge/src/serverSelection.ts
+++ b/packages/edge/src/serverSelection.ts
@@ -33,7 +33,7 @@
   /** The only software version that may get the request; missing for any. */
   softwareVersion?: string;
   /** Ids of servers that were tried before; they are excluded. */
-  tried: ReadonlyMap<string, unknown>;
+  tried: Pick<ReadonlySet<string>, 'has'>;
   /** Receives the decisions that follow from limits of servers. */
   limitDecisions: LimitDecision[];
   /** Receives why servers were chosen. */
--- a/packages/edge/src/stallWatch.ts
+++ b/packages/edge/src/stallWatch.ts
@@ -70,11 +70,14 @@
 /** Interval at which a request is checked for a stall. */
 const checkMilliseconds = 150;
 
+/** The same for a request that has stalled. */
+const stalledCheckMilliseconds = 300;
+
 /**
- * Checks a request periodically until it stalls or has left the server.
+ * Checks a request periodically until it has left the server.
  *
  * @param stateOf Returns undefined once the request has left the server.
- * @param onStalled Called at most once.
+ * @param onStalled Called at each check at which the request has stalled.
  * @returns A function that stops the checks.
  */
 export function watchForStall(
@@ -86,8 +89,10 @@
   const check = () => {
     const state = stateOf();
     if (state === undefined) return;
-    if (isStalled(state)) onStalled(state);
-    else cancel = clock.setTimer(checkMilliseconds, check);
+    const hasStalled = isStalled(state);
+    const interval = hasStalled ? stalledCheckMilliseconds : checkMilliseconds;
+    cancel = clock.setTimer(interval, check);
+    if (hasStalled) onStalled(state);
   };
   cancel = clock.setTimer(checkMilliseconds, check);
   return () => cancel();
--- a/packages/fleet/src/windowedRetryBudget.ts
+++ b/packages/fleet/src/windowedRetryBudget.ts
@@ -49,20 +49,26 @@
   }
 
   /**
-   * Takes one retry from the budget; returns false if none is left.
+   * Whether the budget has a retry left.
    *
    * @param routers Largest number of routers that may be live at once.
    */
-  takeRetry(service: string, routers: number, now: number): boolean {
+  hasRetry(service: string, routers: number, now: number): boolean {
     const {ratio, slack, safetyFactor} = this.options;
-    const bucket = this.bucket(service, now);
+    // Drops the buckets that have left the window.
+    this.bucket(service, now);
     const buckets = this.services.get(service) ?? [];
     const requests = buckets.reduce((sum, {requests}) => sum + requests, 0);
     const retries = buckets.reduce((sum, {retries}) => sum + retries, 0);
     const allowed =
       safetyFactor * (ratio * requests + slack / Math.max(1, routers));
-    if (retries + 1 > allowed) return false;
-    bucket.retries++;
+    return retries + 1 <= allowed;
+  }
+
+  /** Takes one retry from the budget; returns false if none is left. */
+  takeRetry(service: string, routers: number, now: number): boolean {
+    if (!this.hasRetry(service, routers, now)) return false;
+    this.bucket(service, now).retries++;
     return true;
   }
 
