fix(edge): ask the guard last whether a request may be sent on

Cause: the guard may take the one trial of a blocked subject. A stalled request asks every 300 ms, and used it up though the retry budget had nothing left. Change: attempts, time and budget are asked before.

--- a/packages/edge/src/retryDecision.ts
+++ b/packages/edge/src/retryDecision.ts
@@ -55,7 +55,6 @@
   const {route, service} = input;
   const {retryBudget, control} = context;
   if (sentAttempts >= route.maxAttempts) return {refusal: 'attempts'};
-  if (!guard.mayResend()) return {refusal: 'crashes'};
   if (!stream.mayGoOn) return {refusal: 'noEventIds'};
   if (terms.deadline - now < minSendTimeMilliseconds) {
     return {refusal: 'outOfTime'};
@@ -63,6 +62,8 @@
   if (!retryBudget.hasRetry(service, control.routerCount, now)) {
     return {refusal: 'overBudget'};
   }
+  // Asked last, as it may take the one trial of a blocked subject.
+  if (!guard.mayResend()) return {refusal: 'crashes'};
   const {tried} = criteria;
   const silent = isHedge ? silentServers(context, service, tried, now) : none;
   const excluded = {has: (id: string) => tried.has(id) || silent.has(id)};
