fix(edge): keep connections whose responses are not read to their end

Cause: callers that read slowly, or over a slow link, got the start of a whole answer and then the end of their connection. A router that stops closes idle connections at once and every 50 ms, and one that reaches no server every 0.5 s. Node.js takes a connection for idle from response.end() on, and destroys it with what still waits in its buffer (Server.closeIdleConnections, also by close()).

Change: keepUnreadResponses lets a server follow its connections, and close as idle those without an open response, unwritten bytes or bytes of a next request. A connection with an unread answer ends as before: with the answer, the drain time, or 60 s without progress.

Ruled out: ending a response only once its bytes have drained, as the last chunk of it may wait as well. One difference to Node.js: a pipelined head that arrived in part before the answer in front was written counts as idle; nothing of it was passed on.

--- a/packages/edge/src/callerServer.ts
+++ b/packages/edge/src/callerServer.ts
@@ -10,6 +10,7 @@
   ConnectionLimit,
   divideParsing,
   followRunningRequests,
+  keepUnreadResponses,
 } from '@dogwoodtrestle/runtime';
 
 import {type CallerLimits} from './callerLimits.js';
@@ -68,6 +69,7 @@
   server.requestTimeout = 0;
   followIdleTimeout(server, undefined);
   divideParsing(server);
+  keepUnreadResponses(server);
   const hasRunningRequest = followRunningRequests(server);
   server.on('clientError', ({code}: NodeJS.ErrnoException, connection) => {
     // The refusal would be taken for the answer to the earlier request.
--- a/packages/runtime/src/index.ts
+++ b/packages/runtime/src/index.ts
@@ -32,6 +32,7 @@
 } from './discardRest.js';
 export {EmbeddedHeadFinder, type HeadTest} from './embeddedHead.js';
 export {EventLoopDelay} from './eventLoopDelay.js';
+export {keepUnreadResponses} from './idleConnections.js';
 export {
   type ClientLimit,
   defaultLimitRecorderOptions,
