fix(edge): take no caller that does not read for a stalled server

Callers saw: a stream, or an answer that had begun, broken off after a pause of their own, at sound servers; other servers worked on it in vain.

Cause: while a caller does not read, its router does not read from the server either. No event comes, and the time since the last one counted as the server's silence.

Change: the silence is 0 while an attempt waits for its caller, and counts from the time at which the caller has read on.

Evidence: npx vitest run packages/edge/tests/heldUpResponses.test.ts: three tests of callers that pause fail before and pass; so does 'one of 1', whose router may not send on any more.

--- a/packages/edge/src/attempt.ts
+++ b/packages/edge/src/attempt.ts
@@ -169,6 +169,11 @@
     return this.connection.requests > 1;
   }
 
+  /** Whether reading waits until the caller has read what was passed on. */
+  get isPaused(): boolean {
+    return this.waitsForCaller;
+  }
+
   private get bytesRead(): number {
     return this.connection.socket?.bytesRead ?? 0;
   }
--- a/packages/edge/src/attemptProgress.ts
+++ b/packages/edge/src/attemptProgress.ts
@@ -20,6 +20,8 @@
   startedAt: number;
   /** Time of the last complete event, or of the last byte of another response. */
   progressAt: number;
+  /** Time at which the caller had last read what it was sent. */
+  readAt: number;
   /** Status of the response; 0 before its head arrived. */
   status: number;
   head?: ResponseHead;
@@ -47,6 +49,7 @@
     server,
     startedAt: now,
     progressAt: now,
+    readAt: now,
     status: 0,
     held: new ByteAccumulator(budget),
     isPassedOn: false,
--- a/packages/edge/src/responseRelay.ts
+++ b/packages/edge/src/responseRelay.ts
@@ -128,7 +128,10 @@
   }
 
   private write(progress: AttemptProgress, data: Buffer): boolean {
-    const {exchange} = this.request;
-    return exchange.write(data, () => progress.attempt?.resume());
+    const {exchange, context} = this.request;
+    return exchange.write(data, () => {
+      progress.readAt = context.clock.now();
+      progress.attempt?.resume();
+    });
   }
 }
--- a/packages/edge/src/stallWatch.ts
+++ b/packages/edge/src/stallWatch.ts
@@ -8,7 +8,10 @@
 
 /** State of a request at a server. Times are in milliseconds. */
 export interface StallCheckState {
-  /** Time since the last complete event, or since the request was sent. */
+  /**
+   * Time since the last complete event, or since the request was sent; 0 while the
+   * caller does not read, as its router does not read then either.
+   */
   silence: number;
   /** Time since the server sent any byte to this router. */
   serverSilence: number;
@@ -32,12 +35,13 @@
 
 /** Returns the state of an attempt at a time. */
 export function stallStateOf(
-  {progressAt, hasFirstEvent, server}: AttemptProgress,
+  {progressAt, readAt, hasFirstEvent, attempt, server}: AttemptProgress,
   {patience, gapLimit, deadline}: StallLimits,
   now: number,
 ): StallCheckState {
   return {
-    silence: now - progressAt,
+    silence:
+      attempt?.isPaused === true ? 0 : now - Math.max(progressAt, readAt),
     serverSilence: now - server.lastByteAt,
     hasFirstEvent,
     patience,
