fix(edge): send an answer that has begun to nobody else

Callers saw: a long idempotent answer broken off in the middle, as its server was silent for a while.

Cause: the router passes an answer on before its end if it is too long to be held. A stream's next server goes on after the last event; that of an answer begins anew, so it can't continue what the caller has. The router left the first server for it all the same.

Change: an answer that is no stream is not sent on once it has begun; the refusal is named begun.

--- a/packages/edge/src/requestHandler.ts
+++ b/packages/edge/src/requestHandler.ts
@@ -105,7 +105,7 @@
     );
     const {attempts} = this;
     this.retries = new RequestRetries({
-      ...{context, input, terms, timer, guard, stream, attempts},
+      ...{context, input, terms, timer, guard, stream, attempts, exchange},
       criteria: () => this.criteria,
       onHedge: () => {
         this.hasRun = true;
--- a/packages/edge/src/requestRetries.ts
+++ b/packages/edge/src/requestRetries.ts
@@ -6,6 +6,7 @@
  * as it may still go on, and what it has done would be lost.
  */
 import {type AttemptProgress} from './attemptProgress.js';
+import {type CallerExchange} from './callerExchange.js';
 import {type EdgeContext} from './edgeContext.js';
 import {type OpenAttempts} from './openAttempts.js';
 import {type RelayedStream} from './relayedStream.js';
@@ -31,6 +32,7 @@
   guard: RequestGuard;
   stream: RelayedStream;
   attempts: OpenAttempts;
+  exchange: Pick<CallerExchange, 'isStarted'>;
   /** Returns what the next server is chosen by. */
   criteria: () => SelectionCriteria;
   /** Called as a second server gets the request, which the first one may run. */
@@ -119,9 +121,14 @@
   }
 
   private candidate() {
-    const {input, terms, guard, stream, attempts, criteria} = this.request;
-    const {sent: sentAttempts} = attempts;
-    return {input, terms, guard, stream, sentAttempts, criteria: criteria()};
+    const {input, terms, guard, stream} = this.request;
+    const {attempts, exchange, criteria} = this.request;
+    return {
+      ...{input, terms, guard, stream},
+      criteria: criteria(),
+      hasBegun: exchange.isStarted && !terms.isStream,
+      sentAttempts: attempts.sent,
+    };
   }
 
   private recordRefusal(reason: string, refusal: RetryRefusal): void {
--- a/packages/edge/src/retryDecision.ts
+++ b/packages/edge/src/retryDecision.ts
@@ -13,7 +13,8 @@
 
 /**
  * Why a request is not sent on: its route allows no more `attempts`, it may have
- * caused `crashes`, the stream has `noEventIds` to go on after, too little time is
+ * caused `crashes`, the stream has `noEventIds` to go on after, an answer that is no
+ * stream has `begun` to reach the caller, too little time is
  * left (`outOfTime`), the service's retry budget is used up (`overBudget`), there is
  * `noServer`, or all that there are but the first are silent (`serversSilent`).
  */
@@ -21,6 +22,7 @@
   | 'attempts'
   | 'crashes'
   | 'noEventIds'
+  | 'begun'
   | 'outOfTime'
   | 'overBudget'
   | 'noServer'
@@ -36,6 +38,8 @@
   guard: RequestGuard;
   stream: RelayedStream;
   criteria: SelectionCriteria;
+  /** Whether the caller has a part of an answer that is no stream. */
+  hasBegun: boolean;
   /** Servers that have got it. */
   sentAttempts: number;
 }
@@ -48,7 +52,7 @@
  */
 export function takeRetry(
   context: EdgeContext,
-  {input, terms, guard, stream, criteria, sentAttempts}: RetryRequest,
+  {input, terms, guard, stream, criteria, hasBegun, sentAttempts}: RetryRequest,
   now: number,
   {isHedge = false} = {},
 ): RetryDecision {
@@ -56,6 +60,7 @@
   const {retryBudget, control} = context;
   if (sentAttempts >= route.maxAttempts) return {refusal: 'attempts'};
   if (!stream.mayGoOn) return {refusal: 'noEventIds'};
+  if (hasBegun) return {refusal: 'begun'};
   if (terms.deadline - now < minSendTimeMilliseconds) {
     return {refusal: 'outOfTime'};
   }
