fix(edge): keep both servers until one has something for the caller

Callers saw, with hedges: the 500 of a stalled server, or 502, though the second server would have answered; 502 or a broken stream where the second server sent its head and closed the connection, while the first one went on.

Both give up one of the two before the other is certain.

Change: what decides is what reaches the caller. The other server is left with the first complete event of a stream, with a whole answer that is held, or once a long answer is passed on; a failure leaves the other one open. Of a hedge attempt nothing reaches the caller before that. A server begins to run a stream with its first token, so both still run one for a round trip at most.

Ruled out: leaving the first one at the head to be sure that two servers don't work on a stream: the head is no token.

--- a/packages/edge/src/openAttempts.ts
+++ b/packages/edge/src/openAttempts.ts
@@ -148,12 +148,10 @@
     hedge.attempt?.abort();
   }
 
-  /** Leaves the second server if the first one has gone on since it was asked. */
-  endHedgeAfterProgress(): void {
-    const {current, hedge} = this;
-    if (current === undefined || hedge === undefined) return;
-    const hasGoneOn = current.progressAt >= hedge.startedAt;
-    if (hasGoneOn) this.endHedge('first server went on');
+  /** Leaves the other server before the caller gets a part of a response. */
+  keepOnly(progress: AttemptProgress): void {
+    if (progress === this.hedge) this.switchToHedge();
+    else this.endHedge('first server went on');
   }
 
   /** Whether an attempt is left after another one has ended. */
--- a/packages/edge/src/requestHandler.ts
+++ b/packages/edge/src/requestHandler.ts
@@ -36,6 +36,7 @@
   type CompletionHandlers,
   continuesRequest,
   impliesNotRun,
+  isWhole,
 } from './responseCompletion.js';
 import {type EndlessPart, ResponseRelay} from './responseRelay.js';
 import {ResponseTimer} from './responseTimer.js';
@@ -78,7 +79,9 @@
     held: response => this.receiveBuffered(response),
     insideEvent: () => this.handleUnknown('stream ended inside an event'),
     notResumed: ({status}) => this.handleUnknown(`not resumed: ${status}`),
-    unknown: () => this.fail('outcomeUnknown'),
+    unknown: () => {
+      if (!this.attempts.keepsOther()) this.fail('outcomeUnknown');
+    },
   };
 
   constructor(
@@ -97,7 +100,7 @@
       {context, input, terms, timer, guard, stream},
       {
         onHead: (...head) => this.receiveHead(...head),
-        onData: (...data) => this.receiveData(...data),
+        onData: (...data) => this.relay.receiveData(...data),
         onEnd: progress => this.receiveEnd(progress),
         onFailed: (...failure) => this.receiveFailure(...failure),
         onCurrent: progress => this.retries.watchForStall(progress),
@@ -112,7 +115,7 @@
       },
     });
     this.relay = new ResponseRelay(
-      {context, input, terms, timer, stream, tokens, exchange},
+      {context, input, terms, timer, stream, tokens, attempts, exchange},
       (progress, part) => this.abandonEndless(progress, part),
       progress => this.abandonUndelimited(progress),
     );
@@ -199,21 +202,10 @@
   ): void {
     const {attempts, exchange} = this;
     this.hasRun = true;
-    if (progress === attempts.hedge) {
-      if (!continuesRequest(status, exchange)) {
-        attempts.endHedge(`server responded with ${status}`, 'failure');
-        return;
-      }
-      attempts.switchToHedge();
-    }
-    this.relay.receiveHead(progress, status, head);
-    attempts.endHedgeAfterProgress();
-  }
-
-  private receiveData(progress: AttemptProgress, chunk: Buffer): boolean {
-    const mayRead = this.relay.receiveData(progress, chunk);
-    this.attempts.endHedgeAfterProgress();
-    return mayRead;
+    const isHedge = progress === attempts.hedge;
+    if (isHedge && !continuesRequest(status, exchange)) {
+      attempts.endHedge(`server responded with ${status}`, 'failure');
+    } else this.relay.receiveHead(progress, status, head);
   }
 
   private receiveEnd(progress: AttemptProgress): void {
@@ -229,6 +221,8 @@
       isCallerUnframed: this.exchange.isStartedUnframed,
     });
     const body = held.take();
+    const isAnswer = isWhole(end) && continuesRequest(status, this.exchange);
+    if (isAnswer) this.attempts.keepOnly(progress);
     this.attempts.detach(progress, status >= 500 ? 'failure' : 'success');
     this.completions[end]({status, head, body});
   }
@@ -241,7 +235,7 @@
     if (mayRetry && this.goOnElsewhere(`server responded with ${status}`)) {
       return;
     }
-    if (impliesNotRun(status)) this.fail('outcomeUnknown');
+    if (impliesNotRun(status)) this.completions.unknown(response);
     else this.deliver(response);
   }
 
--- a/packages/edge/src/responseCompletion.ts
+++ b/packages/edge/src/responseCompletion.ts
@@ -61,6 +61,16 @@
   return notRunStatuses.has(status);
 }
 
+const wholeCompletions: ReadonlySet<ResponseCompletion> = new Set([
+  'complete',
+  'held',
+]);
+
+/** Whether a response has all that its server had for the caller. */
+export function isWhole(completion: ResponseCompletion): boolean {
+  return wholeCompletions.has(completion);
+}
+
 /** Whether the head of a response shows that its server goes on with a request. */
 export function continuesRequest(
   status: number,
--- a/packages/edge/src/responseRelay.ts
+++ b/packages/edge/src/responseRelay.ts
@@ -6,6 +6,7 @@
 import {type CallerExchange} from './callerExchange.js';
 import {type EdgeContext} from './edgeContext.js';
 import {type EventScanner} from './eventScanner.js';
+import {type OpenAttempts} from './openAttempts.js';
 import {type RelayedStream} from './relayedStream.js';
 import {maxBufferedBytes} from './requestLimits.js';
 import {type RequestTerms} from './requestTerms.js';
@@ -22,6 +23,7 @@
   timer: ResponseTimer;
   stream: RelayedStream;
   tokens: RequestTokens;
+  attempts: OpenAttempts;
   exchange: CallerExchange;
 }
 
@@ -50,7 +52,7 @@
     status: number,
     head: ResponseHead,
   ): void {
-    const {context, terms, timer, stream, exchange} = this.request;
+    const {context, terms, timer, stream, attempts} = this.request;
     progress.status = status;
     progress.head = head;
     if (!terms.isStream) {
@@ -59,12 +61,13 @@
     }
     if (!terms.isStream || status >= 300) return;
     startEvents(progress, stream.lastEventId, context.responseBudget);
-    if (!exchange.isStarted) exchange.startStream(head, status);
+    // Of a hedge attempt the caller gets nothing before its first event.
+    if (progress === attempts.current) this.startStream(progress);
   }
 
   /** Receives bytes. Returns false to pause reading from the server. */
   receiveData(progress: AttemptProgress, chunk: Buffer): boolean {
-    const {context, exchange} = this.request;
+    const {context, attempts, exchange} = this.request;
     if (progress.scanner !== undefined) {
       return this.relayEvents(progress, progress.scanner, chunk);
     }
@@ -83,6 +86,7 @@
       this.onUndelimited(progress);
       return true;
     }
+    attempts.keepOnly(progress);
     progress.isPassedOn = true;
     exchange.start(head, progress.status);
     return this.write(progress, progress.held.take());
@@ -93,17 +97,32 @@
     scanner: EventScanner,
     chunk: Buffer,
   ): boolean {
+    const {attempts} = this.request;
     const {data, count} = scanner.push(chunk);
     if (count === 0) {
-      if (scanner.isEndless) this.onEndless(progress, 'event');
-      else if (data.length > 0) return this.write(progress, data);
-      return true;
+      if (scanner.isEndless) {
+        this.onEndless(progress, 'event');
+        return true;
+      }
+      // Comments of a hedge attempt don't show that its server goes on.
+      const isRelayed = data.length > 0 && progress === attempts.current;
+      if (!isRelayed) return true;
+      this.startStream(progress);
+      return this.write(progress, data);
     }
+    attempts.keepOnly(progress);
+    this.startStream(progress);
     this.recordEvents(progress, count, scanner.lastEventId);
     progress.attempt?.coalesce(this.request.context.coalescer);
     return this.write(progress, data);
   }
 
+  /** Writes the head of a stream, unless another server's was written. */
+  private startStream({status, head = emptyResponseHead}: AttemptProgress) {
+    const {exchange} = this.request;
+    if (!exchange.isStarted) exchange.startStream(head, status);
+  }
+
   private recordEvents(
     progress: AttemptProgress,
     count: number,
