fix(edge): let a stalled request ask for a server without side effects

Cause: by the review, each decision of a stalled request, every 300 ms, counted as demand of callers, from which the leader divides limits; a hedge that could not be connected to took a retry from the budget at each of them without a bound; and the time of a stall was recorded though no server was left.

Change: a hedge is no demand and adds no skipped limit to the request's line; connection failures bound hedges as they bound retries; the stall's time is recorded with a hedge attempt only.

--- a/packages/edge/src/openAttempts.ts
+++ b/packages/edge/src/openAttempts.ts
@@ -12,6 +12,7 @@
 import {type EdgeContext} from './edgeContext.js';
 import {type RelayedStream} from './relayedStream.js';
 import {type RequestGuard} from './requestGuard.js';
+import {maxConnectFailures} from './requestLimits.js';
 import {type RequestTerms} from './requestTerms.js';
 import {type ResponseTimer} from './responseTimer.js';
 import {type RoutedRequest} from './routedRequest.js';
@@ -51,6 +52,8 @@
   readonly limitDecisions: LimitDecision[] = [];
   /** Servers that may have got the request. */
   sent = 0;
+  /** Attempts whose connection could not be opened. */
+  connectFailures = 0;
   private isClosed = false;
 
   constructor(
@@ -58,6 +61,11 @@
     private readonly handlers: AttemptHandlers,
   ) {}
 
+  /** Whether another server may be connected to. */
+  get mayConnect(): boolean {
+    return this.connectFailures < maxConnectFailures;
+  }
+
   /** The attempt whose response the caller gets. */
   get current(): AttemptProgress | undefined {
     return this.open.current;
--- a/packages/edge/src/requestHandler.ts
+++ b/packages/edge/src/requestHandler.ts
@@ -19,7 +19,6 @@
 import {RequestRetries} from './requestRetries.js';
 import {
   cancelTimeoutMilliseconds,
-  maxConnectFailures,
   minSendTimeMilliseconds,
 } from './requestLimits.js';
 import {
@@ -59,7 +58,6 @@
   private readonly tokens: RequestTokens;
   private readonly guard: RequestGuard;
   private readonly waits: RequestWaits;
-  private connectFailures = 0;
   private hasRun = false;
   private readonly stream = new RelayedStream();
   private readonly relay: ResponseRelay;
@@ -250,9 +248,9 @@
       case 'notSent':
         this.attempts.detach(progress);
         this.attempts.sent--;
-        this.connectFailures++;
+        this.attempts.connectFailures++;
         if (this.attempts.keepsOther()) return;
-        if (this.connectFailures < maxConnectFailures) this.sendNext();
+        if (this.attempts.mayConnect) this.sendNext();
         else this.failWithoutServer('noServer', clock.now());
         return;
       case 'notExecuted':
--- a/packages/edge/src/requestRetries.ts
+++ b/packages/edge/src/requestRetries.ts
@@ -63,7 +63,7 @@
 
   /** Hedges a request that may be repeated while its server makes no progress. */
   watchForStall(progress: AttemptProgress): void {
-    const {context, terms, timer, attempts} = this.request;
+    const {context, terms, attempts} = this.request;
     if (!terms.isRetryable) return;
     const {clock} = context;
     const stateOf = () =>
@@ -73,10 +73,9 @@
       if (progress.progressAt !== stalledSince) {
         stalledSince = progress.progressAt;
         this.refusal = undefined;
-        timer.observeStall(progress, state);
         this.log('server stalled', {server: progress.server.id, ...state});
       }
-      if (this.mayHedge()) this.tryHedge();
+      if (this.mayHedge()) this.tryHedge(progress, state);
     });
     this.cancelTimers.push(cancel);
   }
@@ -98,13 +97,14 @@
 
   /** Whether a hedge attempt may start: there is none, or it has stalled itself. */
   private mayHedge(): boolean {
-    const {hedge} = this.request.attempts;
+    const {hedge, mayConnect} = this.request.attempts;
+    if (!mayConnect) return false;
     return hedge === undefined || isStalled(this.stateOf(hedge));
   }
 
   /** Sends the request to a second server as well, if it may. */
-  private tryHedge(): void {
-    const {context, attempts, onHedge} = this.request;
+  private tryHedge(first: AttemptProgress, state: StallCheckState): void {
+    const {context, timer, attempts, onHedge} = this.request;
     const now = context.clock.now();
     const decision = takeRetry(context, this.candidate(), now, {isHedge: true});
     if ('refusal' in decision) {
@@ -115,6 +115,7 @@
     }
     const {server} = decision;
     onHedge();
+    timer.observeStall(first, state);
     attempts.endHedge('server stalled', 'failure');
     this.recordRetry('hedging request', {server: server.id});
     attempts.start(server, now, 'hedge');
--- a/packages/edge/src/responseTimer.ts
+++ b/packages/edge/src/responseTimer.ts
@@ -57,7 +57,7 @@
     this.context.paces.recordAnswer(progress, expected);
   }
 
-  /** Records the time that a request has waited when it leaves its server. */
+  /** Records the time that a request has waited when it is sent to another server. */
   observeStall({server}: AttemptProgress, state: StallCheckState): void {
     const {hasFirstEvent, silence, serverSilence} = state;
     if (hasFirstEvent) return;
--- a/packages/edge/src/retryDecision.ts
+++ b/packages/edge/src/retryDecision.ts
@@ -72,8 +72,10 @@
   const {tried} = criteria;
   const silent = isHedge ? silentServers(context, service, tried, now) : none;
   const excluded = {has: (id: string) => tried.has(id) || silent.has(id)};
-  const untried = {...criteria, tried: excluded};
-  const server = selectServer(context, untried, now);
+  const limitDecisions = isHedge ? [] : criteria.limitDecisions;
+  const untried = {...criteria, tried: excluded, limitDecisions};
+  // A stalled request asks again and again.
+  const server = selectServer(context, untried, now, {isDemand: !isHedge});
   if (server === undefined) {
     return {refusal: silent.size > 0 ? 'serversSilent' : 'noServer'};
   }
--- a/packages/edge/src/serverSelection.ts
+++ b/packages/edge/src/serverSelection.ts
@@ -46,16 +46,22 @@
   'pool' | 'limits' | 'speeds' | 'options' | 'routes' | 'connections' | 'reach'
 >;
 
-/** Returns the best server; undefined where none is available. */
+/**
+ * Returns the best server; undefined where none is available.
+ *
+ * @param options Whether the request counts as demand of callers, which decides on
+ *     the router's share of limits.
+ */
 export function selectServer(
   context: SelectionContext,
   criteria: SelectionCriteria,
   now: number,
+  {isDemand = true} = {},
 ): PooledServer | undefined {
   const {pool, limits, connections, reach} = context;
   const {service, generation, tried, limitDecisions} = criteria;
   const {softwareVersion} = criteria;
-  limits.recordDemand(service, now);
+  if (isDemand) limits.recordDemand(service, now);
   const available = pool
     .candidates(service, tried, connections.limitsOf(service), now)
     .filter(
