--- a/packages/daemon/tests/requests/failures.test.ts
+++ b/packages/daemon/tests/requests/failures.test.ts
@@ -131,6 +131,24 @@
   });
 });
 
+describe('a response that is not streamed', () => {
+  // Guards against engines that are left in their work one after the other, as each
+  // writes nothing before all of its response is generated (issue 70).
+  it('comes from an engine that takes longer than one may be idle', async () => {
+    await start({kind: 'slow', milliseconds: 400}, {times: 100});
+    const answer = await fixture.chat({...streamBody, stream: false});
+    expect(answer.status).toBe(200);
+    const calls = modelServers.flatMap(server => server.calls);
+    expect(calls.filter(({method}) => method === 'POST')).toHaveLength(1);
+  });
+
+  it('comes from another engine if the first one does not begin', async () => {
+    await start({kind: 'hang'});
+    const answer = await fixture.chat({...streamBody, stream: false});
+    expect(answer.status).toBe(200);
+  });
+});
+
 describe('a refused request', () => {
   it('is reported as not run if no server could be reached', async () => {
     await start({kind: 'none'});
