fix(daemon): keep connections whose responses are not read to their end

Cause: a caller of the daemon that read slowly as it stopped got the start of a response, and then the end of its connection. As in a router, closing idle connections takes those for idle whose response was written to the end, and destroys them with what the caller has yet to get.

Change: the daemon's server closes as idle what a router does. Such a caller now has the time that closeHttpServer means to leave for the last responses, 300 ms, where it had none.

Not changed: those 300 ms. A caller that takes longer is still cut, whatever is left of drainMilliseconds, as Node.js can't tell it from one that never called.

Evidence: npx vitest run packages/daemon/tests/unreadResponses.test.ts before: 3,919,872 of 33,554,432 bytes arrive; after: all. packages/daemon: 261 of 261 at load 4 to 12. Features were not run.

--- a/packages/daemon/src/httpServer.ts
+++ b/packages/daemon/src/httpServer.ts
@@ -5,6 +5,7 @@
 
 import {
   followRunningRequests,
+  keepUnreadResponses,
   type LimitListener,
 } from '@dogwoodtrestle/runtime';
 import {type Settings} from '@dogwoodtrestle/schema';
@@ -70,6 +71,7 @@
     },
   });
   const hasRunningRequest = followRunningRequests(server.server);
+  keepUnreadResponses(server.server);
   limitBodies(server, {
     maxBytes: maximumBodyBytes,
     maxTotalBytes: bodyMemoryBytes,
