test(platform): replace a fleet's processes by those of another build and back

Cause: callers met old and new builds side by side only in calm trials; kills, cuts and servers that fall silent during an upgrade were never tried.

Change: platform/tests/upgrades, on top of the soak's fleet, callers and invariants: five control processes, three routers, six servers that answer in full, 24 callers on kept connections. Each process is replaced in turn (control processes first, routers first, mixed), and back, with a seeded fault beside each: SIGKILL of the replaced process, of the leader, of all routers, of three control processes; the leader, a majority or the routers cut off; half or all servers of streams silent for 1.1 to 1.3 s. Checked: each acknowledged configuration is read back as sent at all five after each step and after a loss of power; no process ends by itself; events in order, at work at one server, one bill by the leader's account, totals not overspent, bookings once; a sound router cuts nothing; a quarter of what is owed is served after each step. Run by hand, see CONTRIBUTING.md; no part of npm test.

All others fail it.

--- a/vitest.config.ts
+++ b/vitest.config.ts
@@ -4,8 +4,13 @@
 export const config = defineConfig({
   test: {
     include: ['packages/*/tests/**/*.test.ts', 'platform/tests/**/*.test.ts'],
-    // These have settings of their own, vitest.memory.config.ts.
-    exclude: [...configDefaults.exclude, '**/tests/memory/**'],
+    // These have settings of their own, vitest.memory.config.ts and
+    // vitest.upgrades.config.ts.
+    exclude: [
+      ...configDefaults.exclude,
+      '**/tests/memory/**',
+      '**/tests/upgrades/**',
+    ],
     testTimeout: 20_000,
     maxWorkers: 4,
     minWorkers: 1,
