--- a/packages/edge/src/retryDecision.ts
+++ b/packages/edge/src/retryDecision.ts
@@ -13,17 +13,20 @@
 
 /**
  * Why a request is not sent on: its route allows no more `attempts`, it may have
- * caused `crashes`, the stream has `noEventIds` to go on after, too little time is
- * left (`outOfTime`), there is `noServer`, or the service's retry budget is used up
- * (`overBudget`).
+ * caused `crashes`, the stream has `noEventIds` to go on after, an answer that is no
+ * stream has `begun` to reach the caller, too little time is
+ * left (`outOfTime`), the service's retry budget is used up (`overBudget`), there is
+ * `noServer`, or all that there are but the first are silent (`serversSilent`).
  */
 export type RetryRefusal =
   | 'attempts'
   | 'crashes'
   | 'noEventIds'
+  | 'begun'
   | 'outOfTime'
+  | 'overBudget'
   | 'noServer'
-  | 'overBudget';
+  | 'serversSilent';
 
 /** The server that a request is sent to next, or why it is sent to none. */
 export type RetryDecision = {server: PooledServer} | {refusal: RetryRefusal};
@@ -35,28 +38,60 @@
   guard: RequestGuard;
   stream: RelayedStream;
   criteria: SelectionCriteria;
+  /** Whether the caller has a part of an answer that is no stream. */
+  hasBegun: boolean;
   /** Servers that have got it. */
   sentAttempts: number;
 }
 
-/** Takes a retry from the service's budget, unless the request is not sent on. */
+/**
+ * Takes a retry from the service's budget, unless the request is not sent on.
+ *
+ * @param options Whether the first server may still go on, so that one which is as
+ *     silent is no better.
+ */
 export function takeRetry(
   context: EdgeContext,
-  {input, terms, guard, stream, criteria, sentAttempts}: RetryRequest,
+  {input, terms, guard, stream, criteria, hasBegun, sentAttempts}: RetryRequest,
   now: number,
+  {isHedge = false} = {},
 ): RetryDecision {
   const {route, service} = input;
   const {retryBudget, control} = context;
   if (sentAttempts >= route.maxAttempts) return {refusal: 'attempts'};
-  if (!guard.mayResend()) return {refusal: 'crashes'};
   if (!stream.mayGoOn) return {refusal: 'noEventIds'};
+  if (hasBegun) return {refusal: 'begun'};
   if (terms.deadline - now < minSendTimeMilliseconds) {
     return {refusal: 'outOfTime'};
   }
-  const server = selectServer(context, criteria, now);
-  if (server === undefined) return {refusal: 'noServer'};
-  if (!retryBudget.takeRetry(service, control.routerCount, now)) {
+  if (!retryBudget.hasRetry(service, control.routerCount, now)) {
     return {refusal: 'overBudget'};
   }
+  // Asked last, as it may take the one trial of a blocked subject.
+  if (!guard.mayResend()) return {refusal: 'crashes'};
+  const {tried} = criteria;
+  const silent = isHedge ? silentServers(context, service, tried, now) : none;
+  const excluded = {has: (id: string) => tried.has(id) || silent.has(id)};
+  const untried = {...criteria, tried: excluded};
+  const server = selectServer(context, untried, now);
+  if (server === undefined) {
+    return {refusal: silent.size > 0 ? 'serversSilent' : 'noServer'};
+  }
+  retryBudget.takeRetry(service, control.routerCount, now);
   return {server};
 }
+
+const none: ReadonlySet<string> = new Set();
+
+/** Returns the untried servers of a service that are silent, or fail often. */
+function silentServers(
+  {pool}: Pick<EdgeContext, 'pool'>,
+  service: string,
+  tried: SelectionCriteria['tried'],
+  now: number,
+): ReadonlySet<string> {
+  const silent = pool
+    .eligible(service, now)
+    .filter(server => !tried.has(server.id) && pool.isSuspect(server, now));
+  return new Set(silent.map(({id}) => id));
+}
--- a/packages/edge/src/stallWatch.ts
+++ b/packages/edge/src/stallWatch.ts
@@ -8,7 +8,10 @@
 
 /** State of a request at a server. Times are in milliseconds. */
 export interface StallCheckState {
-  /** Time since the last complete event, or since the request was sent. */
+  /**
+   * Time since the last complete event, or since the request was sent; 0 while the
+   * caller does not read, as its router does not read then either.
+   */
   silence: number;
   /** Time since the server sent any byte to this router. */
   serverSilence: number;
@@ -32,12 +35,13 @@
 
 /** Returns the state of an attempt at a time. */
 export function stallStateOf(
-  {progressAt, hasFirstEvent, server}: AttemptProgress,
+  {progressAt, readAt, hasFirstEvent, attempt, server}: AttemptProgress,
   {patience, gapLimit, deadline}: StallLimits,
   now: number,
 ): StallCheckState {
   return {
-    silence: now - progressAt,
+    silence:
+      attempt?.isPaused === true ? 0 : now - Math.max(progressAt, readAt),
     serverSilence: now - server.lastByteAt,
     hasFirstEvent,
     patience,
@@ -70,11 +74,14 @@
 /** Interval at which a request is checked for a stall. */
 const checkMilliseconds = 150;
 
+/** The same for a request that has stalled. */
+const stalledCheckMilliseconds = 300;
+
 /**
- * Checks a request periodically until it stalls or has left the server.
+ * Checks a request periodically until it has left the server.
  *
  * @param stateOf Returns undefined once the request has left the server.
- * @param onStalled Called at most once.
+ * @param onStalled Called at each check at which the request has stalled.
  * @returns A function that stops the checks.
  */
 export function watchForStall(
@@ -86,8 +93,10 @@
   const check = () => {
     const state = stateOf();
     if (state === undefined) return;
-    if (isStalled(state)) onStalled(state);
-    else cancel = clock.setTimer(checkMilliseconds, check);
+    const hasStalled = isStalled(state);
+    const interval = hasStalled ? stalledCheckMilliseconds : checkMilliseconds;
+    cancel = clock.setTimer(interval, check);
+    if (hasStalled) onStalled(state);
   };
   cancel = clock.setTimer(checkMilliseconds, check);
   return () => cancel();
