fix(edge): hedge a stalled request only at servers that are heard

The second server was as silent as the first, which the router couldn't know, as it had no request there; both went on at the same moment and began to run the stream, and one of them was left a round trip later.

Change: a server counts as able to go on if it has sent a byte within half of the timeout, or if the silence lasts longer than one and a half of it.

--- a/packages/edge/src/requestRetries.ts
+++ b/packages/edge/src/requestRetries.ts
@@ -17,6 +17,7 @@
 import {type RoutedRequest} from './routedRequest.js';
 import {type SelectionCriteria} from './serverSelection.js';
 import {
+  heardWithin,
   isStalled,
   stallStateOf,
   type StallCheckState,
@@ -106,7 +107,10 @@
   private tryHedge(first: AttemptProgress, state: StallCheckState): void {
     const {context, timer, attempts, onHedge} = this.request;
     const now = context.clock.now();
-    const decision = takeRetry(context, this.candidate(), now, {isHedge: true});
+    const decision = takeRetry(context, this.candidate(), now, {
+      isHedge: true,
+      heardWithin: heardWithin(state),
+    });
     if ('refusal' in decision) {
       const {refusal} = decision;
       const isKnown = refusal === this.refusal;
--- a/packages/edge/src/retryDecision.ts
+++ b/packages/edge/src/retryDecision.ts
@@ -16,7 +16,7 @@
  * caused `crashes`, the stream has `noEventIds` to go on after, an answer that is no
  * stream has `begun` to reach the caller, too little time is
  * left (`outOfTime`), the service's retry budget is used up (`overBudget`), there is
- * `noServer`, or all that there are but the first are silent (`serversSilent`).
+ * `noServer`, or none of the others is heard (`serversSilent`).
  */
 export type RetryRefusal =
   | 'attempts'
@@ -48,13 +48,14 @@
  * Takes a retry from the service's budget, unless the request is not sent on.
  *
  * @param options Whether the first server may still go on, so that one which is as
- *     silent is no better.
+ *     silent is no better, and the time within which another one must have sent a
+ *     byte, in milliseconds.
  */
 export function takeRetry(
   context: EdgeContext,
   {input, terms, guard, stream, criteria, hasBegun, sentAttempts}: RetryRequest,
   now: number,
-  {isHedge = false} = {},
+  {isHedge = false, heardWithin = Infinity} = {},
 ): RetryDecision {
   const {route, service} = input;
   const {retryBudget, control} = context;
@@ -70,7 +71,9 @@
   // Asked last, as it may take the one trial of a blocked subject.
   if (!guard.mayResend()) return {refusal: 'crashes'};
   const {tried} = criteria;
-  const silent = isHedge ? silentServers(context, service, tried, now) : none;
+  const silent = isHedge
+    ? silentServers(context, {service, tried, heardWithin}, now)
+    : none;
   const excluded = {has: (id: string) => tried.has(id) || silent.has(id)};
   const limitDecisions = isHedge ? [] : criteria.limitDecisions;
   const untried = {...criteria, tried: excluded, limitDecisions};
@@ -85,15 +88,22 @@
 
 const none: ReadonlySet<string> = new Set();
 
-/** Returns the untried servers of a service that are silent, or fail often. */
+/** Returns the untried servers of a service that aren't heard, or fail often. */
 function silentServers(
   {pool}: Pick<EdgeContext, 'pool'>,
-  service: string,
-  tried: SelectionCriteria['tried'],
+  {
+    service,
+    tried,
+    heardWithin,
+  }: Pick<SelectionCriteria, 'service' | 'tried'> & {heardWithin: number},
   now: number,
 ): ReadonlySet<string> {
   const silent = pool
     .eligible(service, now)
-    .filter(server => !tried.has(server.id) && pool.isSuspect(server, now));
+    .filter(server => !tried.has(server.id))
+    .filter(
+      server =>
+        pool.isSuspect(server, now) || now - server.lastByteAt > heardWithin,
+    );
   return new Set(silent.map(({id}) => id));
 }
--- a/packages/edge/src/stallWatch.ts
+++ b/packages/edge/src/stallWatch.ts
@@ -50,6 +50,30 @@
   };
 }
 
+/** Factor of the timeout after which servers that are not heard are asked too. */
+const unheardFactor = 1.5;
+
+/** Timeout that applies to a request: to its first event, or between events. */
+function timeoutOf({
+  hasFirstEvent,
+  patience,
+  gapLimit,
+}: StallCheckState): number {
+  return hasFirstEvent ? gapLimit : patience;
+}
+
+/**
+ * Returns the time within which another server must have sent a byte to be asked
+ * beside a stalled one: one that is not heard may be as silent, and go on at the
+ * same moment, so that both run the request. After a longer silence it is asked
+ * all the same.
+ */
+export function heardWithin(state: StallCheckState): number {
+  const timeout = timeoutOf(state);
+  const isLong = state.silence > unheardFactor * timeout;
+  return isLong ? Infinity : timeout / 2;
+}
+
 /** Time that a retry needs, as a share of the timeout. */
 const minRetryTimeShare = 0.5;
 
@@ -57,15 +81,9 @@
  * Whether the request should be retried on another server. The timeout doubles
  * if the server has recently sent data for other requests.
  */
-export function isStalled({
-  silence,
-  serverSilence,
-  hasFirstEvent,
-  patience,
-  gapLimit,
-  timeLeft,
-}: StallCheckState): boolean {
-  const limit = hasFirstEvent ? gapLimit : patience;
+export function isStalled(state: StallCheckState): boolean {
+  const {silence, serverSilence, timeLeft} = state;
+  const limit = timeoutOf(state);
   if (timeLeft < limit * minRetryTimeShare) return false;
   const isServerSilent = serverSilence > limit / 2;
   return silence > (isServerSilent ? limit : 2 * limit);
