--- a/packages/edge/src/retryDecision.ts
+++ b/packages/edge/src/retryDecision.ts
@@ -14,9 +14,9 @@
 /**
  * Why a request is not sent on: its route allows no more `attempts`, it may have
  * caused `crashes`, the stream has `noEventIds` to go on after, an answer that is no
- * stream has `begun` to reach the caller, too little time is
- * left (`outOfTime`), the service's retry budget is used up (`overBudget`), there is
- * `noServer`, or none of the others is heard (`serversSilent`).
+ * stream has `begun` to reach the caller, too little time is left (`outOfTime`), the
+ * service's retry budget is used up (`overBudget`), there is `noServer`, or none of
+ * the others is heard (`serversSilent`).
  */
 export type RetryRefusal =
   | 'attempts'
